Add build, scripts, base types and the node's interface

The base module has the closed list of error kinds with its answers; node_core.h, action.h and peer_message.h fix the interface between the decisions and the shells.

--- /dev/null
+++ b/include/tamarackridge/src/base/http_message.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief One HTTP header field.
+struct http_header
+{
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const http_header &, const http_header &) = default;
+};
+
+/// \brief Immutable body, shared between the attempts of one request instead of copied.
+using shared_body = std::shared_ptr<const std::string>;
+
+/// \brief An HTTP request without connection details.
+struct http_request
+{
+    std::string method;
+    std::string target; ///< Path and query, for example `/invoices?month=11`.
+    std::vector<http_header> headers;
+    shared_body body;
+};
+
+/// \brief A whole HTTP answer.
+struct http_answer
+{
+    int status = 0;
+    std::vector<http_header> headers;
+    shared_body body;
+};
+
+/// \returns the value of the first header called \a name (case-insensitive), or an empty view.
+std::string_view headerValue(const std::vector<http_header> &headers, std::string_view name);
+
+/// \returns the body's bytes; an absent body is empty.
+std::string_view bodyView(const shared_body &body);
+
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/base_error_kind_test.cpp
@@ -0,0 +1,26 @@
+#include "tamarackridge/core"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace tamarackridge;
+
+// Guards against a refusal that claims `not-run` although a backend server may hold the request.
+TEST(ErrorKind, OutcomesAfterDispatchNeverClaimNotRun)
+{
+    for (error_kind kind :
+         {error_kind::outcome_unknown, error_kind::backend_timeout, error_kind::backend_failed,
+          error_kind::backend_answer_incomplete, error_kind::request_id_expired,
+          error_kind::owner_unreachable, error_kind::request_quarantined}) {
+        EXPECT_EQ(answerFor(kind).state, run_state::unknown) << answerFor(kind).name;
+    }
+}
+
+// Guards against two kinds that a caller cannot tell apart.
+TEST(ErrorKind, NamesAreUnique)
+{
+    std::set<std::string_view> names;
+    for (const error_answer &answer : errorAnswers())
+        EXPECT_TRUE(names.insert(answer.name).second) << answer.name;
+}
