Add the ledger of request ids and the handle table

An id names the one incarnation that may run the request, so no agreement and no log append per write is needed; a dead incarnation means unknown. A planned stop hands the ledger to a successor after the leaving node has stopped deciding.

--- /dev/null
+++ b/include/tamarackridge/src/ledger/handle_table.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "tamarackridge/src/base/random_source.h"
+#include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/ledger/ledger.h"
+#include "tamarackridge/src/node/action.h"
+#include "tamarackridge/src/node/peer_message.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace tamarackridge {
+
+/// \brief A request that runs on the own backend server, as its onward calls see it.
+struct running_request
+{
+    run_id run = 0;
+    request_context context; ///< `attempts` is what the onward calls may still use.
+    time_point deadline;
+    time_point chainStart;
+    std::map<std::string, ledger_key, std::less<>> onwardIds; ///< By `Idempotency-Key`.
+    std::map<std::uint64_t, std::uint32_t> onwardCalls; ///< Sends of each onward call, by digest.
+};
+
+/// \brief Handles that backend servers present with onward calls.
+///
+/// A handle is valid while its request runs; it is random and so cannot be derived or raised.
+class handle_table
+{
+public:
+    explicit handle_table(random_source &random)
+        : m_random(random)
+    { }
+
+    /// \returns the handle, 32 hexadecimal digits.
+    std::string open(running_request request);
+    /// \returns the running request, or null when the handle is not valid on this node.
+    running_request *find(std::string_view handle);
+    /// \returns the running request of \a run, or null.
+    running_request *findRun(run_id run);
+    /// \brief Ends the handle of \a run.
+    void close(run_id run);
+    std::size_t size() const { return m_requests.size(); }
+
+private:
+    random_source &m_random;
+    std::map<std::string, running_request, std::less<>> m_requests;
+    std::unordered_map<run_id, std::string> m_handles;
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/include/tamarackridge/src/ledger/request_id.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "tamarackridge/src/base/identity.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarackridge {
+
+/// \brief Secret under which one incarnation signs its request ids.
+using ledger_secret = std::array<std::uint8_t, 16>;
+
+/// \brief Identifies a request across resends, and names the only node that may run it.
+///
+/// The text form is `<zone>.<node>.<incarnation>.<sequence>.<issued ms>.<MAC>`, the numbers in
+/// hexadecimal. Zone and node names contain no dots.
+struct request_id
+{
+    node_ref owner;
+    std::uint64_t sequence = 0;
+    std::uint64_t issuedMs = 0; ///< Milliseconds since the owner's ledger began.
+    std::uint64_t mac = 0;
+
+    /// \returns the text form.
+    std::string toString() const;
+    /// \returns the id, or nothing when \a text is not well formed; the MAC is not checked.
+    static std::optional<request_id> parse(std::string_view text);
+};
+
+/// \returns the MAC of \a id under \a secret.
+std::uint64_t requestIdMac(const request_id &id, const ledger_secret &secret);
+
+} // namespace tamarackridge
--- a/include/tamarackridge/src/node/peer_message.h
+++ b/include/tamarackridge/src/node/peer_message.h
@@ -112,7 +112,7 @@
 {
     incarnation life = 0;
     std::array<std::uint8_t, 16> secret{};
-    duration idAge{}; ///< Age of the oldest id that may still be used.
+    duration clockAge{}; ///< Time since the ledger began; ids are dated relative to its begin.
     std::vector<ledger_entry> entries;
 };
 
--- /dev/null
+++ b/src/core/ledger/ledger.cpp
@@ -0,0 +1,212 @@
+#include "tamarackridge/src/ledger/ledger.h"
+
+namespace tamarackridge {
+namespace {
+
+using verdict = ledger_decision::verdict;
+
+ledger_decision refusal(const ledger_key &key, error_kind error)
+{
+    return {verdict::refuse, key, {}, error};
+}
+
+ledger_secret drawSecret(random_source &random)
+{
+    ledger_secret secret{};
+    for (std::size_t index = 0; index < secret.size(); ++index)
+        secret[index] = static_cast<std::uint8_t>(random.next() & 0xffU);
+    return secret;
+}
+
+std::size_t storedBytes(const http_answer &answer)
+{
+    std::size_t bytes = bodyView(answer.body).size();
+    for (const http_header &header : answer.headers)
+        bytes += header.name.size() + header.value.size();
+    return bytes;
+}
+
+} // namespace
+
+ledger::ledger(node_ref self, ledger_options options, random_source &random, time_point now)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+    m_lives[m_self.life] = {drawSecret(random), now};
+}
+
+std::string ledger::issue(time_point now)
+{
+    const clock_base &base = m_lives.at(m_self.life);
+    const auto issued = std::chrono::duration_cast<std::chrono::milliseconds>(now - base.begin);
+    request_id id{m_self, m_nextSequence++, static_cast<std::uint64_t>(issued.count()), 0};
+    id.mac = requestIdMac(id, base.secret);
+    return id.toString();
+}
+
+bool ledger::owns(incarnation life) const
+{
+    return m_lives.contains(life);
+}
+
+bool ledger::expired(time_point issued, time_point now) const
+{
+    return now - issued >= m_options.idLifetime;
+}
+
+ledger_decision ledger::begin(const request_id &id, std::string_view customer,
+                              std::uint64_t requestDigest, time_point now)
+{
+    const ledger_key key{id.owner.life, id.sequence};
+    const auto base = m_lives.find(id.owner.life);
+    if (base == m_lives.end())
+        return refusal(key, error_kind::outcome_unknown);
+    if (requestIdMac(id, base->second.secret) != id.mac)
+        return refusal(key, error_kind::request_id_invalid);
+    const time_point issued = base->second.begin + std::chrono::milliseconds(id.issuedMs);
+    if (expired(issued, now))
+        return refusal(key, error_kind::request_id_expired);
+    return beginAt(key, issued, customer, requestDigest);
+}
+
+ledger_decision ledger::begin(const ledger_key &key, std::string_view customer,
+                              std::uint64_t requestDigest, time_point now)
+{
+    return beginAt(key, now, customer, requestDigest);
+}
+
+ledger_key ledger::reserve()
+{
+    return {m_self.life, m_nextSequence++};
+}
+
+ledger_decision ledger::beginAt(const ledger_key &key, time_point issued, std::string_view customer,
+                                std::uint64_t requestDigest)
+{
+    // After a handover another node decides, so nothing may be claimed about the request here.
+    if (m_stopped)
+        return refusal(key, error_kind::owner_unreachable);
+    const auto found = m_records.find(key);
+    if (found != m_records.end())
+        return decide(found->second, key, customer, requestDigest);
+    if (m_records.size() >= m_options.maxRecords)
+        return refusal(key, error_kind::overloaded);
+    record fresh;
+    fresh.digest = requestDigest;
+    fresh.customer = std::string(customer);
+    fresh.issued = issued;
+    m_records.emplace(key, std::move(fresh));
+    return {verdict::run, key, {}, error_kind::internal_error};
+}
+
+ledger_decision ledger::decide(record &found, const ledger_key &key, std::string_view customer,
+                               std::uint64_t requestDigest) const
+{
+    if (found.customer != customer || found.digest != requestDigest)
+        return refusal(key, error_kind::request_id_reused);
+    switch (found.state) {
+    case ledger_state::running:
+        return {verdict::wait, key, {}, error_kind::internal_error};
+    case ledger_state::answered:
+        return {verdict::replay, key, found.answer, error_kind::internal_error};
+    case ledger_state::refused:
+        found.state = ledger_state::running;
+        return {verdict::run, key, {}, error_kind::internal_error};
+    case ledger_state::unknown:
+        break;
+    }
+    return refusal(key, error_kind::outcome_unknown);
+}
+
+void ledger::answered(const ledger_key &key, const http_answer &answer)
+{
+    const auto found = m_records.find(key);
+    if (found == m_records.end() || found->second.state != ledger_state::running)
+        return;
+    storeAnswer(key, found->second, answer);
+}
+
+void ledger::storeAnswer(const ledger_key &key, record &target, const http_answer &answer)
+{
+    target.state = ledger_state::answered;
+    target.answer = answer;
+    m_answerBytes += storedBytes(answer);
+    target.answerPosition = m_answerOrder.insert(m_answerOrder.end(), key);
+    while (m_answerBytes > m_options.maxAnswerBytes && !m_answerOrder.empty())
+        dropAnswer(m_records.at(m_answerOrder.front()));
+}
+
+void ledger::dropAnswer(record &target)
+{
+    m_answerBytes -= storedBytes(target.answer);
+    m_answerOrder.erase(target.answerPosition);
+    target.answer = {};
+    target.state = ledger_state::unknown;
+}
+
+void ledger::refused(const ledger_key &key)
+{
+    const auto found = m_records.find(key);
+    if (found != m_records.end() && found->second.state == ledger_state::running)
+        found->second.state = ledger_state::refused;
+}
+
+void ledger::outcomeUnknown(const ledger_key &key)
+{
+    const auto found = m_records.find(key);
+    if (found != m_records.end() && found->second.state == ledger_state::running)
+        found->second.state = ledger_state::unknown;
+}
+
+void ledger::expire(time_point now)
+{
+    for (auto entry = m_records.begin(); entry != m_records.end();) {
+        record &candidate = entry->second;
+        if (candidate.state == ledger_state::running || !expired(candidate.issued, now)) {
+            ++entry;
+            continue;
+        }
+        if (candidate.state == ledger_state::answered)
+            dropAnswer(candidate);
+        entry = m_records.erase(entry);
+    }
+}
+
+ledger_handover ledger::handOver(time_point now)
+{
+    m_stopped = true;
+    const clock_base &base = m_lives.at(m_self.life);
+    ledger_handover handover;
+    handover.life = m_self.life;
+    handover.secret = base.secret;
+    handover.clockAge = now - base.begin;
+    for (const auto &[key, found] : m_records) {
+        if (key.life != m_self.life)
+            continue;
+        const ledger_state state =
+                found.state == ledger_state::running ? ledger_state::unknown : found.state;
+        handover.entries.push_back({key.sequence, state, found.digest, found.customer,
+                                    now - found.issued, found.answer});
+    }
+    return handover;
+}
+
+void ledger::takeOver(const ledger_handover &handover, time_point now)
+{
+    if (m_lives.contains(handover.life))
+        return;
+    m_lives[handover.life] = {handover.secret, now - handover.clockAge};
+    for (const ledger_entry &entry : handover.entries) {
+        record taken;
+        taken.state = entry.state;
+        taken.digest = entry.requestDigest;
+        taken.customer = entry.customer;
+        taken.issued = now - entry.age;
+        const ledger_key key{handover.life, entry.sequence};
+        record &stored = m_records.emplace(key, std::move(taken)).first->second;
+        if (entry.state == ledger_state::answered)
+            storeAnswer(key, stored, entry.answer);
+    }
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/ledger_at_most_once_test.cpp
@@ -0,0 +1,182 @@
+#include "fakes/seeded_random.h"
+#include "tamarackridge/ledger"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace tamarackridge;
+using namespace std::chrono_literals;
+using verdict = ledger_decision::verdict;
+
+namespace {
+
+const node_ref owner{"a", "node1", 0x11};
+const node_ref successor{"a", "node2", 0x22};
+constexpr std::uint64_t digest = 77;
+
+http_answer invoiceAnswer()
+{
+    return {201, {{"Location", "/invoices/1"}}, std::make_shared<const std::string>("invoice 1")};
+}
+
+class LedgerTest : public ::testing::Test
+{
+protected:
+    request_id issue(time_point now) { return *request_id::parse(m_ledger.issue(now)); }
+
+    fakes::seeded_random m_random{1};
+    time_point m_start{};
+    ledger m_ledger{owner, {}, m_random, m_start};
+};
+
+} // namespace
+
+// Guards against a resend that runs a write twice while the first send still runs.
+TEST_F(LedgerTest, ResendWaitsForTheRunningRequest)
+{
+    const request_id id = issue(m_start);
+    EXPECT_EQ(m_ledger.begin(id, "airline", digest, m_start).kind, verdict::run);
+    EXPECT_EQ(m_ledger.begin(id, "airline", digest, m_start + 1s).kind, verdict::wait);
+}
+
+// Guards against a resend after the answer was lost on its way to the caller.
+TEST_F(LedgerTest, ResendOfAnAnsweredRequestGetsTheSameAnswer)
+{
+    const request_id id = issue(m_start);
+    m_ledger.answered(m_ledger.begin(id, "airline", digest, m_start).key, invoiceAnswer());
+    const ledger_decision resend = m_ledger.begin(id, "airline", digest, m_start + 1s);
+    EXPECT_EQ(resend.kind, verdict::replay);
+    EXPECT_EQ(resend.answer.status, 201);
+    EXPECT_EQ(bodyView(resend.answer.body), "invoice 1");
+}
+
+// Guards against a caller that is told `not-run` and can never get its write through.
+TEST_F(LedgerTest, ARefusedRequestMayBeSentAgain)
+{
+    const request_id id = issue(m_start);
+    m_ledger.refused(m_ledger.begin(id, "airline", digest, m_start).key);
+    EXPECT_EQ(m_ledger.begin(id, "airline", digest, m_start + 1s).kind, verdict::run);
+}
+
+// Guards against a second run after the backend connection broke with bytes sent.
+TEST_F(LedgerTest, AnUnknownOutcomeStaysUnknown)
+{
+    const request_id id = issue(m_start);
+    const ledger_key key = m_ledger.begin(id, "airline", digest, m_start).key;
+    m_ledger.outcomeUnknown(key);
+    m_ledger.refused(key);
+    const ledger_decision resend = m_ledger.begin(id, "airline", digest, m_start + 1s);
+    EXPECT_EQ(resend.kind, verdict::refuse);
+    EXPECT_EQ(resend.error, error_kind::outcome_unknown);
+}
+
+// Guards against a replaced node without memory that runs, or denies, what its predecessor ran.
+TEST_F(LedgerTest, AnotherIncarnationAnswersUnknown)
+{
+    const request_id id = issue(m_start);
+    ledger replaced{{"a", "node1", 0x12}, {}, m_random, m_start};
+    const ledger_decision decision = replaced.begin(id, "airline", digest, m_start + 1s);
+    EXPECT_EQ(decision.kind, verdict::refuse);
+    EXPECT_EQ(answerFor(decision.error).state, run_state::unknown);
+}
+
+// Guards against a run of an id whose record may already have been dropped.
+TEST_F(LedgerTest, AnExpiredIdNeverRuns)
+{
+    const request_id id = issue(m_start);
+    const ledger_decision decision = m_ledger.begin(id, "airline", digest, m_start + 10min);
+    EXPECT_EQ(decision.error, error_kind::request_id_expired);
+    EXPECT_EQ(answerFor(decision.error).state, run_state::unknown);
+}
+
+// Guards against ids made up by callers and against one customer reading another's answer.
+TEST_F(LedgerTest, ForgedAndForeignIdsAreRefused)
+{
+    request_id id = issue(m_start);
+    m_ledger.answered(m_ledger.begin(id, "airline", digest, m_start).key, invoiceAnswer());
+    EXPECT_EQ(m_ledger.begin(id, "other", digest, m_start).error, error_kind::request_id_reused);
+    EXPECT_EQ(m_ledger.begin(id, "airline", digest + 1, m_start).error,
+              error_kind::request_id_reused);
+    id.sequence += 1;
+    EXPECT_EQ(m_ledger.begin(id, "airline", digest, m_start).error, error_kind::request_id_invalid);
+}
+
+// Guards against a planned stop that loses records or leaves two nodes deciding.
+TEST_F(LedgerTest, HandoverMovesTheDecision)
+{
+    const request_id answeredId = issue(m_start);
+    const request_id runningId = issue(m_start);
+    const request_id unusedId = issue(m_start);
+    m_ledger.answered(m_ledger.begin(answeredId, "airline", digest, m_start).key, invoiceAnswer());
+    m_ledger.begin(runningId, "airline", digest, m_start);
+    ledger next{successor, {}, m_random, m_start + 4s};
+    next.takeOver(m_ledger.handOver(m_start + 5s), m_start + 5s);
+
+    const ledger_decision late = m_ledger.begin(unusedId, "airline", digest, m_start + 6s);
+    EXPECT_EQ(late.kind, verdict::refuse);
+    EXPECT_EQ(answerFor(late.error).state, run_state::unknown);
+    EXPECT_EQ(next.begin(answeredId, "airline", digest, m_start + 6s).kind, verdict::replay);
+    EXPECT_EQ(next.begin(runningId, "airline", digest, m_start + 6s).error,
+              error_kind::outcome_unknown);
+    EXPECT_EQ(next.begin(unusedId, "airline", digest, m_start + 6s).kind, verdict::run);
+}
+
+// Guards against memory that grows with every write.
+TEST_F(LedgerTest, RecordsAndAnswersAreBounded)
+{
+    ledger small{owner, {10min, 4, 20}, m_random, m_start};
+    for (int index = 0; index < 6; ++index) {
+        const request_id id = *request_id::parse(small.issue(m_start));
+        const ledger_decision decision = small.begin(id, "airline", digest, m_start);
+        EXPECT_EQ(decision.kind == verdict::run, index < 4);
+        small.answered(decision.key, invoiceAnswer());
+        EXPECT_LE(small.answerBytes(), 20U);
+    }
+    small.expire(m_start + 10min);
+    EXPECT_EQ(small.size(), 0U);
+    EXPECT_EQ(small.answerBytes(), 0U);
+}
+
+// Guards against any order of sends, outcomes and handovers that lets one id run twice.
+RC_GTEST_PROP(LedgerProperty, AnIdRunsAtMostOnceUnlessItsRunWasTruthfullyRefused, ())
+{
+    fakes::seeded_random random{3};
+    time_point now{};
+    ledger first{owner, {}, random, now};
+    ledger second{successor, {}, random, now};
+    const request_id id = *request_id::parse(first.issue(now));
+    int runs = 0;
+    bool running = false;
+    ledger_key key;
+    bool handedOver = false;
+    const auto steps = *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 6));
+    for (int step : steps) {
+        now += 100ms;
+        ledger &decider = handedOver ? second : first;
+        if (step == 0) {
+            for (ledger *candidate : {&first, &second}) {
+                const ledger_decision decision = candidate->begin(id, "c", digest, now);
+                if (decision.kind != verdict::run)
+                    continue;
+                RC_ASSERT(!running);
+                RC_ASSERT(runs == 0);
+                key = decision.key;
+                running = true;
+            }
+        } else if (step == 1 && running) {
+            decider.refused(key);
+            running = false;
+        } else if (step == 2 && running) {
+            decider.answered(key, invoiceAnswer());
+            running = false;
+            ++runs;
+        } else if (step == 3 && running) {
+            decider.outcomeUnknown(key);
+            running = false;
+            ++runs;
+        } else if (step == 4 && !handedOver && !running) {
+            second.takeOver(first.handOver(now), now);
+            handedOver = true;
+        }
+    }
+}
