Add membership: directory, ring overlay and failure detector

Links per node grow with the logarithm of the zone; entries flood at once and digests repair what was lost. A zone that is silent as a whole is treated as cut off, not as a set of dead nodes, so that it is usable as soon as it is heard again.

--- /dev/null
+++ b/include/tamarackridge/src/membership/member.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "tamarackridge/src/base/identity.h"
+#include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/node/peer_message.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarackridge {
+
+/// \brief What a node says about itself and its backend server.
+enum class member_state : std::uint8_t {
+    starting, ///< No backend server has announced itself yet.
+    serving,
+    leaving, ///< Gets no new work.
+    left, ///< Has ended; its ledger is with the successor, if one is named.
+};
+
+/// \returns the lower-case name of \a state.
+std::string_view toString(member_state state);
+
+/// \brief Directory entry of one node; only the node itself raises its version.
+struct member
+{
+    node_ref node;
+    std::uint64_t counter = 0; ///< Raised with every change.
+    std::string endpoint;
+    std::string service; ///< Empty while starting.
+    std::uint32_t slots = 0;
+    member_state state = member_state::starting;
+    std::string successor; ///< Node that took over the ledger, set with member_state::left.
+
+    entry_version version() const { return {node.life, counter}; }
+};
+
+/// \returns the overlay entry of \a source.
+overlay_entry encodeMember(const member &source);
+/// \returns the member, or nothing when the entry does not decode.
+std::optional<member> decodeMember(const overlay_entry &entry);
+
+/// \returns an entry that says that \a subject has been silent.
+overlay_entry encodeSuspicion(const member &subject);
+
+} // namespace tamarackridge
--- a/include/tamarackridge/src/node/peer_message.h
+++ b/include/tamarackridge/src/node/peer_message.h
@@ -179,6 +179,13 @@
     entry_version version;
 };
 
+/// \brief How long a zone has been silent, as far as the sender knows.
+struct zone_contact
+{
+    std::string zone;
+    duration silence{};
+};
+
 /// \brief Sign of life between neighbours of the overlay.
 struct heartbeat
 {
@@ -186,6 +193,7 @@
     std::int64_t configVersion = -1;
     duration confirmationAge{};
     executor_load load;
+    std::vector<zone_contact> zones;
 };
 
 /// \brief Everything the sender holds; the receiver answers with what is newer on its side.
--- /dev/null
+++ b/src/core/membership/member.cpp
@@ -0,0 +1,68 @@
+#include "tamarackridge/src/membership/member.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace tamarackridge {
+namespace {
+
+constexpr std::array<std::string_view, 4> stateNames{"starting", "serving", "leaving", "left"};
+
+std::optional<member_state> parseState(std::string_view name)
+{
+    for (std::size_t index = 0; index < stateNames.size(); ++index) {
+        if (stateNames[index] == name)
+            return static_cast<member_state>(index);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string_view toString(member_state state)
+{
+    return stateNames[static_cast<std::size_t>(state)];
+}
+
+overlay_entry encodeMember(const member &source)
+{
+    const nlohmann::json payload{{"zone", source.node.zone},
+                                 {"endpoint", source.endpoint},
+                                 {"service", source.service},
+                                 {"slots", source.slots},
+                                 {"state", std::string(toString(source.state))},
+                                 {"successor", source.successor}};
+    return {entry_kind::member, source.node.name, source.version(), payload.dump()};
+}
+
+std::optional<member> decodeMember(const overlay_entry &entry)
+{
+    const nlohmann::json payload = nlohmann::json::parse(entry.payload, nullptr, false);
+    if (!payload.is_object())
+        return std::nullopt;
+    try {
+        const std::optional<member_state> state =
+                parseState(payload.at("state").get<std::string>());
+        if (!state || entry.key.empty())
+            return std::nullopt;
+        member result;
+        result.node = {payload.at("zone").get<std::string>(), entry.key, entry.version.life};
+        result.counter = entry.version.counter;
+        result.endpoint = payload.at("endpoint").get<std::string>();
+        result.service = payload.at("service").get<std::string>();
+        result.slots = payload.at("slots").get<std::uint32_t>();
+        result.state = *state;
+        result.successor = payload.at("successor").get<std::string>();
+        return result;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+overlay_entry encodeSuspicion(const member &subject)
+{
+    return {entry_kind::suspicion, subject.node.name, subject.version(), {}};
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/membership/overlay.cpp
@@ -0,0 +1,248 @@
+#include "tamarackridge/src/membership/overlay.h"
+
+#include <algorithm>
+
+namespace tamarackridge {
+overlay::overlay(member self, std::vector<std::pair<std::string, std::string>> seeds,
+                 overlay_options options, time_point now)
+    : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
+    , m_options(options)
+    , m_started(now)
+    , m_lastTick(now)
+    , m_nextHeartbeat(now)
+    , m_nextJoin(now)
+{
+    m_self.counter = 1;
+    m_directory.merge(m_self, now);
+}
+
+void overlay::setSelf(std::string_view service, std::uint32_t slots, member_state state,
+                      std::string_view successor, action_list &out)
+{
+    if (m_self.service == service && m_self.slots == slots && m_self.state == state
+        && m_self.successor == successor)
+        return;
+    m_self.service = service;
+    m_self.slots = slots;
+    m_self.state = state;
+    m_self.successor = successor;
+    refute(out);
+}
+
+void overlay::refute(action_list &out)
+{
+    ++m_self.counter;
+    m_directory.merge(m_self, m_lastTick);
+    flood(encodeMember(m_self), {}, out);
+}
+
+bool overlay::sendTo(std::string_view node, std::string_view endpoint, incarnation receiver,
+                     peer_message message, action_list &out)
+{
+    if (endpoint.empty() || node == m_self.node.name)
+        return false;
+    const auto connected = m_connected.find(node);
+    if (connected == m_connected.end() || connected->second != endpoint) {
+        m_connected[std::string(node)] = std::string(endpoint);
+        out.push_back(connect_peer{std::string(node), std::string(endpoint)});
+    }
+    out.push_back(send_peer{std::string(node), receiver, std::move(message)});
+    return true;
+}
+
+bool overlay::send(std::string_view node, peer_message message, action_list &out)
+{
+    const directory::record *found = m_directory.find(node);
+    if (found == nullptr)
+        return false;
+    return sendTo(node, found->info.endpoint, found->info.node.life, std::move(message), out);
+}
+
+void overlay::flood(const overlay_entry &entry, std::string_view except, action_list &out)
+{
+    for (const auto &[name, state] : m_neighbours) {
+        if (name != except)
+            send(name, entries{{entry}}, out);
+    }
+}
+
+void overlay::publish(const overlay_entry &entry, action_list &out)
+{
+    m_entries[{entry.kind, entry.key}] = {entry, m_lastTick};
+    flood(entry, {}, out);
+}
+
+void overlay::heardZone(std::string_view zone, time_point when)
+{
+    const auto found = m_zoneHeard.find(zone);
+    if (found == m_zoneHeard.end())
+        m_zoneHeard.emplace(std::string(zone), when);
+    else
+        found->second = std::max(found->second, when);
+}
+
+void overlay::onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
+                          action_list &out)
+{
+    heardZone(from.zone, now);
+    for (const zone_contact &contact : message.zones)
+        heardZone(contact.zone, now - contact.silence);
+    const directory::record *known = m_directory.find(from.name);
+    // A live node that is thought dead learns of it here and refutes by raising its counter.
+    if (known != nullptr && known->health != liveness::alive)
+        send(from.name, entries{{encodeSuspicion(known->info)}}, out);
+    const auto neighbour = m_neighbours.find(from.name);
+    if (neighbour == m_neighbours.end()) {
+        // Views differ for a while after a change; a sender that gets no heartbeat back would
+        // suspect this node.
+        m_listeners[from.name] = now;
+        return;
+    }
+    neighbour->second.lastHeard = now;
+    // A flood in progress makes digests differ for a moment; only a lasting difference is worth the
+    // bytes of a summary.
+    const bool lasting = neighbour->second.lastDigest == message.directoryDigest;
+    neighbour->second.lastDigest = message.directoryDigest;
+    if (message.directoryDigest != m_directory.digest() && lasting)
+        send(from.name, summary(true), out);
+}
+
+overlay_changes overlay::onEntries(const node_ref &from, const entries &message, time_point now,
+                                   action_list &out)
+{
+    heardZone(from.zone, now);
+    overlay_changes changes;
+    for (const overlay_entry &entry : message.list)
+        applyEntry(entry, from.name, now, changes, out);
+    return changes;
+}
+
+void overlay::applyEntry(const overlay_entry &entry, std::string_view from, time_point now,
+                         overlay_changes &changes, action_list &out)
+{
+    if (entry.kind == entry_kind::member) {
+        applyMember(entry, from, now, changes, out);
+        return;
+    }
+    if (entry.kind == entry_kind::suspicion) {
+        applySuspicion(entry, from, now, changes, out);
+        return;
+    }
+    const auto found = m_entries.find({entry.kind, entry.key});
+    if (found != m_entries.end() && !isNewer(entry.version, found->second.entry.version))
+        return;
+    m_entries[{entry.kind, entry.key}] = {entry, now};
+    flood(entry, from, out);
+    changes.others.push_back(entry);
+}
+
+void overlay::applyMember(const overlay_entry &entry, std::string_view from, time_point now,
+                          overlay_changes &changes, action_list &out)
+{
+    const std::optional<member> update = decodeMember(entry);
+    if (!update)
+        return;
+    if (update->node.name == m_self.node.name) {
+        // An entry of an earlier life under the own name: raise the counter above it.
+        if (update->node.life != m_self.node.life && isNewer(update->version(), m_self.version())) {
+            m_self.counter = update->counter;
+            refute(out);
+        }
+        return;
+    }
+    if (!m_directory.merge(*update, now))
+        return;
+    m_neighboursStale = true;
+    flood(entry, from, out);
+    changes.members.push_back(update->node.name);
+}
+
+void overlay::applySuspicion(const overlay_entry &entry, std::string_view from, time_point now,
+                             overlay_changes &changes, action_list &out)
+{
+    if (entry.key == m_self.node.name) {
+        if (entry.version == m_self.version())
+            refute(out);
+        return;
+    }
+    if (!m_directory.suspect(entry.key, entry.version, now))
+        return;
+    flood(entry, from, out);
+    changes.members.push_back(entry.key);
+}
+
+void overlay::onSummary(const node_ref &from, const entry_summary &message, action_list &out)
+{
+    std::vector<overlay_entry> newer = newerThan(message);
+    if (!newer.empty())
+        send(from.name, entries{std::move(newer)}, out);
+    if (message.wantsReply)
+        send(from.name, summary(false), out);
+}
+
+entry_summary overlay::summary(bool wantsReply) const
+{
+    entry_summary result;
+    result.wantsReply = wantsReply;
+    for (const auto &[name, record] : m_directory.records())
+        result.stamps.push_back({entry_kind::member, name, record.info.version()});
+    for (const auto &[key, stored] : m_entries)
+        result.stamps.push_back({key.first, key.second, stored.entry.version});
+    return result;
+}
+
+std::vector<overlay_entry> overlay::newerThan(const entry_summary &theirs) const
+{
+    std::map<entry_key, entry_version> versions;
+    for (const entry_stamp &stamp : theirs.stamps)
+        versions[{stamp.kind, stamp.key}] = stamp.version;
+    const auto isMissing = [&versions](const entry_key &key, const entry_version &version) {
+        const auto found = versions.find(key);
+        return found == versions.end() || isNewer(version, found->second);
+    };
+    std::vector<overlay_entry> newer;
+    for (const auto &[name, record] : m_directory.records()) {
+        if (isMissing({entry_kind::member, name}, record.info.version()))
+            newer.push_back(encodeMember(record.info));
+    }
+    for (const auto &[key, stored] : m_entries) {
+        if (isMissing(key, stored.entry.version))
+            newer.push_back(stored.entry);
+    }
+    return newer;
+}
+
+std::vector<std::string> overlay::neighbours() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, state] : m_neighbours)
+        names.push_back(name);
+    return names;
+}
+
+std::vector<std::string> overlay::otherZones() const
+{
+    std::set<std::string> zones;
+    for (const auto &[name, record] : m_directory.records())
+        zones.insert(record.info.node.zone);
+    zones.erase(m_self.node.zone);
+    return {zones.begin(), zones.end()};
+}
+
+std::size_t overlay::rank() const
+{
+    const std::vector<std::string> ring = m_directory.ring(m_self.node.zone);
+    return static_cast<std::size_t>(std::find(ring.begin(), ring.end(), m_self.node.name)
+                                    - ring.begin());
+}
+
+duration overlay::silence(std::string_view zone, time_point now) const
+{
+    if (zone == m_self.node.zone)
+        return duration::zero();
+    const auto found = m_zoneHeard.find(zone);
+    return now - (found == m_zoneHeard.end() ? m_started : found->second);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/membership_overlay_test.cpp
@@ -0,0 +1,217 @@
+#include "tamarackridge/membership"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <memory>
+
+using namespace tamarackridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Delivers the messages of some overlays in virtual time; links can be cut.
+class overlay_group
+{
+public:
+    explicit overlay_group(int zones, int nodesPerZone)
+    {
+        for (int zone = 0; zone < zones; ++zone) {
+            for (int index = 0; index < nodesPerZone; ++index)
+                addNode(std::string(1, static_cast<char>('a' + zone)), index, 1);
+        }
+    }
+
+    void addNode(const std::string &zone, int index, incarnation lifeBase)
+    {
+        const std::string name = zone + std::to_string(index);
+        member self;
+        self.node = {zone, name, lifeBase * 1000 + m_nodes.size()};
+        self.endpoint = "tcp://" + name;
+        std::vector<std::pair<std::string, std::string>> seeds{{"a0", "tcp://a0"}};
+        m_nodes[name] = std::make_unique<overlay>(self, seeds, overlay_options{}, m_now);
+        action_list out;
+        m_nodes[name]->setSelf("movements", 150, member_state::serving, "", out);
+        deliver(name, out);
+    }
+
+    void run(duration length)
+    {
+        const time_point end = m_now + length;
+        while (m_now < end) {
+            m_now += 100ms;
+            for (const auto &[name, node] : m_nodes) {
+                if (m_paused.contains(name))
+                    continue;
+                action_list out;
+                node->tick({}, m_now, out);
+                deliver(name, out);
+            }
+        }
+    }
+
+    overlay &operator[](const std::string &name) { return *m_nodes.at(name); }
+    void remove(const std::string &name) { m_nodes.erase(name); }
+    void pause(const std::string &name) { m_paused.insert(name); }
+    void resume(const std::string &name) { m_paused.erase(name); }
+    void cutZone(const std::string &zone) { m_cutZone = zone; }
+    time_point now() const { return m_now; }
+    std::size_t messages() const { return m_messages; }
+    const std::map<std::string, std::unique_ptr<overlay>> &nodes() const { return m_nodes; }
+    void deliver(const std::string &from, const action_list &out)
+    {
+        std::deque<std::pair<std::string, send_peer>> queue;
+        enqueue(from, out, queue);
+        while (!queue.empty()) {
+            const auto [sender, message] = queue.front();
+            queue.pop_front();
+            if (!m_nodes.contains(message.node) || m_paused.contains(message.node)
+                || isCut(sender, message.node))
+                continue;
+            action_list answers;
+            dispatchMessage(m_nodes.at(sender)->self().node, message, answers);
+            enqueue(message.node, answers, queue);
+        }
+    }
+
+private:
+    bool isCut(const std::string &left, const std::string &right) const
+    {
+        return (left[0] == m_cutZone[0]) != (right[0] == m_cutZone[0]) && m_cutZone != "-";
+    }
+    void enqueue(const std::string &from, const action_list &out,
+                 std::deque<std::pair<std::string, send_peer>> &queue)
+    {
+        for (const action &step : out) {
+            const send_peer *message = std::get_if<send_peer>(&step);
+            if (message == nullptr)
+                continue;
+            ++m_messages;
+            queue.emplace_back(from, *message);
+        }
+    }
+    void dispatchMessage(const node_ref &from, const send_peer &message, action_list &out)
+    {
+        overlay &receiver = *m_nodes.at(message.node);
+        if (const heartbeat *beat = std::get_if<heartbeat>(&message.message))
+            receiver.onHeartbeat(from, *beat, m_now, out);
+        else if (const entries *list = std::get_if<entries>(&message.message))
+            receiver.onEntries(from, *list, m_now, out);
+        else if (const entry_summary *stamps = std::get_if<entry_summary>(&message.message))
+            receiver.onSummary(from, *stamps, out);
+    }
+
+    std::map<std::string, std::unique_ptr<overlay>> m_nodes;
+    std::set<std::string> m_paused;
+    std::string m_cutZone = "-";
+    time_point m_now{};
+    std::size_t m_messages = 0;
+};
+
+bool sameDirectories(const overlay_group &group)
+{
+    const std::uint64_t digest = group.nodes().begin()->second->members().digest();
+    for (const auto &[name, node] : group.nodes()) {
+        if (node->members().digest() != digest)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against nodes that never learn of each other, since there is no list of them.
+TEST(Overlay, AllNodesLearnOfEachOtherThroughOneSeed)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    EXPECT_EQ(group["d3"].members().records().size(), 16U);
+    EXPECT_TRUE(sameDirectories(group));
+}
+
+// Guards against new work for a backend server that has announced its stop.
+TEST(Overlay, ALeavingNodeIsKnownEverywhereAtOnce)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    action_list out;
+    group["b1"].setSelf("movements", 150, member_state::leaving, "", out);
+    group.deliver("b1", out);
+    for (const auto &[name, node] : group.nodes())
+        EXPECT_EQ(node->members().find("b1")->info.state, member_state::leaving) << name;
+}
+
+// Guards against requests that are still sent to a VM that has gone.
+TEST(Overlay, ADeadNodeIsDetectedEverywhereWithinFiveSeconds)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    group.remove("c2");
+    group.run(5s);
+    for (const auto &[name, node] : group.nodes())
+        EXPECT_EQ(node->members().find("c2")->health, liveness::dead) << name;
+}
+
+// Guards against a node that stays dead for others after it was only paused.
+TEST(Overlay, APausedNodeRefutesItsDeathAndBlamesNobody)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    group.pause("c2");
+    group.run(8s);
+    EXPECT_EQ(group["a0"].members().find("c2")->health, liveness::dead);
+    group.resume("c2");
+    group.run(3s);
+    for (const auto &[name, node] : group.nodes()) {
+        for (const auto &[other, record] : node->members().records())
+            EXPECT_EQ(record.health, liveness::alive) << name << " about " << other;
+    }
+}
+
+// Guards against a cut zone whose nodes are buried one by one and must all join again.
+TEST(Overlay, ACutZoneIsSilentButNotDeadAndComesBack)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    group.cutZone("b");
+    group.run(10s);
+    EXPECT_GE(group["a1"].silence("b", group.now()), 5s);
+    EXPECT_GE(group["b3"].silence("a", group.now()), 5s);
+    EXPECT_LT(group["a3"].silence("c", group.now()), 2s);
+    EXPECT_EQ(group["a1"].members().find("b2")->health, liveness::alive);
+    group.cutZone("-");
+    group.run(4s);
+    EXPECT_LT(group["a1"].silence("b", group.now()), 2s);
+    EXPECT_TRUE(sameDirectories(group));
+}
+
+// Guards against a replaced VM whose predecessor's entry wins over its own.
+TEST(Overlay, AReplacedNodeWinsOverItsEarlierLife)
+{
+    overlay_group group(2, 3);
+    group.run(5s);
+    group.remove("b1");
+    group.run(1s);
+    group.addNode("b", 1, 7);
+    group.run(5s);
+    const incarnation life = group["b1"].self().node.life;
+    EXPECT_EQ(group["a2"].members().find("b1")->info.node.life, life);
+    EXPECT_EQ(group["a2"].members().find("b1")->health, liveness::alive);
+}
+
+// Guards against control traffic that grows with the fleet: links grow with its logarithm only.
+TEST(Overlay, LinksGrowWithTheLogarithmOfTheZone)
+{
+    overlay_group small(1, 16);
+    small.run(4s);
+    overlay_group large(1, 128);
+    large.run(8s);
+    std::size_t smallMost = 0;
+    for (const auto &[name, node] : small.nodes())
+        smallMost = std::max(smallMost, node->neighbours().size());
+    std::size_t largeMost = 0;
+    for (const auto &[name, node] : large.nodes())
+        largeMost = std::max(largeMost, node->neighbours().size());
+    EXPECT_LE(smallMost, 8U);
+    EXPECT_LE(largeMost, 14U);
+}
