--- a/include/tamarackridge/src/ledger/handle_table.h
+++ b/include/tamarackridge/src/ledger/handle_table.h
@@ -5,8 +5,8 @@
 #include "tamarackridge/src/ledger/ledger.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/peer_message.h"
+#include "tamarackridge/src/overload/attempt_budget.h"
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -20,11 +20,11 @@
 struct running_request
 {
     run_id run = 0;
-    request_context context; ///< `attempts` is what the onward calls may still use.
+    request_context context;
+    onward_attempts attempts; ///< What onward calls may still use.
     time_point deadline;
     time_point chainStart;
     std::map<std::string, ledger_key, std::less<>> onwardIds; ///< By `Idempotency-Key`.
-    std::map<std::uint64_t, std::uint32_t> onwardCalls; ///< Sends of each onward call, by digest.
 };
 
 /// \brief Handles that backend servers present with onward calls.
--- a/include/tamarackridge/src/ledger/ledger.h
+++ b/include/tamarackridge/src/ledger/ledger.h
@@ -80,7 +80,7 @@
     /// \returns a key of this incarnation that no id text exists for.
     ledger_key reserve();
 
-    /// \brief A backend server answered.
+    /// \brief A backend server answered; a late answer also replaces an unknown outcome.
     void answered(const ledger_key &key, const http_answer &answer);
     /// \brief The request was refused and no backend server has received it.
     void refused(const ledger_key &key);
--- a/include/tamarackridge/src/membership/member.h
+++ b/include/tamarackridge/src/membership/member.h
@@ -31,6 +31,7 @@
     std::string service; ///< Empty while starting.
     std::uint32_t slots = 0;
     member_state state = member_state::starting;
+    bool holdsQuota = false; ///< Whether it can be asked for tokens.
     std::string successor; ///< Node that took over the ledger, set with member_state::left.
 
     entry_version version() const { return {node.life, counter}; }
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -54,6 +54,7 @@
     /// \brief Changes what this node says about itself and spreads it.
     void setSelf(std::string_view service, std::uint32_t slots, member_state state,
                  std::string_view successor, action_list &out);
+    void setHoldsQuota(bool holdsQuota, action_list &out);
     const member &self() const { return m_self; }
 
     void onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
--- a/src/core/ledger/ledger.cpp
+++ b/src/core/ledger/ledger.cpp
@@ -121,7 +121,10 @@
 void ledger::answered(const ledger_key &key, const http_answer &answer)
 {
     const auto found = m_records.find(key);
-    if (found == m_records.end() || found->second.state != ledger_state::running)
+    if (found == m_records.end())
+        return;
+    const ledger_state state = found->second.state;
+    if (state != ledger_state::running && state != ledger_state::unknown)
         return;
     storeAnswer(key, found->second, answer);
 }
--- a/src/core/membership/member.cpp
+++ b/src/core/membership/member.cpp
@@ -32,6 +32,7 @@
                                  {"service", source.service},
                                  {"slots", source.slots},
                                  {"state", std::string(toString(source.state))},
+                                 {"quota", source.holdsQuota},
                                  {"successor", source.successor}};
     return {entry_kind::member, source.node.name, source.version(), payload.dump()};
 }
@@ -53,6 +54,7 @@
         result.service = payload.at("service").get<std::string>();
         result.slots = payload.at("slots").get<std::uint32_t>();
         result.state = *state;
+        result.holdsQuota = payload.at("quota").get<bool>();
         result.successor = payload.at("successor").get<std::string>();
         return result;
     } catch (const nlohmann::json::exception &) {
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -30,6 +30,14 @@
     refute(out);
 }
 
+void overlay::setHoldsQuota(bool holdsQuota, action_list &out)
+{
+    if (m_self.holdsQuota == holdsQuota)
+        return;
+    m_self.holdsQuota = holdsQuota;
+    refute(out);
+}
+
 void overlay::refute(action_list &out)
 {
     ++m_self.counter;
--- /dev/null
+++ b/src/core/node/config_service.cpp
@@ -0,0 +1,118 @@
+#include "core/node/config_service.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+config_service::config_service(const node_options &options, overlay &membership,
+                               node_counters &counters, random_source &random, install_sink sink)
+    : m_options(options)
+    , m_membership(membership)
+    , m_counters(counters)
+    , m_sink(std::move(sink))
+    , m_keys(random.next())
+    , m_confirmed(options.self.zone)
+{ }
+
+void config_service::installIfNewer(time_point now)
+{
+    if (m_log.version() <= m_installed || !m_log.current())
+        return;
+    m_set = m_log.current();
+    m_installed = m_log.version();
+    m_keys.install(m_set, m_installed);
+    m_confirmed.configure(*m_set, now);
+    m_sink(*m_set, now);
+}
+
+void config_service::logRecords(std::span<const log_record> records, std::int64_t first,
+                                std::int64_t end, time_point now, action_list &out)
+{
+    m_log.logRecords(records, first, end, now);
+    installIfNewer(now);
+    if (m_log.upToDate())
+        m_confirmed.logEndRead(now);
+    relay(records, {}, out);
+    // The shell reads on after the last record by itself; a snapshot can require to go back.
+    if (!records.empty())
+        m_readingAt = records.back().offset + 1;
+    updateReading(out);
+}
+
+void config_service::relay(std::span<const log_record> records, std::string_view except,
+                           action_list &out)
+{
+    config_records message;
+    for (const log_record &record : records) {
+        if (record.offset > m_relayed)
+            message.records.push_back(record);
+    }
+    if (message.records.empty())
+        return;
+    m_relayed = message.records.back().offset;
+    for (const std::string &neighbour : m_membership.neighbours()) {
+        if (neighbour != except)
+            m_membership.send(neighbour, message, out);
+    }
+}
+
+void config_service::updateReading(action_list &out)
+{
+    const bool reads = m_options.logConfigured && m_membership.isRelay();
+    if (!reads && m_readingAt) {
+        m_readingAt.reset();
+        out.push_back(stop_reading{std::string(stream)});
+    }
+    if (reads && m_readingAt != m_log.nextReadOffset()) {
+        m_readingAt = m_log.nextReadOffset();
+        out.push_back(read_log{std::string(stream), *m_readingAt});
+    }
+}
+
+void config_service::onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
+                                 action_list &out)
+{
+    m_confirmed.heard(from.zone, duration::zero(), now);
+    for (const zone_contact &contact : message.zones)
+        m_confirmed.heard(contact.zone, contact.silence, now);
+    m_confirmed.heardAge(message.confirmationAge, now);
+    if (message.configVersion > m_log.version())
+        m_membership.send(from.name, config_fetch{m_log.version()}, out);
+}
+
+void config_service::onFetch(const node_ref &from, const config_fetch &message, action_list &out)
+{
+    if (std::optional<config_state> state = m_log.stateFor(message.haveVersion))
+        m_membership.send(from.name, std::move(*state), out);
+}
+
+void config_service::onState(const node_ref &, const config_state &message, time_point now,
+                             action_list &out)
+{
+    m_log.peerState(message, now);
+    installIfNewer(now);
+    updateReading(out);
+}
+
+void config_service::onRecords(const node_ref &from, const config_records &message,
+                               time_point now, action_list &out)
+{
+    m_log.relayedRecords(message.records, now);
+    installIfNewer(now);
+    relay(message.records, from.name, out);
+    if (m_log.needsFetch())
+        m_membership.send(from.name, config_fetch{m_log.version()}, out);
+}
+
+void config_service::tick(time_point now, action_list &out)
+{
+    updateReading(out);
+    if (!m_readingAt)
+        return;
+    const std::uint32_t rank = static_cast<std::uint32_t>(m_membership.rank());
+    if (std::optional<std::string> snapshot = m_log.tick(rank, now))
+        out.push_back(append_log{0, std::string(stream), std::move(*snapshot)});
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/dispatcher.cpp
@@ -0,0 +1,259 @@
+#include "core/node/dispatcher.h"
+
+#include <algorithm>
+
+namespace tamarackridge::internal {
+namespace {
+
+// An executor's answer needs this long to travel after the deadline that it works towards.
+constexpr duration answerGrace = std::chrono::milliseconds(50);
+// Bounds the memory for answers that may still come; the oldest are forgotten first.
+constexpr std::size_t maxLateDispatches = 10'000;
+
+run_outcome routingOutcome(const dispatch_answer &answer)
+{
+    if (!answer.error)
+        return answer.answer.status == 503 ? run_outcome::overloaded : run_outcome::success;
+    switch (*answer.error) {
+    case error_kind::overloaded:
+    case error_kind::deadline_exceeded:
+        return run_outcome::overloaded;
+    case error_kind::backend_timeout:
+        return run_outcome::timeout;
+    case error_kind::cancelled:
+        return run_outcome::cancelled;
+    default:
+        return run_outcome::failed;
+    }
+}
+
+} // namespace
+
+dispatcher::dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
+                       node_counters &counters, random_source &random, outcome_sink sink,
+                       late_sink lateSink)
+    : m_self(std::move(self))
+    , m_membership(membership)
+    , m_routes(routes)
+    , m_executor(ownExecutor)
+    , m_counters(counters)
+    , m_random(random)
+    , m_sink(std::move(sink))
+    , m_lateSink(std::move(lateSink))
+{ }
+
+dispatcher::owned_id dispatcher::start(owned_request request, time_point now, action_list &out)
+{
+    const owned_id owned = m_nextOwned++;
+    progress &work = m_owned[owned];
+    work.attempts = attempt_budget(request.context.attempts);
+    work.request = std::move(request);
+    m_retries.onFirstAttempt(now);
+    attempt(owned, now, out);
+    return owned;
+}
+
+void dispatcher::attempt(owned_id owned, time_point now, action_list &out)
+{
+    progress &work = m_owned.at(owned);
+    if (now >= work.request.deadline) {
+        fail(owned, error_kind::deadline_exceeded, now, out);
+        return;
+    }
+    const request_context &context = work.request.context;
+    const tl::expected<std::string_view, error_kind> target
+            = m_routes.choose(context.service, context.priorityRank, work.tried, now, m_random);
+    if (!target) {
+        fail(owned, target.error(), now, out);
+        return;
+    }
+    work.part = work.attempts.divide();
+    if (work.part == 0) {
+        fail(owned, error_kind::retry_budget_exhausted, now, out);
+        return;
+    }
+    const std::string node(*target);
+    send(owned, node, now, out);
+}
+
+void dispatcher::send(owned_id owned, std::string_view node, time_point now, action_list &out)
+{
+    progress &work = m_owned.at(owned);
+    work.dispatchSequence = m_nextSequence++;
+    work.executorNode = std::string(node);
+    work.sent = now;
+    work.attemptDeadline = work.request.deadline + answerGrace;
+    // Half of the time stays for another executor when this one does not answer at all.
+    if (work.request.context.idempotent && work.attempts.remaining() > 0)
+        work.attemptDeadline = now + (work.request.deadline - now) / 2;
+    m_dispatches.emplace(work.dispatchSequence, owned);
+    m_routes.onDispatched(node, now);
+    m_counters.add(node_counter::dispatches);
+
+    dispatch message{{m_self.life, work.dispatchSequence}, work.request.context,
+                     work.request.request};
+    message.context.deadlineLeft = work.request.deadline - now;
+    message.context.chainAge = now - work.request.chainStart;
+    message.context.attempts = work.part;
+    if (node == m_self.name)
+        m_executor.accept(m_self, std::move(message), now, out);
+    else
+        m_membership.send(node, std::move(message), out);
+}
+
+void dispatcher::dispatchAnswer(std::string_view from, dispatch_answer answer, time_point now,
+                                action_list &out)
+{
+    const auto dispatched = m_dispatches.find(answer.id.sequence);
+    if (answer.id.owner != m_self.life || dispatched == m_dispatches.end()) {
+        m_counters.add(node_counter::unmatched_answers);
+        lateAnswer(answer);
+        return;
+    }
+    const auto found = m_owned.find(dispatched->second);
+    if (found == m_owned.end() || found->second.executorNode != from) {
+        m_counters.add(node_counter::unmatched_answers);
+        return;
+    }
+    settle(found, std::move(answer), now, out);
+}
+
+void dispatcher::settle(owned_map::iterator found, dispatch_answer answer, time_point now,
+                        action_list &out)
+{
+    const owned_id owned = found->first;
+    progress &work = found->second;
+    endAttempt(work, routingOutcome(answer), &answer.load, answer.attemptsUnused, now);
+    if (answer.state == run_state::unknown)
+        work.mayHaveRun = true;
+    if (mayRetry(work, answer, now)) {
+        m_counters.add(node_counter::retries);
+        attempt(owned, now, out);
+        return;
+    }
+    if (answer.error) {
+        fail(owned, *answer.error, now, out);
+        return;
+    }
+    finish(owned, {run_state::ran, std::nullopt, std::move(answer.answer), 0}, now, out);
+}
+
+void dispatcher::endAttempt(progress &work, run_outcome outcome, const executor_load *load,
+                            std::uint32_t unused, time_point now)
+{
+    m_dispatches.erase(work.dispatchSequence);
+    work.dispatchSequence = 0;
+    m_routes.onAnswer(work.executorNode, now - work.sent, outcome, load, now);
+    work.attempts.giveBack(work.part, unused);
+    work.tried.push_back(work.executorNode);
+}
+
+bool dispatcher::mayRetry(progress &work, const dispatch_answer &answer, time_point now)
+{
+    const bool refusedBeforeRunning = answer.state == run_state::not_run;
+    const bool failed = answer.error.has_value() || answer.answer.status == 503;
+    if (!failed || now >= work.request.deadline || work.attempts.remaining() == 0)
+        return false;
+    if (!refusedBeforeRunning && !work.request.context.idempotent)
+        return false;
+    if (answer.error == error_kind::cancelled || answer.error == error_kind::deadline_exceeded)
+        return false;
+    // An executor that is leaving refuses at once; moving on is not a sign of trouble.
+    if (answer.error == error_kind::leaving)
+        return true;
+    return m_retries.tryRetry(now);
+}
+
+void dispatcher::fail(owned_id owned, error_kind kind, time_point now, action_list &out)
+{
+    const progress &work = m_owned.at(owned);
+    request_outcome outcome;
+    outcome.error = kind;
+    outcome.state = work.mayHaveRun ? run_state::unknown : answerFor(kind).state;
+    finish(owned, std::move(outcome), now, out);
+}
+
+void dispatcher::finish(owned_id owned, request_outcome outcome, time_point now, action_list &out)
+{
+    const auto found = m_owned.find(owned);
+    outcome.attemptsUnused = found->second.attempts.remaining();
+    m_owned.erase(found);
+    m_sink(owned, std::move(outcome), now, out);
+}
+
+void dispatcher::abandon(owned_id owned, time_point now, action_list &out)
+{
+    const auto found = m_owned.find(owned);
+    if (found == m_owned.end() || !found->second.request.context.idempotent)
+        return;
+    progress &work = found->second;
+    const dispatch_id id{m_self.life, work.dispatchSequence};
+    const std::string node = work.executorNode;
+    endAttempt(work, run_outcome::cancelled, nullptr, 0, now);
+    m_owned.erase(found);
+    if (node == m_self.name)
+        m_executor.cancel(id, now, out);
+    else
+        m_membership.send(node, dispatch_cancel{id}, out);
+}
+
+void dispatcher::executorLost(std::string_view node, time_point now, action_list &out)
+{
+    std::vector<owned_id> affected;
+    for (const auto &[owned, work] : m_owned) {
+        if (work.executorNode == node && work.request.context.idempotent)
+            affected.push_back(owned);
+    }
+    std::sort(affected.begin(), affected.end());
+    for (owned_id owned : affected)
+        expireAttempt(owned, now, out);
+}
+
+void dispatcher::expireAttempt(owned_id owned, time_point now, action_list &out)
+{
+    const auto found = m_owned.find(owned);
+    if (found == m_owned.end())
+        return;
+    progress &work = found->second;
+    if (work.executorNode != m_self.name)
+        m_membership.send(work.executorNode,
+                          dispatch_cancel{{m_self.life, work.dispatchSequence}}, out);
+    rememberLate(work);
+    dispatch_answer silent;
+    silent.state = run_state::unknown;
+    silent.error = error_kind::backend_timeout;
+    settle(found, std::move(silent), now, out);
+}
+
+void dispatcher::rememberLate(const progress &work)
+{
+    if (!work.request.key)
+        return;
+    if (m_late.size() >= maxLateDispatches)
+        m_late.erase(m_late.begin());
+    m_late.emplace(work.dispatchSequence, *work.request.key);
+}
+
+void dispatcher::lateAnswer(const dispatch_answer &answer)
+{
+    const auto found = m_late.find(answer.id.sequence);
+    if (answer.id.owner != m_self.life || found == m_late.end())
+        return;
+    if (answer.state == run_state::ran)
+        m_lateSink(found->second, answer.answer);
+    m_late.erase(found);
+}
+
+void dispatcher::tick(time_point now, action_list &out)
+{
+    std::vector<owned_id> due;
+    for (const auto &[owned, work] : m_owned) {
+        if (now >= work.attemptDeadline)
+            due.push_back(owned);
+    }
+    std::sort(due.begin(), due.end());
+    for (owned_id owned : due)
+        expireAttempt(owned, now, out);
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/dispatcher.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/node/executor.h"
+#include "core/node/node_counters.h"
+#include "tamarackridge/src/ledger/ledger.h"
+#include "tamarackridge/src/membership/overlay.h"
+#include "tamarackridge/src/overload/attempt_budget.h"
+#include "tamarackridge/src/overload/retry_budget.h"
+#include "tamarackridge/src/routing/router.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+/// \brief Final outcome of a request that this node owns.
+struct request_outcome
+{
+    run_state state = run_state::unknown;
+    std::optional<error_kind> error;
+    http_answer answer;
+    std::uint32_t attemptsUnused = 0;
+};
+
+/// \brief A request that this node owns: it alone dispatches it.
+struct owned_request
+{
+    request_context context;
+    http_request request;
+    time_point deadline;
+    time_point chainStart;
+    std::optional<ledger_key> key; ///< Set for a request with a request id.
+};
+
+/// \brief Brings owned requests to an outcome: chooses executors, sends, retries.
+class dispatcher
+{
+public:
+    using owned_id = std::uint64_t;
+    using outcome_sink = std::function<void(owned_id owned, request_outcome outcome, time_point now,
+                                            action_list &out)>;
+    /// \brief Receives whole answers that came after their request was reported as unknown.
+    using late_sink = std::function<void(const ledger_key &key, const http_answer &answer)>;
+
+    dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
+               node_counters &counters, random_source &random, outcome_sink sink,
+               late_sink lateSink);
+
+    /// \brief Takes a request; its outcome is reported exactly once.
+    owned_id start(owned_request request, time_point now, action_list &out);
+    /// \brief Nobody waits for an idempotent request any more.
+    void abandon(owned_id owned, time_point now, action_list &out);
+    /// \brief Handles the outcome of a dispatch; an answer that matches no dispatch is dropped.
+    void dispatchAnswer(std::string_view from, dispatch_answer answer, time_point now,
+                        action_list &out);
+    /// \brief A node died or became suspect: idempotent requests on it are sent elsewhere.
+    void executorLost(std::string_view node, time_point now, action_list &out);
+
+    void tick(time_point now, action_list &out);
+    /// \returns the number that the next start() will use.
+    owned_id nextOwned() const { return m_nextOwned; }
+    bool idle() const { return m_owned.empty(); }
+    std::size_t size() const { return m_owned.size(); }
+
+private:
+    struct progress
+    {
+        owned_request request;
+        attempt_budget attempts;
+        std::vector<std::string> tried;
+        std::uint64_t dispatchSequence = 0; ///< 0 while nothing is under way.
+        std::string executorNode;
+        std::uint32_t part = 0;
+        time_point sent;
+        time_point attemptDeadline;
+        bool mayHaveRun = false;
+    };
+    using owned_map = std::unordered_map<owned_id, progress>;
+
+    void attempt(owned_id owned, time_point now, action_list &out);
+    void send(owned_id owned, std::string_view node, time_point now, action_list &out);
+    void settle(owned_map::iterator found, dispatch_answer answer, time_point now,
+                action_list &out);
+    void endAttempt(progress &work, run_outcome outcome, const executor_load *load,
+                    std::uint32_t unused, time_point now);
+    bool mayRetry(progress &work, const dispatch_answer &answer, time_point now);
+    void fail(owned_id owned, error_kind kind, time_point now, action_list &out);
+    void finish(owned_id owned, request_outcome outcome, time_point now, action_list &out);
+    void expireAttempt(owned_id owned, time_point now, action_list &out);
+    void rememberLate(const progress &work);
+    void lateAnswer(const dispatch_answer &answer);
+
+    node_ref m_self;
+    overlay &m_membership;
+    router &m_routes;
+    executor &m_executor;
+    node_counters &m_counters;
+    random_source &m_random;
+    outcome_sink m_sink;
+    late_sink m_lateSink;
+    retry_budget m_retries;
+    owned_map m_owned;
+    std::unordered_map<std::uint64_t, owned_id> m_dispatches;
+    std::map<std::uint64_t, ledger_key> m_late; ///< Expired dispatches of requests with an id.
+    owned_id m_nextOwned = 1;
+    std::uint64_t m_nextSequence = 1;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/executor.cpp
@@ -0,0 +1,240 @@
+#include "core/node/executor.h"
+
+#include "core/node/forwarded_headers.h"
+#include "core/node/trace.h"
+
+#include <string>
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr int tooManyRequests = 429;
+constexpr int serviceUnavailable = 503;
+
+run_outcome limitOutcome(const backend_result &result)
+{
+    if (result.answer) {
+        const int status = result.answer->status;
+        return status == tooManyRequests || status == serviceUnavailable ? run_outcome::overloaded
+                                                                         : run_outcome::success;
+    }
+    switch (result.answer.error()) {
+    case error_kind::backend_timeout:
+        return run_outcome::timeout;
+    case error_kind::cancelled:
+        return run_outcome::cancelled;
+    default:
+        return run_outcome::failed;
+    }
+}
+
+} // namespace
+
+executor::executor(handle_table &handles, node_counters &counters, random_source &random,
+                   answer_sink sink)
+    : m_handles(handles), m_counters(counters), m_random(random), m_sink(std::move(sink))
+{ }
+
+void executor::accept(const node_ref &owner, dispatch request, time_point now, action_list &out)
+{
+    // A dispatch id is never reused, so a second one is a copy of a frame that is being handled.
+    if (m_runs.contains(request.id))
+        return;
+    const run_id run = m_nextRun++;
+    m_runs.emplace(request.id, run);
+    execution &work = m_executions[run];
+    work.id = request.id;
+    work.owner = owner;
+    work.deadline = now + request.context.deadlineLeft;
+    work.chainStart = now - request.context.chainAge;
+    work.context = std::move(request.context);
+    work.request = std::move(request.request);
+    if (m_closed) {
+        refuse(run, *m_closed, now, out);
+        return;
+    }
+    if (work.context.service != m_service) {
+        refuse(run, error_kind::no_backend_server, now, out);
+        return;
+    }
+    if (work.deadline <= now) {
+        refuse(run, error_kind::deadline_exceeded, now, out);
+        return;
+    }
+    const admission_result result = m_queue.enqueue(
+            {run, work.context.priorityRank, work.chainStart, work.deadline}, now);
+    if (result.kind == admission::refused) {
+        refuse(run, error_kind::overloaded, now, out);
+        return;
+    }
+    if (result.kind == admission::admitted_evicting)
+        refuse(result.evicted, error_kind::overloaded, now, out);
+    startReady(now, out);
+}
+
+void executor::startReady(time_point now, action_list &out)
+{
+    m_expired.clear();
+    m_queue.takeExpired(now, m_expired);
+    const std::vector<std::uint64_t> expired = m_expired;
+    for (std::uint64_t run : expired)
+        refuse(run, error_kind::deadline_exceeded, now, out);
+    while (!m_closed && m_limit.inFlight() < m_limit.limit()) {
+        const std::optional<std::uint64_t> run = m_queue.popReady(now);
+        if (!run)
+            return;
+        if (m_limit.tryAcquire())
+            start(*run, now, out);
+    }
+}
+
+void executor::start(run_id run, time_point now, action_list &out)
+{
+    execution &work = m_executions.at(run);
+    work.running = true;
+    work.started = now;
+    work.span = work.context.trace;
+    work.span.spanId = newSpanId(m_random);
+    m_counters.add(node_counter::runs);
+    out.push_back(run_backend{run, backendRequest(run, work, now), work.deadline - now});
+}
+
+http_request executor::backendRequest(run_id run, const execution &work, time_point now)
+{
+    running_request running;
+    running.run = run;
+    running.context = work.context;
+    running.context.trace = work.span;
+    running.attempts = onward_attempts(work.context.attempts > 0 ? work.context.attempts - 1 : 0);
+    running.deadline = work.deadline;
+    running.chainStart = work.chainStart;
+    http_request request;
+    request.method = work.request.method;
+    request.target = work.request.target;
+    request.body = work.request.body;
+    request.headers = work.request.headers;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(work.deadline - now);
+    request.headers.push_back({std::string(header::handle), m_handles.open(std::move(running))});
+    request.headers.push_back({std::string(header::deadline), std::to_string(left.count())});
+    if (!work.context.customer.empty())
+        request.headers.push_back({std::string(header::customer), work.context.customer});
+    request.headers.push_back({std::string(header::traceparent), formatTraceparent(work.span)});
+    return request;
+}
+
+void executor::backendAnswer(run_id run, backend_result result, time_point now, action_list &out)
+{
+    const auto found = m_executions.find(run);
+    if (found == m_executions.end() || !found->second.running)
+        return;
+    const duration latency = now - found->second.started;
+    m_limit.release(now, latency, limitOutcome(result));
+    if (result.answer)
+        m_queue.observeServiceTime(latency, now);
+    dispatch_answer answer = outcomeOf(result);
+    if (result.answer)
+        answer.answer = std::move(*result.answer);
+    finish(run, std::move(answer), now, out);
+    startReady(now, out);
+}
+
+dispatch_answer executor::outcomeOf(const backend_result &result) const
+{
+    dispatch_answer answer;
+    if (result.answer) {
+        answer.state = run_state::ran;
+        return answer;
+    }
+    answer.error = result.answer.error();
+    answer.state = result.bytesSent ? run_state::unknown : run_state::not_run;
+    if (!result.bytesSent && *answer.error != error_kind::cancelled)
+        answer.error = error_kind::no_backend_server;
+    return answer;
+}
+
+void executor::refuse(run_id run, error_kind kind, time_point now, action_list &out)
+{
+    dispatch_answer answer;
+    answer.state = run_state::not_run;
+    answer.error = kind;
+    m_counters.add(node_counter::runs_refused);
+    finish(run, std::move(answer), now, out);
+}
+
+void executor::finish(run_id run, dispatch_answer answer, time_point now, action_list &out)
+{
+    const auto found = m_executions.find(run);
+    if (found == m_executions.end())
+        return;
+    const execution work = std::move(found->second);
+    m_executions.erase(found);
+    m_runs.erase(work.id);
+    answer.id = work.id;
+    answer.attemptsUnused = work.context.attempts;
+    if (running_request *running = m_handles.findRun(run)) {
+        answer.attemptsUnused = running->attempts.unused();
+        m_handles.close(run);
+    }
+    if (answer.state == run_state::unknown)
+        m_counters.add(node_counter::runs_unknown);
+    answer.load = load(now);
+    if (work.running)
+        emitSpan(work, answer, now, out);
+    m_sink(work.owner, std::move(answer), now, out);
+}
+
+void executor::emitSpan(const execution &work, const dispatch_answer &answer, time_point now,
+                        action_list &out) const
+{
+    if (!work.span.sampled)
+        return;
+    const std::string outcome = answer.error ? std::string(answerFor(*answer.error).name)
+                                             : std::to_string(answer.answer.status);
+    out.push_back(emit_span{work.span, work.context.trace.spanId, "execute", work.started, now,
+                            work.context.route, outcome});
+}
+
+void executor::cancel(const dispatch_id &id, time_point now, action_list &out)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end())
+        return;
+    const run_id run = found->second;
+    if (m_queue.remove(run)) {
+        refuse(run, error_kind::cancelled, now, out);
+        return;
+    }
+    // The result of the cancelled run still arrives through backendAnswer().
+    if (m_executions.at(run).context.idempotent)
+        out.push_back(cancel_run{run});
+}
+
+void executor::backendReady(const backend_announcement &announcement, time_point now)
+{
+    m_closed.reset();
+    m_service = announcement.service;
+    if (announcement.instance == m_instance)
+        return;
+    m_instance = announcement.instance;
+    m_limit.restart(now, announcement.slots);
+}
+
+void executor::stopAccepting(error_kind reason, time_point now, action_list &out)
+{
+    m_closed = reason;
+    while (const std::optional<std::uint64_t> run = m_queue.popReady(now))
+        refuse(*run, reason, now, out);
+    startReady(now, out);
+}
+
+void executor::tick(time_point now, action_list &out)
+{
+    startReady(now, out);
+}
+
+executor_load executor::load(time_point now)
+{
+    return {m_queue.shedThreshold(now), m_limit.limit(), m_limit.inFlight(), m_queue.size()};
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/executor.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/node/node_counters.h"
+#include "tamarackridge/src/ledger/handle_table.h"
+#include "tamarackridge/src/node/node_core.h"
+#include "tamarackridge/src/overload/admission_queue.h"
+#include "tamarackridge/src/overload/concurrency_limit.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+/// \brief Runs dispatches on the own backend server, as many at a time as it bears.
+class executor
+{
+public:
+    /// \brief Receives the outcome of every dispatch.
+    using answer_sink = std::function<void(const node_ref &owner, dispatch_answer answer,
+                                           time_point now, action_list &out)>;
+
+    executor(handle_table &handles, node_counters &counters, random_source &random,
+             answer_sink sink);
+
+    /// \brief Takes a dispatch; it is answered now or later, exactly once.
+    void accept(const node_ref &owner, dispatch request, time_point now, action_list &out);
+    /// \brief The owner no longer needs the answer.
+    void cancel(const dispatch_id &id, time_point now, action_list &out);
+    void backendAnswer(run_id run, backend_result result, time_point now, action_list &out);
+
+    /// \brief The backend server is ready; another instance starts with the cold-start ramp.
+    void backendReady(const backend_announcement &announcement, time_point now);
+    /// \brief The backend server takes no new work: what has not started yet is refused.
+    void stopAccepting(error_kind reason, time_point now, action_list &out);
+
+    void tick(time_point now, action_list &out);
+    executor_load load(time_point now);
+    bool ready() const { return !m_closed.has_value(); }
+    bool idle() const { return m_executions.empty(); }
+    const std::string &service() const { return m_service; }
+
+private:
+    struct execution
+    {
+        dispatch_id id;
+        node_ref owner;
+        request_context context;
+        http_request request;
+        time_point deadline;
+        time_point chainStart;
+        time_point started;
+        trace_context span;
+        bool running = false;
+    };
+
+    void refuse(run_id run, error_kind kind, time_point now, action_list &out);
+    void finish(run_id run, dispatch_answer answer, time_point now, action_list &out);
+    void startReady(time_point now, action_list &out);
+    void start(run_id run, time_point now, action_list &out);
+    http_request backendRequest(run_id run, const execution &work, time_point now);
+    dispatch_answer outcomeOf(const backend_result &result) const;
+    void emitSpan(const execution &work, const dispatch_answer &answer, time_point now,
+                  action_list &out) const;
+
+    handle_table &m_handles;
+    node_counters &m_counters;
+    random_source &m_random;
+    answer_sink m_sink;
+    concurrency_limit m_limit;
+    admission_queue m_queue;
+    std::unordered_map<run_id, execution> m_executions;
+    std::map<dispatch_id, run_id> m_runs;
+    std::optional<error_kind> m_closed = error_kind::no_backend_server;
+    std::string m_service;
+    std::string m_instance;
+    run_id m_nextRun = 1;
+    std::vector<std::uint64_t> m_expired;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/owner_calls.cpp
@@ -0,0 +1,85 @@
+#include "core/node/owner_calls.h"
+
+#include "core/node/error_answer.h"
+
+namespace tamarackridge::internal {
+namespace {
+
+// As long as a request id can live.
+constexpr duration successionMemory = std::chrono::minutes(10);
+// An owner's answer needs this long to travel after the deadline that it works towards.
+constexpr duration answerGrace = std::chrono::milliseconds(100);
+
+} // namespace
+
+tl::expected<std::string, error_kind> owner_calls::ownerOf(const request_id &id) const
+{
+    const auto successor = m_successors.find(id.owner.life);
+    if (successor != m_successors.end())
+        return successor->second.node;
+    const directory::record *known = m_membership.members().find(id.owner.name);
+    if (known == nullptr)
+        return tl::unexpected(error_kind::owner_unreachable);
+    // The node has started again without memory, and its earlier life handed over to nobody.
+    if (known->info.node.life != id.owner.life)
+        return tl::unexpected(error_kind::outcome_unknown);
+    if (known->health == liveness::dead)
+        return tl::unexpected(error_kind::owner_unreachable);
+    return id.owner.name;
+}
+
+void owner_calls::forward(call_id call, const request_id &id, owner_call message, time_point now,
+                          action_list &out)
+{
+    const tl::expected<std::string, error_kind> owner = ownerOf(id);
+    if (!owner) {
+        out.push_back(answer_caller{call, errorAnswer(owner.error(), run_state::unknown)});
+        return;
+    }
+    m_counters.add(node_counter::owner_calls);
+    message.call = m_nextCall++;
+    m_pending.emplace(message.call, pending_call{call, *owner, now + message.deadlineLeft + answerGrace});
+    m_membership.send(*owner, std::move(message), out);
+}
+
+void owner_calls::onAnswer(const node_ref &from, const owner_answer &message, action_list &out)
+{
+    const auto found = m_pending.find(message.call);
+    if (found == m_pending.end() || found->second.owner != from.name) {
+        m_counters.add(node_counter::unmatched_answers);
+        return;
+    }
+    http_answer answer = message.error ? errorAnswer(*message.error, message.state)
+                                       : withRunState(message.answer, message.state);
+    out.push_back(answer_caller{found->second.call, std::move(answer)});
+    m_pending.erase(found);
+}
+
+void owner_calls::callerGone(call_id call)
+{
+    std::erase_if(m_pending, [call](const auto &entry) { return entry.second.call == call; });
+}
+
+void owner_calls::noteMember(const member &info, time_point now)
+{
+    if (info.state == member_state::left && !info.successor.empty())
+        m_successors[info.node.life] = {info.successor, now};
+}
+
+void owner_calls::tick(time_point now, action_list &out)
+{
+    for (auto entry = m_pending.begin(); entry != m_pending.end();) {
+        if (now < entry->second.deadline) {
+            ++entry;
+            continue;
+        }
+        out.push_back(answer_caller{entry->second.call,
+                                    errorAnswer(error_kind::owner_unreachable)});
+        entry = m_pending.erase(entry);
+    }
+    std::erase_if(m_successors, [now](const auto &entry) {
+        return now - entry.second.since >= successionMemory;
+    });
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/owner_calls.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/node/node_counters.h"
+#include "tamarackridge/src/ledger/request_id.h"
+#include "tamarackridge/src/membership/overlay.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace tamarackridge::internal {
+
+/// \brief Forwards calls to the nodes that own their request ids.
+class owner_calls
+{
+public:
+    owner_calls(overlay &membership, node_counters &counters)
+        : m_membership(membership), m_counters(counters)
+    { }
+
+    /// \brief Forwards a call; the caller is answered exactly once.
+    void forward(call_id call, const request_id &id, owner_call message, time_point now,
+                 action_list &out);
+    void onAnswer(const node_ref &from, const owner_answer &message, action_list &out);
+    void callerGone(call_id call);
+    /// \brief Remembers which node took over a ledger after a planned stop.
+    void noteMember(const member &info, time_point now);
+    void tick(time_point now, action_list &out);
+    bool idle() const { return m_pending.empty(); }
+
+private:
+    struct pending_call
+    {
+        call_id call = 0;
+        std::string owner;
+        time_point deadline;
+    };
+    struct succession
+    {
+        std::string node;
+        time_point since;
+    };
+
+    tl::expected<std::string, error_kind> ownerOf(const request_id &id) const;
+
+    overlay &m_membership;
+    node_counters &m_counters;
+    std::unordered_map<std::uint64_t, pending_call> m_pending;
+    std::map<incarnation, succession> m_successors;
+    std::uint64_t m_nextCall = 1;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/node/quota_service.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "tamarackridge/quota"
+#include "tamarackridge/src/config/config_set.h"
+#include "tamarackridge/src/membership/overlay.h"
+#include "tamarackridge/src/node/node_core.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+/// \brief Rate and burst of customers: this node's slots, and its tokens from other holders.
+class quota_service
+{
+public:
+    quota_service(const node_options &options, overlay &membership, random_source &random);
+
+    void configure(const config_set &set, time_point now);
+    void logRecords(std::span<const log_record> records, std::int64_t first, std::int64_t end,
+                    time_point now, action_list &out);
+    void appendDone(append_id append, bool accepted);
+    void membersChanged();
+
+    bool trySpend(std::string_view customer, time_point now);
+    bool retrySpend(std::string_view customer, time_point now);
+    bool expectsGrant(std::string_view customer, time_point now) const;
+
+    void onRequest(const node_ref &from, const token_request &message, time_point now,
+                   action_list &out);
+    void onGrant(const node_ref &from, const token_grant &message, time_point now);
+    void onReport(const node_ref &from, const token_report &message, time_point now);
+    void tick(time_point now, action_list &out);
+
+    /// \brief Returns all tokens and releases all slots.
+    void release(time_point now, action_list &out);
+    /// \returns whether the platform log has yet to take a release.
+    bool releasing(time_point now) const;
+    std::size_t slotsHeld(time_point now) const { return m_tenure.held(now).size(); }
+
+private:
+    void updateReading(action_list &out);
+    void updateHolders();
+    void append(std::vector<tenure_append> appends, action_list &out);
+    void send(std::vector<send_peer> &messages, action_list &out);
+
+    static constexpr std::string_view stream = "quota";
+
+    const node_options &m_options;
+    overlay &m_membership;
+    slot_tenure m_tenure;
+    slot_holder m_holder;
+    token_pool m_pool;
+    std::vector<send_peer> m_messages;
+    std::uint32_t m_ownZoneSlots = 0;
+    bool m_reading = false;
+    bool m_readingBegun = false;
+    bool m_holdersStale = true;
+    bool m_released = false;
+    std::size_t m_appendsOpen = 0;
+    time_point m_releaseEnd;
+};
+
+} // namespace tamarackridge::internal
