Add the configuration module with its public headers

One description per kind of object drives reading, writing and range checks, so that a range stands in one place.

Ruled out: a set that stops at its first fault (one round per fault for the operator) and a lookup on decoded paths (a second decoding at the backend server may differ); ambiguous spellings of a path are refused instead.

--- /dev/null
+++ b/include/tamarackridge/src/config/config_delta.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "tamarackridge/src/config/config_fault.h"
+#include "tamarackridge/src/config/config_set.h"
+#include "tamarackridge/src/config/objects.h"
+
+#include <tl/expected.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief Names an object that is to be deleted.
+struct object_name
+{
+    std::string section; ///< For example `routes`.
+    std::string name;
+
+    friend auto operator<=>(const object_name &, const object_name &) = default;
+};
+
+/// \brief The change from one set to another; its size depends on the change only.
+///
+/// \code
+/// config_delta delta = difference(before, after);
+/// tl::expected<config_set, config_faults> same = apply(before, delta);
+/// \endcode
+struct config_delta
+{
+    std::optional<fleet_settings> settings;
+    config_objects upserts; ///< New objects and replacements; `settings` in it is not used.
+    std::vector<object_name> deletes; ///< Sorted.
+
+    bool empty() const;
+    friend bool operator==(const config_delta &, const config_delta &) = default;
+};
+
+/// \returns the set after \a delta, or all faults of the result and of the delta itself.
+tl::expected<config_set, config_faults> apply(const config_set &base, const config_delta &delta);
+
+/// \returns the delta that leads from \a from to \a to.
+config_delta difference(const config_set &from, const config_set &to);
+
+} // namespace tamarackridge
--- /dev/null
+++ b/include/tamarackridge/src/config/config_json.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "tamarackridge/src/config/config_delta.h"
+#include "tamarackridge/src/config/config_fault.h"
+#include "tamarackridge/src/config/config_set.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace tamarackridge {
+
+/// \brief Parses and validates a whole set; comments are allowed.
+///
+/// \code
+/// parseConfigSet(R"({"customers": {"acme": {"rate": 100, "burst": 200}}})");
+/// \endcode
+/// \returns the set, or all faults; the result depends on the text only.
+tl::expected<config_set, config_faults> parseConfigSet(std::string_view text);
+
+/// \brief Parses a delta: `{"upserts": {…}, "deletes": {"keys": ["id"]}}`.
+tl::expected<config_delta, config_faults> parseConfigDelta(std::string_view text);
+
+/// \param indent spaces per level; -1 gives one line.
+std::string toJson(const config_set &set, int indent = -1);
+std::string toJson(const config_delta &delta, int indent = -1);
+
+} // namespace tamarackridge
--- /dev/null
+++ b/include/tamarackridge/src/config/config_log.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/config/config_record.h"
+#include "tamarackridge/src/config/config_set.h"
+#include "tamarackridge/src/config/snapshot_schedule.h"
+#include "tamarackridge/src/node/peer_message.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief Counters of records that took no effect.
+struct config_log_counters
+{
+    std::uint64_t applied = 0; ///< Publications that took effect.
+    std::uint64_t conflicts = 0; ///< Publications from a version that was not in force.
+    std::uint64_t invalid = 0; ///< Publications that lead to an invalid set.
+    std::uint64_t undecodable = 0;
+    std::uint64_t unusableSnapshots = 0; ///< Seen while a snapshot was needed.
+    std::uint64_t refusedStates = 0; ///< Undecodable or contradicting states from peers.
+};
+
+/// \brief What became of a publication.
+enum class publication_fate : std::uint8_t { applied, conflict, invalid };
+
+/// \brief Outcome of a publication and where it stands in the log.
+struct publication_result
+{
+    publication_fate fate = publication_fate::conflict;
+    std::int64_t offset = -1;
+};
+
+/// \brief State machine over the records of the log stream `config`.
+///
+/// Offsets are consecutive. All readers of the same records agree on the set in force, wherever
+/// they started, and the version never goes down.
+///
+/// \code
+/// config_log log(snapshot_options{});
+/// log.logRecords(records, first, end, now);
+/// if (log.version() != before)
+///     keys.install(log.current(), log.version());
+/// \endcode
+class config_log
+{
+public:
+    explicit config_log(snapshot_options options);
+
+    /// \brief Takes records read from the platform log.
+    ///
+    /// Read on from nextReadOffset() afterwards: it moves back when a snapshot requires it.
+    /// \param first offset of the oldest retained record; \a end if there is none.
+    /// \param end offset after the newest record.
+    /// \returns whether the version in force changed.
+    bool logRecords(std::span<const log_record> records, std::int64_t first, std::int64_t end,
+                    time_point now);
+
+    /// \brief Takes records that a peer relayed; \sa needsFetch
+    /// \returns whether the version in force changed.
+    bool relayedRecords(std::span<const log_record> records, time_point now);
+
+    /// \brief Takes a complete configuration from a peer.
+    /// \returns whether the version in force changed.
+    bool peerState(const config_state &state, time_point now);
+
+    /// \brief Decides whether this node appends a snapshot now.
+    /// \param rank position of this node in its zone; lower ranks act first.
+    /// \returns the record to append to the stream `config`.
+    std::optional<std::string> tick(std::uint32_t rank, time_point now);
+
+    /// \returns the set in force, or nullptr before the first one.
+    std::shared_ptr<const config_set> current() const { return m_current; }
+    /// \returns the offset of the publication in force, or -1.
+    std::int64_t version() const { return m_version; }
+    /// \returns the last offset that current() reflects, or -1.
+    std::int64_t coveredOffset() const { return m_covered; }
+    std::int64_t nextReadOffset() const { return m_next; }
+    /// \returns whether the log's end has been reached without a gap, so that version() is the
+    /// version in force at that end.
+    bool upToDate() const { return m_continuous && m_next >= m_end; }
+    /// \returns whether relayed records showed a gap that a peer's config_state can close.
+    bool needsFetch() const { return m_relayed > m_covered; }
+    /// \returns the state for a peer that has no newer version; the set is left out if the peer
+    /// has the same version and lacks only the covered offset.
+    std::optional<config_state> stateFor(std::int64_t haveVersion) const;
+    /// \returns what became of a publication that this reader decided on recently.
+    std::optional<publication_result> fateOf(std::string_view publicationId) const;
+    const config_log_counters &counters() const { return m_counters; }
+
+private:
+    struct decided
+    {
+        std::string id;
+        publication_result result;
+    };
+
+    void noteFirst(std::int64_t first);
+    void take(const log_record &record, time_point now);
+    void takePublication(const publication &record, std::int64_t offset);
+    void takeSnapshot(config_snapshot record, std::int64_t offset);
+    void install(config_set set, std::int64_t version);
+    void remember(const publication &record, publication_result result);
+
+    snapshot_schedule m_schedule;
+    std::shared_ptr<const config_set> m_current;
+    std::int64_t m_version = -1;
+    std::int64_t m_covered = -1;
+    std::int64_t m_next = 0;
+    std::int64_t m_first = 0;
+    std::int64_t m_end = 0;
+    std::int64_t m_relayed = -1; ///< Highest offset that a peer relayed.
+    bool m_continuous = true; ///< False while records between m_covered and m_next are missing.
+    std::vector<decided> m_decided; ///< Ring buffer.
+    std::size_t m_oldestDecided = 0;
+    config_log_counters m_counters;
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/config/config_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "tamarackridge/src/config/config_delta.h"
+#include "tamarackridge/src/config/config_set.h"
+
+#include "json_fields.h"
+
+namespace tamarackridge::internal {
+
+/// \brief Reads and validates a set; \a faults are those that were found before.
+tl::expected<config_set, config_faults> readSet(const json &value, config_faults faults);
+/// \brief Reads a delta without validating it; adds to \a faults.
+config_delta readDelta(const json &value, config_faults &faults);
+
+json writeSet(const config_set &set);
+json writeDelta(const config_delta &delta);
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/config/config_log.cpp
@@ -0,0 +1,181 @@
+#include "tamarackridge/src/config/config_log.h"
+
+#include "tamarackridge/src/config/config_json.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+/// Publications whose outcome is remembered; a publisher asks within seconds.
+constexpr std::size_t decidedCapacity = 256;
+
+} // namespace
+
+config_log::config_log(snapshot_options options)
+    : m_schedule(options)
+{ }
+
+bool config_log::logRecords(std::span<const log_record> records, std::int64_t first,
+                            std::int64_t end, time_point now)
+{
+    const std::int64_t before = m_version;
+    noteFirst(first);
+    m_end = std::max(m_end, end);
+    for (const log_record &record : records) {
+        if (record.offset < m_next)
+            continue;
+        if (record.offset > m_next)
+            noteFirst(record.offset);
+        m_next = record.offset + 1;
+        take(record, now);
+        // A snapshot moved the position back: what follows it is read once more, in order.
+        if (m_next <= record.offset)
+            break;
+    }
+    return m_version != before;
+}
+
+void config_log::noteFirst(std::int64_t first)
+{
+    m_first = std::max(m_first, first);
+    if (first > m_next) {
+        m_continuous = false;
+        m_next = first;
+    }
+}
+
+bool config_log::relayedRecords(std::span<const log_record> records, time_point now)
+{
+    const std::int64_t before = m_version;
+    for (const log_record &record : records) {
+        m_relayed = std::max(m_relayed, record.offset);
+        if (m_continuous && record.offset == m_next) {
+            m_next = record.offset + 1;
+            take(record, now);
+        }
+    }
+    return m_version != before;
+}
+
+void config_log::take(const log_record &record, time_point now)
+{
+    m_schedule.noteRecord(record.offset, now - record.age);
+    if (m_continuous)
+        m_covered = record.offset;
+    tl::expected<config_record, error_kind> decoded = decodeConfigRecord(record.data);
+    if (!decoded)
+        ++m_counters.undecodable;
+    else if (config_snapshot *snapshot = std::get_if<config_snapshot>(&*decoded))
+        takeSnapshot(std::move(*snapshot), record.offset);
+    else if (m_continuous)
+        takePublication(std::get<publication>(*decoded), record.offset);
+}
+
+void config_log::takePublication(const publication &record, std::int64_t offset)
+{
+    if (record.base != m_version) {
+        ++m_counters.conflicts;
+        remember(record, {publication_fate::conflict, offset});
+        return;
+    }
+    static const config_set nothing;
+    tl::expected<config_set, config_faults> result =
+            apply(m_current == nullptr ? nothing : *m_current, record.delta);
+    if (!result) {
+        ++m_counters.invalid;
+        remember(record, {publication_fate::invalid, offset});
+        return;
+    }
+    ++m_counters.applied;
+    install(std::move(*result), offset);
+    remember(record, {publication_fate::applied, offset});
+    m_schedule.notePublication(offset);
+}
+
+void config_log::takeSnapshot(config_snapshot record, std::int64_t offset)
+{
+    const bool plausible = record.covered < offset && record.covered + 1 >= m_first;
+    if (!m_continuous) {
+        if (!plausible || record.covered < m_covered || record.version < m_version) {
+            ++m_counters.unusableSnapshots;
+            return;
+        }
+        install(std::move(record.set), record.version);
+        m_covered = record.covered;
+        m_next = record.covered + 1;
+        m_continuous = true;
+    }
+    if (plausible)
+        m_schedule.noteSnapshot(offset, record.covered);
+}
+
+void config_log::install(config_set set, std::int64_t version)
+{
+    m_current = std::make_shared<const config_set>(std::move(set));
+    m_version = version;
+}
+
+bool config_log::peerState(const config_state &state, time_point now)
+{
+    if (state.coveredOffset <= m_covered || state.version < m_version)
+        return false;
+    const std::int64_t before = m_version;
+    if (state.version > m_version) {
+        tl::expected<config_set, config_faults> set = parseConfigSet(state.set);
+        if (!set || state.version > state.coveredOffset) {
+            ++m_counters.refusedStates;
+            return false;
+        }
+        install(std::move(*set), state.version);
+    }
+    m_covered = state.coveredOffset;
+    if (m_continuous || m_covered + 1 >= m_first) {
+        m_next = m_covered + 1;
+        m_continuous = true;
+    }
+    m_schedule.noteUnknownBasis(m_covered, now);
+    return m_version != before;
+}
+
+std::optional<std::string> config_log::tick(std::uint32_t rank, time_point now)
+{
+    if (m_current == nullptr || !m_continuous || !m_schedule.tick(rank, m_next, now))
+        return std::nullopt;
+    return encodeSnapshot(m_version, m_covered, *m_current);
+}
+
+std::optional<config_state> config_log::stateFor(std::int64_t haveVersion) const
+{
+    if (m_current == nullptr || haveVersion > m_version)
+        return std::nullopt;
+    const bool known = haveVersion == m_version;
+    return config_state{m_version, m_covered, known ? std::string() : toJson(*m_current)};
+}
+
+void config_log::remember(const publication &record, publication_result result)
+{
+    // An append that was sent twice is decided by its first record.
+    if (fateOf(record.id))
+        return;
+    if (m_decided.size() < decidedCapacity) {
+        m_decided.push_back({record.id, result});
+        return;
+    }
+    m_decided[m_oldestDecided] = {record.id, result};
+    m_oldestDecided = (m_oldestDecided + 1) % decidedCapacity;
+}
+
+std::optional<publication_result> config_log::fateOf(std::string_view publicationId) const
+{
+    const auto found =
+            std::find_if(m_decided.begin(), m_decided.end(), [publicationId](const decided &entry) {
+                return entry.id == publicationId;
+            });
+    if (found == m_decided.end())
+        return std::nullopt;
+    return found->result;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/config/json_fields.cpp
@@ -0,0 +1,179 @@
+#include "json_fields.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackridge::internal {
+
+namespace {
+
+/// \brief Notices names that occur twice in one object, which the JSON library accepts silently.
+class repeated_names
+{
+public:
+    bool operator()(int, json::parse_event_t event, json &parsed)
+    {
+        if (event == json::parse_event_t::object_start) {
+            m_open.emplace_back();
+        } else if (event == json::parse_event_t::object_end) {
+            m_open.pop_back();
+        } else if (event == json::parse_event_t::key) {
+            std::string name = parsed.get<std::string>();
+            if (!m_open.back().insert(name).second)
+                m_repeated.insert(std::move(name));
+        }
+        return true;
+    }
+    const std::set<std::string> &repeated() const { return m_repeated; }
+
+private:
+    std::vector<std::set<std::string>> m_open;
+    std::set<std::string> m_repeated;
+};
+
+int hexDigit(char digit)
+{
+    if (digit >= '0' && digit <= '9')
+        return digit - '0';
+    if (digit >= 'a' && digit <= 'f')
+        return digit - 'a' + 10;
+    return -1;
+}
+
+} // namespace
+
+std::optional<json> parseJson(std::string_view text, bool allowComments, config_faults &faults)
+{
+    repeated_names names;
+    const json::parser_callback_t callback = [&names](int depth, json::parse_event_t event,
+                                                      json &parsed) {
+        return names(depth, event, parsed);
+    };
+    try {
+        json value = json::parse(text, callback, true, allowComments);
+        for (const std::string &name : names.repeated())
+            faults.push_back({"", name, "the name occurs twice in one object"});
+        return value;
+    } catch (const json::exception &error) {
+        faults.push_back({"", "", std::string("not valid JSON: ") + error.what()});
+        return std::nullopt;
+    }
+}
+
+std::string toHex(std::span<const std::uint8_t> bytes)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(2 * bytes.size());
+    for (std::uint8_t byte : bytes) {
+        text += digits[byte >> 4U];
+        text += digits[byte & 15U];
+    }
+    return text;
+}
+
+bool fromHex(std::string_view text, std::span<std::uint8_t> bytes)
+{
+    if (text.size() != 2 * bytes.size())
+        return false;
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        const int high = hexDigit(text[2 * index]);
+        const int low = hexDigit(text[2 * index + 1]);
+        if (high < 0 || low < 0)
+            return false;
+        bytes[index] = static_cast<std::uint8_t>(high * 16 + low);
+    }
+    return true;
+}
+
+object_reader::object_reader(const json &value, std::string label, config_faults &faults)
+    : m_value(&value)
+    , m_label(std::move(label))
+    , m_faults(&faults)
+{
+    if (!value.is_object())
+        fault("", "expected a JSON object");
+}
+
+void object_reader::fault(std::string_view field, std::string message)
+{
+    m_faults->push_back({m_label, std::string(field), std::move(message)});
+}
+
+const json *object_reader::field(std::string_view name, bool required)
+{
+    m_known.push_back(name);
+    if (!m_value->is_object())
+        return nullptr;
+    const auto found = m_value->find(name);
+    if (found != m_value->end())
+        return &*found;
+    if (required)
+        fault(name, "the field is missing");
+    return nullptr;
+}
+
+std::optional<std::int64_t> object_reader::integer(std::string_view name, std::int64_t lowest,
+                                                   std::int64_t highest, bool required)
+{
+    const json *value = field(name, required);
+    if (value == nullptr)
+        return std::nullopt;
+    // Unsigned numbers above the signed range would wrap to negative ones.
+    const bool wraps = value->is_number_unsigned()
+                       && value->get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX);
+    if (value->is_number_integer() && !wraps) {
+        const std::int64_t number = value->get<std::int64_t>();
+        if (number >= lowest && number <= highest)
+            return number;
+    }
+    fault(name, "expected a whole number from " + std::to_string(lowest) + " to "
+                        + std::to_string(highest));
+    return std::nullopt;
+}
+
+std::optional<std::string> object_reader::text(std::string_view name, bool required)
+{
+    const json *value = field(name, required);
+    if (value == nullptr)
+        return std::nullopt;
+    if (value->is_string())
+        return value->get<std::string>();
+    fault(name, "expected a string");
+    return std::nullopt;
+}
+
+std::optional<bool> object_reader::flag(std::string_view name, bool required)
+{
+    const json *value = field(name, required);
+    if (value == nullptr)
+        return std::nullopt;
+    if (value->is_boolean())
+        return value->get<bool>();
+    fault(name, "expected true or false");
+    return std::nullopt;
+}
+
+std::optional<std::vector<std::string>> object_reader::texts(std::string_view name, bool required)
+{
+    const json *value = field(name, required);
+    if (value == nullptr)
+        return std::nullopt;
+    const auto isString = [](const json &element) { return element.is_string(); };
+    if (value->is_array() && std::all_of(value->begin(), value->end(), isString))
+        return value->get<std::vector<std::string>>();
+    fault(name, "expected a list of strings");
+    return std::nullopt;
+}
+
+void object_reader::finish()
+{
+    if (!m_value->is_object())
+        return;
+    for (const auto &[name, value] : m_value->items()) {
+        if (std::find(m_known.begin(), m_known.end(), name) == m_known.end())
+            fault(name, "unknown field");
+    }
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/config/validate.cpp
@@ -0,0 +1,218 @@
+#include "validate.h"
+
+#include "sections.h"
+#include "tamarackridge/src/config/request_path.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr std::size_t maxNameBytes = 64;
+constexpr std::array<std::string_view, 7> knownMethods = {"DELETE", "GET",  "HEAD", "OPTIONS",
+                                                          "PATCH",  "POST", "PUT"};
+/// HTTP defines these as safe: proxies and clients send them again without asking.
+constexpr std::array<std::string_view, 3> safeMethods = {"GET", "HEAD", "OPTIONS"};
+constexpr std::string_view ownPaths = "/.tamarackridge";
+
+template <std::size_t Size>
+bool contains(const std::array<std::string_view, Size> &list, std::string_view value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+/// Names occur in headers, log lines and paths, so only characters that need no quoting are
+/// allowed.
+bool isName(std::string_view name, bool allowDot)
+{
+    const auto allowed = [allowDot](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+               || c == '-' || c == '_' || (allowDot && c == '.');
+    };
+    return !name.empty() && name.size() <= maxNameBytes && name.front() != '.'
+           && name.front() != '-' && std::all_of(name.begin(), name.end(), allowed);
+}
+
+/// \brief Checks the fields of one object against its description.
+template <typename Object>
+class field_validator
+{
+public:
+    field_validator(const Object &object, const config_objects &all, std::string label,
+                    config_faults &faults)
+        : m_object(object)
+        , m_all(all)
+        , m_label(std::move(label))
+        , m_faults(faults)
+    { }
+
+    template <typename Number>
+    void integer(std::string_view name, Number Object::*member, std::int64_t lowest,
+                 std::int64_t highest, bool)
+    {
+        const std::int64_t value = toInteger(m_object.*member);
+        if (value < lowest || value > highest)
+            fault(name, "expected a whole number from " + std::to_string(lowest) + " to "
+                                + std::to_string(highest));
+    }
+    template <typename Target>
+    void reference(std::string_view name, std::string Object::*member,
+                   std::vector<Target> config_objects::*list)
+    {
+        if (findByName(m_all.*list, m_object.*member) == nullptr)
+            fault(name, "'" + m_object.*member + "' is not in '"
+                                + std::string(section<Target>::name) + "'");
+    }
+    template <typename Bytes>
+    void bytes(std::string_view, Bytes Object::*)
+    { }
+    void text(std::string_view, std::string Object::*) { }
+    void texts(std::string_view, std::vector<std::string> Object::*) { }
+    void flag(std::string_view, bool Object::*, bool) { }
+
+    void fault(std::string_view field, std::string message)
+    {
+        m_faults.push_back({m_label, std::string(field), std::move(message)});
+    }
+
+private:
+    const Object &m_object;
+    const config_objects &m_all;
+    std::string m_label;
+    config_faults &m_faults;
+};
+
+template <typename Object>
+std::string labelOf(const Object &object)
+{
+    return std::string(section<Object>::name) + "/" + object.name;
+}
+
+template <typename Object>
+void validateSection(const config_objects &objects, config_faults &faults)
+{
+    const std::vector<Object> &list = listOf<Object>(objects);
+    constexpr bool allowDot = !std::is_same_v<Object, api_key>;
+    for (std::size_t index = 0; index < list.size(); ++index) {
+        field_validator<Object> fields(list[index], objects, labelOf(list[index]), faults);
+        if (!isName(list[index].name, allowDot))
+            fields.fault("", "expected a name of 1 to 64 letters, digits, '-' and '_' (and '.', "
+                             "except in key ids) that starts with a letter, digit or '_'");
+        if (index > 0 && list[index - 1].name == list[index].name)
+            fields.fault("", "the name occurs twice");
+        section<Object>::describe(fields);
+    }
+}
+
+void validateMethods(const route &object, const std::string &label, config_faults &faults)
+{
+    if (object.methods.empty())
+        faults.push_back({label, "methods", "expected at least one method"});
+    for (const std::string &method : object.methods) {
+        if (!contains(knownMethods, method))
+            faults.push_back({label, "methods", "'" + method + "' is not a supported method"});
+        else if (!object.idempotent && contains(safeMethods, method))
+            faults.push_back({label, "methods",
+                              method
+                                      + " is sent again by clients and proxies and needs an "
+                                        "idempotent route"});
+    }
+    if (std::adjacent_find(object.methods.begin(), object.methods.end()) != object.methods.end())
+        faults.push_back({label, "methods", "a method occurs twice"});
+}
+
+void validateRoute(const route &object, config_faults &faults)
+{
+    const std::string label = labelOf(object);
+    validateMethods(object, label, faults);
+    if (!isPathPrefix(object.pathPrefix))
+        faults.push_back({label, "path_prefix",
+                          "expected '/', or segments of letters, digits, '-', '_', '~' and '.' "
+                          "such as '/invoices/drafts', without a final '/'"});
+    if (object.pathPrefix == ownPaths || object.pathPrefix.starts_with(std::string(ownPaths) + "/"))
+        faults.push_back({label, "path_prefix", "'/.tamarackridge' belongs to the nodes"});
+    // Anybody could fill the ledger, which keeps each answer for 10 min.
+    if (object.open && !object.idempotent)
+        faults.push_back({label, "open", "an open route must be idempotent"});
+}
+
+void validateRoutes(const std::vector<route> &routes, config_faults &faults)
+{
+    std::map<std::pair<std::string_view, std::string_view>, std::string_view> owners;
+    for (const route &object : routes) {
+        validateRoute(object, faults);
+        for (const std::string &method : object.methods) {
+            const auto [owner, added] =
+                    owners.try_emplace({object.pathPrefix, method}, object.name);
+            if (!added && owner->second != object.name)
+                faults.push_back({labelOf(object), "path_prefix",
+                                  method + " " + object.pathPrefix + " already belongs to route '"
+                                          + std::string(owner->second) + "'"});
+        }
+    }
+}
+
+void validateRanks(const std::vector<priority> &priorities, config_faults &faults)
+{
+    std::map<std::uint8_t, std::string_view> owners;
+    for (const priority &object : priorities) {
+        const auto [owner, added] = owners.try_emplace(object.rank, object.name);
+        if (!added)
+            faults.push_back(
+                    {labelOf(object), "rank",
+                     "the rank already belongs to priority '" + std::string(owner->second) + "'"});
+    }
+}
+
+} // namespace
+
+void normalise(config_objects &objects)
+{
+    forEachSection([&objects]<typename Object>() {
+        std::vector<Object> &list = listOf<Object>(objects);
+        std::stable_sort(list.begin(), list.end(), byName);
+    });
+    for (route &object : objects.routes)
+        std::sort(object.methods.begin(), object.methods.end());
+}
+
+namespace {
+
+/// \returns all faults of normalised objects, in no particular order.
+config_faults validate(const config_objects &objects)
+{
+    config_faults faults;
+    forEachSection([&]<typename Object>() { validateSection<Object>(objects, faults); });
+    field_validator<fleet_settings> settings(objects.settings, objects, "settings", faults);
+    describeSettings(settings);
+    validateRoutes(objects.routes, faults);
+    validateRanks(objects.priorities, faults);
+    if (!objects.customers.empty() && objects.zones.empty())
+        faults.push_back({"zones", "",
+                          "customers need at least one zone, whose quota slots mint their rates"});
+    return faults;
+}
+
+} // namespace
+
+config_faults validateAfter(config_faults earlier, const config_objects &objects)
+{
+    config_faults faults = earlier;
+    for (config_fault &fault : validate(objects)) {
+        const bool covered =
+                std::any_of(earlier.begin(), earlier.end(), [&fault](const config_fault &known) {
+                    return known.object == fault.object
+                           && (known.field == fault.field || known.field.empty());
+                });
+        if (!covered)
+            faults.push_back(std::move(fault));
+    }
+    std::sort(faults.begin(), faults.end());
+    faults.erase(std::unique(faults.begin(), faults.end()), faults.end());
+    return faults;
+}
+
+} // namespace tamarackridge::internal
