--- /dev/null
+++ b/include/tamarackridge/src/quarantine/fingerprint.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarackridge {
+
+/// \brief Identity of a request for quarantine: XXH3, 128 bits.
+struct fingerprint
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend bool operator==(const fingerprint &, const fingerprint &) = default;
+    friend std::strong_ordering operator<=>(const fingerprint &, const fingerprint &) = default;
+};
+
+/// \brief The parts of a request that its fingerprint covers.
+struct fingerprint_parts
+{
+    std::string_view route;
+    std::string_view method;
+    std::string_view path;
+    std::string_view customer;
+    std::string_view body;
+};
+
+/// \returns the fingerprint of a request.
+fingerprint fingerprintOf(const fingerprint_parts &parts);
+
+/// \returns 32 hexadecimal digits.
+std::string toString(const fingerprint &print);
+
+/// \returns the fingerprint that toString() wrote, or nothing.
+std::optional<fingerprint> parseFingerprint(std::string_view text);
+
+/// \brief Supplies the parts of a running request when its fingerprint is needed.
+class fingerprint_source
+{
+public:
+    fingerprint_source() = default;
+    fingerprint_source(const fingerprint_source &) = default;
+    fingerprint_source &operator=(const fingerprint_source &) = default;
+    virtual ~fingerprint_source() = default;
+
+    /// \returns views that stay valid until the run has finished.
+    virtual fingerprint_parts parts() const = 0;
+};
+
+namespace internal {
+
+/// \brief Hash of a value that is a hash already.
+struct fingerprint_hash
+{
+    std::size_t operator()(const fingerprint &print) const noexcept { return print.low; }
+};
+
+} // namespace internal
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/quota/slot_holder.cpp
@@ -0,0 +1,266 @@
+#include "tamarackridge/src/quota/slot_holder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackridge {
+namespace {
+
+// A fast clock would mint more than the rate; this factor keeps it below.
+constexpr double minting_factor = 1.0 - static_cast<double>(internal::clock_error_per_mille) / 1000;
+
+double seconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+} // namespace
+
+slot_holder::slot_holder(random_source &random, duration grantLease)
+    : m_grantLease(grantLease)
+    , m_nextGrant((random.next() >> 1U) + 1)
+{ }
+
+void slot_holder::setCustomers(std::span<const customer_rate> customers, time_point now)
+{
+    advance(now);
+    for (bucket &account : m_buckets) {
+        mint(account);
+        account.rate = 0;
+        account.burst = 0;
+    }
+    for (const customer_rate &customer : customers) {
+        bucket &account = m_buckets[indexFor(customer.name)];
+        account.rate = customer.rate;
+        account.burst = customer.burst;
+    }
+    for (bucket &account : m_buckets)
+        mint(account);
+    freeUnused();
+}
+
+std::uint32_t slot_holder::indexFor(const std::string &customer)
+{
+    const auto found = m_index.find(customer);
+    if (found != m_index.end())
+        return found->second;
+    std::uint32_t index = 0;
+    if (m_free.empty()) {
+        index = static_cast<std::uint32_t>(m_buckets.size());
+        m_buckets.emplace_back();
+    } else {
+        index = m_free.back();
+        m_free.pop_back();
+    }
+    m_buckets[index] = bucket{};
+    m_buckets[index].mintedTo = m_shareTime;
+    m_index.emplace(customer, index);
+    return index;
+}
+
+void slot_holder::freeUnused()
+{
+    for (auto entry = m_index.begin(); entry != m_index.end();) {
+        const bucket &account = m_buckets[entry->second];
+        if (account.rate != 0 || account.burst != 0 || account.outstanding != 0) {
+            ++entry;
+            continue;
+        }
+        m_free.push_back(entry->second);
+        entry = m_index.erase(entry);
+    }
+}
+
+void slot_holder::setSlots(std::span<const held_slot> slots, time_point now)
+{
+    advance(now);
+    // Mints with the former share before the cap changes.
+    for (bucket &account : m_buckets)
+        mint(account);
+    m_slots.clear();
+    for (const held_slot &slot : slots) {
+        m_slots.push_back({1.0 / std::max(slot.slotsInFleet, 1U),
+                           slot.until - internal::othersLease(m_grantLease)});
+    }
+    advance(now);
+    for (bucket &account : m_buckets)
+        mint(account);
+}
+
+void slot_holder::advance(time_point now)
+{
+    if (now < m_now)
+        return;
+    m_share = 0;
+    for (const minting_slot &slot : m_slots) {
+        const time_point end = std::min(now, slot.until);
+        if (end > m_now)
+            m_shareTime += slot.share * seconds(end - m_now);
+        if (slot.until > now)
+            m_share += slot.share;
+    }
+    m_now = now;
+    lapseGrants(now);
+}
+
+micro_tokens slot_holder::cap(const bucket &account) const
+{
+    return static_cast<micro_tokens>(static_cast<double>(account.burst) * m_share);
+}
+
+void slot_holder::mint(bucket &account)
+{
+    const micro_tokens room = cap(account) - account.tokens - account.outstanding;
+    if (room <= 0) {
+        account.tokens = std::max<micro_tokens>(0, account.tokens + room);
+        account.mintedTo = m_shareTime;
+        return;
+    }
+    const double perSecond = static_cast<double>(account.rate) * minting_factor;
+    const double due = perSecond * (m_shareTime - account.mintedTo);
+    if (due >= static_cast<double>(room)) {
+        account.tokens += room;
+        account.mintedTo = m_shareTime;
+        return;
+    }
+    // The part of a micro-token that is left over stays due.
+    const micro_tokens whole = static_cast<micro_tokens>(due);
+    if (whole > 0) {
+        account.tokens += whole;
+        account.mintedTo += static_cast<double>(whole) / perSecond;
+    }
+}
+
+void slot_holder::lapseGrants(time_point now)
+{
+    while (!m_grants.empty()) {
+        outstanding_grant &first = m_grants.front();
+        const bool settled = std::ranges::all_of(first.amounts, [](const granted_amount &amount) {
+            return amount.spent + amount.returned == amount.granted;
+        });
+        if (!settled && first.lapsesAt > now)
+            return;
+        for (const granted_amount &amount : first.amounts) {
+            // Minting comes first: room that a lapse frees is not filled retroactively.
+            bucket &account = m_buckets[amount.customer];
+            mint(account);
+            account.outstanding -= amount.granted - amount.spent - amount.returned;
+        }
+        m_grants.pop_front();
+    }
+}
+
+slot_holder::bucket *slot_holder::find(std::string_view customer)
+{
+    const auto found = m_index.find(customer);
+    return found == m_index.end() ? nullptr : &m_buckets[found->second];
+}
+
+token_grant slot_holder::grant(const node_ref &requester, const token_request &request,
+                               time_point now)
+{
+    advance(now);
+    token_grant answer;
+    answer.sequence = request.sequence;
+    answer.lease = m_grantLease;
+    outstanding_grant record;
+    for (const token_amount &wanted : request.wanted) {
+        bucket *account = find(wanted.customer);
+        if (account == nullptr || wanted.amount <= 0)
+            continue;
+        mint(*account);
+        const micro_tokens amount = std::min(wanted.amount, account->tokens);
+        if (amount <= 0)
+            continue;
+        account->tokens -= amount;
+        account->outstanding += amount;
+        record.amounts.push_back(
+                {static_cast<std::uint32_t>(account - m_buckets.data()), amount, 0, 0});
+        answer.granted.push_back({wanted.customer, amount});
+    }
+    if (answer.granted.empty())
+        return answer;
+    answer.grant = m_nextGrant++;
+    record.number = answer.grant;
+    record.requester = requester;
+    record.lapsesAt = now + internal::othersLease(m_grantLease);
+    m_grants.push_back(std::move(record));
+    return answer;
+}
+
+void slot_holder::onReport(const node_ref &from, const token_report &report, time_point now)
+{
+    advance(now);
+    if (m_grants.empty() || report.grant < m_grants.front().number
+        || report.grant - m_grants.front().number >= m_grants.size())
+        return;
+    outstanding_grant &record = m_grants[report.grant - m_grants.front().number];
+    if (record.requester != from)
+        return;
+    for (const token_amount &spent : report.spent) {
+        if (granted_amount *amount = findAmount(record, spent.customer))
+            settle(*amount, spent.amount, amount->returned);
+    }
+    for (const token_amount &returned : report.returned) {
+        if (granted_amount *amount = findAmount(record, returned.customer))
+            settle(*amount, amount->spent, returned.amount);
+    }
+}
+
+slot_holder::granted_amount *slot_holder::findAmount(outstanding_grant &record,
+                                                     std::string_view customer)
+{
+    const bucket *account = find(customer);
+    for (granted_amount &amount : record.amounts) {
+        if (account == &m_buckets[amount.customer])
+            return &amount;
+    }
+    return nullptr;
+}
+
+void slot_holder::settle(granted_amount &amount, micro_tokens spent, micro_tokens returned)
+{
+    bucket &account = m_buckets[amount.customer];
+    const micro_tokens newSpent =
+            std::clamp(spent, amount.spent, amount.granted - amount.returned) - amount.spent;
+    amount.spent += newSpent;
+    const micro_tokens newReturned =
+            std::clamp(returned, amount.returned, amount.granted - amount.spent) - amount.returned;
+    amount.returned += newReturned;
+    // Minting up to now comes first: room that this report frees is not filled retroactively.
+    mint(account);
+    account.outstanding -= newSpent + newReturned;
+    account.tokens += newReturned;
+}
+
+bool slot_holder::take(std::string_view customer, micro_tokens amount, time_point now)
+{
+    if (available(customer, now) < amount)
+        return false;
+    find(customer)->tokens -= amount;
+    return true;
+}
+
+micro_tokens slot_holder::available(std::string_view customer, time_point now)
+{
+    bucket *account = find(customer);
+    if (account == nullptr)
+        return 0;
+    advance(now);
+    mint(*account);
+    return account->tokens;
+}
+
+duration slot_holder::settleTime(time_point now) const
+{
+    return m_grants.empty() ? duration{} : std::max(duration{}, m_grants.back().lapsesAt - now);
+}
+
+micro_tokens slot_holder::inExistence(std::string_view customer, time_point now)
+{
+    const micro_tokens inBucket = available(customer, now);
+    const bucket *account = find(customer);
+    return account == nullptr ? 0 : inBucket + account->outstanding;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/quota/tenure_record.cpp
@@ -0,0 +1,97 @@
+#include "tamarackridge/src/quota/tenure_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarackridge {
+namespace {
+
+using json = nlohmann::json;
+
+// Fields that the other side does arithmetic with stay far from the limits of 64 bits.
+constexpr std::int64_t max_lease_ms = 30LL * 24 * 3600 * 1000;
+constexpr std::int64_t max_offset = std::int64_t{1} << 53;
+constexpr std::int64_t max_slots = 1'000'000;
+
+std::optional<std::int64_t> integer(const json &object, const char *name, std::int64_t low,
+                                    std::int64_t high)
+{
+    const auto field = object.find(name);
+    if (field == object.end() || !field->is_number_integer())
+        return std::nullopt;
+    if (field->is_number_unsigned()
+        && field->get<std::uint64_t>() > static_cast<std::uint64_t>(high))
+        return std::nullopt;
+    const std::int64_t value = field->get<std::int64_t>();
+    if (value < low || value > high)
+        return std::nullopt;
+    return value;
+}
+
+std::optional<std::uint64_t> unsignedInteger(const json &object, const char *name)
+{
+    const auto field = object.find(name);
+    if (field == object.end() || !field->is_number_unsigned())
+        return std::nullopt;
+    return field->get<std::uint64_t>();
+}
+
+std::optional<std::string> text(const json &object, const char *name)
+{
+    const auto field = object.find(name);
+    if (field == object.end() || !field->is_string())
+        return std::nullopt;
+    return field->get<std::string>();
+}
+
+} // namespace
+
+std::string encodeTenureRecord(const tenure_record &record)
+{
+    const json object = {
+            {"type", record.release ? "release" : "claim"},
+            {"zone", record.slot.zone},
+            {"slot", record.slot.index},
+            {"holder_zone", record.holder.zone},
+            {"holder", record.holder.name},
+            {"incarnation", record.holder.life},
+            {"number", record.number},
+            {"previous", record.previous},
+            {"read_from", record.readFrom},
+            {"slots", record.slotsInFleet},
+            {"lease_ms", std::chrono::ceil<std::chrono::milliseconds>(record.lease).count()},
+    };
+    return object.dump();
+}
+
+std::optional<tenure_record> decodeTenureRecord(std::string_view data)
+{
+    const json object = json::parse(data, nullptr, false);
+    if (!object.is_object())
+        return std::nullopt;
+    const std::optional<std::string> type = text(object, "type");
+    const std::optional<std::string> zone = text(object, "zone");
+    const std::optional<std::int64_t> index = integer(object, "slot", 0, max_slots);
+    const std::optional<std::string> holderZone = text(object, "holder_zone");
+    const std::optional<std::string> holder = text(object, "holder");
+    const std::optional<std::uint64_t> life = unsignedInteger(object, "incarnation");
+    const std::optional<std::uint64_t> number = unsignedInteger(object, "number");
+    const std::optional<std::int64_t> previous = integer(object, "previous", -1, max_offset);
+    const std::optional<std::int64_t> readFrom = integer(object, "read_from", 0, max_offset);
+    const std::optional<std::int64_t> slots = integer(object, "slots", 1, max_slots);
+    const std::optional<std::int64_t> lease = integer(object, "lease_ms", 0, max_lease_ms);
+    if (!type || !zone || !index || !holderZone || !holder || !life || !number || !previous
+        || !readFrom || !slots || !lease || (*type != "claim" && *type != "release"))
+        return std::nullopt;
+    tenure_record record;
+    record.slot = {*zone, static_cast<std::uint32_t>(*index)};
+    record.holder = {*holderZone, *holder, *life};
+    record.number = *number;
+    record.previous = *previous;
+    record.readFrom = *readFrom;
+    record.slotsInFleet = static_cast<std::uint32_t>(*slots);
+    record.lease = std::chrono::milliseconds(*lease);
+    record.release = *type == "release";
+    return record;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/core/quota/token_pool.cpp
@@ -0,0 +1,202 @@
+#include "tamarackridge/src/quota/token_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarackridge {
+namespace {
+
+// A request waits for a grant about as long as a holder in another zone needs to answer.
+constexpr duration grant_wait = std::chrono::milliseconds(10);
+
+} // namespace
+
+token_pool::token_pool(node_ref self, pool_options options, slot_holder *local,
+                       random_source &random)
+    : m_self(std::move(self))
+    , m_options(options)
+    , m_local(local)
+    , m_nextSequence((random.next() >> 1U) + 1)
+    , m_bytesLeft(static_cast<double>(options.bytesPerSecond))
+{ }
+
+void token_pool::setCustomers(std::span<const customer_rate> customers)
+{
+    std::vector<account> accounts;
+    internal::name_map<std::uint32_t> index;
+    for (const customer_rate &customer : customers) {
+        account next;
+        if (account *known = find(customer.name))
+            next = std::move(*known);
+        next.name = customer.name;
+        next.rate = customer.rate;
+        next.burst = customer.burst;
+        index.emplace(customer.name, static_cast<std::uint32_t>(accounts.size()));
+        accounts.push_back(std::move(next));
+    }
+    // Pending requests name accounts by index; their grants are dropped and lapse.
+    m_pending.clear();
+    for (account &customer : accounts)
+        customer.asked = 0;
+    m_accounts = std::move(accounts);
+    m_index = std::move(index);
+}
+
+void token_pool::setHolders(std::span<const node_ref> holders)
+{
+    std::vector<holder_state> next;
+    for (const node_ref &node : holders) {
+        if (node != m_self && std::ranges::none_of(next, [&node](const holder_state &known) {
+                return known.node == node;
+            }))
+            next.push_back({node});
+    }
+    std::ranges::stable_partition(
+            next, [this](const holder_state &holder) { return holder.node.zone == m_self.zone; });
+    if (std::ranges::equal(next, m_holders, {}, &holder_state::node, &holder_state::node))
+        return;
+    m_holders = std::move(next);
+    m_nextHolder = 0;
+    for (account &customer : m_accounts)
+        customer.askAgainAt.assign(m_holders.size(), time_point::min());
+}
+
+token_pool::account *token_pool::find(std::string_view customer)
+{
+    const auto found = m_index.find(customer);
+    return found == m_index.end() ? nullptr : &m_accounts[found->second];
+}
+
+const token_pool::account *token_pool::find(std::string_view customer) const
+{
+    const auto found = m_index.find(customer);
+    return found == m_index.end() ? nullptr : &m_accounts[found->second];
+}
+
+bool token_pool::trySpend(std::string_view customer, time_point now)
+{
+    account *found = find(customer);
+    if (found == nullptr)
+        return false;
+    ++found->arrivals;
+    if (spend(*found, now))
+        return true;
+    noteUnmet(*found, now);
+    return false;
+}
+
+bool token_pool::retrySpend(std::string_view customer, time_point now)
+{
+    account *found = find(customer);
+    return found != nullptr && spend(*found, now);
+}
+
+bool token_pool::spend(account &customer, time_point now)
+{
+    micro_tokens missing = tokens_per_request;
+    for (const token_lot &lot : customer.lots) {
+        if (lot.until > now)
+            missing -= std::min(missing, lot.left);
+    }
+    if (missing > 0 && (m_local == nullptr || !m_local->take(customer.name, missing, now)))
+        return false;
+    micro_tokens fromLots = tokens_per_request - missing;
+    for (token_lot &lot : customer.lots) {
+        if (lot.until > now) {
+            const micro_tokens part = std::min(fromLots, lot.left);
+            lot.left -= part;
+            fromLots -= part;
+        }
+    }
+    return true;
+}
+
+void token_pool::noteUnmet(account &customer, time_point now)
+{
+    customer.unmet += tokens_per_request;
+    m_nextTick = std::min(m_nextTick, customer.asked == 0 ? now : m_nextExchange);
+}
+
+bool token_pool::expectsGrant(std::string_view customer, time_point now) const
+{
+    const account *found = find(customer);
+    if (found == nullptr)
+        return false;
+    if (found->asked > 0 && found->askedAt + grant_wait > now)
+        return true;
+    for (std::size_t holder = 0; holder < m_holders.size(); ++holder) {
+        if (canAsk(*found, holder, now))
+            return true;
+    }
+    return false;
+}
+
+micro_tokens token_pool::held(std::string_view customer, time_point now) const
+{
+    const account *found = find(customer);
+    return found == nullptr ? 0 : spendable(*found, now);
+}
+
+micro_tokens token_pool::spendable(const account &customer, time_point now) const
+{
+    micro_tokens sum = 0;
+    for (const token_lot &lot : customer.lots)
+        sum += lot.until > now ? lot.left : 0;
+    return sum;
+}
+
+bool token_pool::canAsk(const account &customer, std::size_t holder, time_point now) const
+{
+    return m_holders[holder].askAgainAt <= now
+           && (holder >= customer.askAgainAt.size() || customer.askAgainAt[holder] <= now);
+}
+
+void token_pool::onGrant(const node_ref &from, const token_grant &grant, time_point now)
+{
+    const auto pending = std::ranges::find_if(m_pending, [&](const pending_request &request) {
+        return request.sequence == grant.sequence && request.holder == from;
+    });
+    if (pending == m_pending.end())
+        return;
+    const time_point until = pending->sentAt + internal::ownLease(grant.lease);
+    const std::optional<std::uint32_t> holder = holderIndex(from);
+    if (holder)
+        m_holders[*holder].missing = 0;
+    for (const auto &[index, wanted] : pending->wanted) {
+        account &customer = m_accounts[index];
+        --customer.asked;
+        const auto amount =
+                std::ranges::find(grant.granted, customer.name, &token_amount::customer);
+        const micro_tokens granted = amount == grant.granted.end() ? 0 : amount->amount;
+        if (granted > 0 && until > now)
+            customer.lots.push_back({grant.grant, from, granted, granted, 0, until});
+        if (granted < wanted && holder)
+            customer.askAgainAt[*holder] = now + drainedPause(customer);
+    }
+    m_pending.erase(pending);
+}
+
+duration token_pool::drainedPause(const account &customer) const
+{
+    if (customer.rate <= 0)
+        return m_options.drainedMax;
+    // Time in which a holder mints half of its burst, and at least one token.
+    const double holders = static_cast<double>(std::max<std::size_t>(m_holders.size(), 1));
+    const double amount = std::max(static_cast<double>(customer.burst) / 2,
+                                   holders * static_cast<double>(tokens_per_request));
+    const std::chrono::duration<double> pause(amount / static_cast<double>(customer.rate));
+    if (pause > m_options.drainedMax)
+        return m_options.drainedMax;
+    return std::max(std::chrono::duration_cast<duration>(pause), m_options.exchangeInterval);
+}
+
+std::optional<std::uint32_t> token_pool::holderIndex(const node_ref &node) const
+{
+    for (std::uint32_t index = 0; index < m_holders.size(); ++index) {
+        if (m_holders[index].node == node)
+            return index;
+    }
+    return std::nullopt;
+}
+
+} // namespace tamarackridge
