--- a/src/core/node/config_service.cpp
+++ b/src/core/node/config_service.cpp
@@ -95,8 +95,8 @@
     updateReading(out);
 }
 
-void config_service::onRecords(const node_ref &from, const config_records &message,
-                               time_point now, action_list &out)
+void config_service::onRecords(const node_ref &from, const config_records &message, time_point now,
+                               action_list &out)
 {
     m_log.relayedRecords(message.records, now);
     installIfNewer(now);
@@ -112,7 +112,7 @@
         return;
     const std::uint32_t rank = static_cast<std::uint32_t>(m_membership.rank());
     if (std::optional<std::string> snapshot = m_log.tick(rank, now))
-        out.push_back(append_log{0, std::string(stream), std::move(*snapshot)});
+        out.push_back(append_log{snapshotAppend, std::string(stream), std::move(*snapshot)});
 }
 
 } // namespace tamarackridge::internal
--- a/src/core/node/config_service.h
+++ b/src/core/node/config_service.h
@@ -17,6 +17,9 @@
 class config_service
 {
 public:
+    /// \brief Number of the appends of snapshots; the quota's numbers begin above it.
+    static constexpr append_id snapshotAppend = 0;
+
     /// \brief Called after another version has come into force.
     using install_sink = std::function<void(const config_set &set, time_point now)>;
 
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -61,8 +61,8 @@
         return;
     }
     const request_context &context = work.request.context;
-    const tl::expected<std::string_view, error_kind> target
-            = m_routes.choose(context.service, context.priorityRank, work.tried, now, m_random);
+    const tl::expected<std::string_view, error_kind> target =
+            m_routes.choose(context.service, context.priorityRank, work.tried, now, m_random);
     if (!target) {
         fail(owned, target.error(), now, out);
         return;
@@ -90,8 +90,8 @@
     m_routes.onDispatched(node, now);
     m_counters.add(node_counter::dispatches);
 
-    dispatch message{{m_self.life, work.dispatchSequence}, work.request.context,
-                     work.request.request};
+    dispatch message{
+            {m_self.life, work.dispatchSequence}, work.request.context, work.request.request};
     message.context.deadlineLeft = work.request.deadline - now;
     message.context.chainAge = now - work.request.chainStart;
     message.context.attempts = work.part;
@@ -216,8 +216,8 @@
         return;
     progress &work = found->second;
     if (work.executorNode != m_self.name)
-        m_membership.send(work.executorNode,
-                          dispatch_cancel{{m_self.life, work.dispatchSequence}}, out);
+        m_membership.send(work.executorNode, dispatch_cancel{{m_self.life, work.dispatchSequence}},
+                          out);
     rememberLate(work);
     dispatch_answer silent;
     silent.state = run_state::unknown;
--- a/src/core/node/entry.cpp
+++ b/src/core/node/entry.cpp
@@ -18,8 +18,8 @@
 std::optional<std::int64_t> parseInteger(std::string_view text)
 {
     std::int64_t value = 0;
-    const std::from_chars_result end
-            = std::from_chars(text.data(), text.data() + text.size(), value);
+    const std::from_chars_result end =
+            std::from_chars(text.data(), text.data() + text.size(), value);
     if (text.empty() || end.ec != std::errc() || end.ptr != text.data() + text.size())
         return std::nullopt;
     return value;
@@ -29,12 +29,12 @@
 duration callDeadline(const http_request &request, const bound_route &route)
 {
     const duration limit = route.definition->deadline;
-    const std::optional<std::int64_t> wanted
-            = parseInteger(headerValue(request.headers, header::deadline));
+    const std::optional<std::int64_t> wanted =
+            parseInteger(headerValue(request.headers, header::deadline));
     if (!wanted || *wanted < 0)
         return limit;
-    const std::int64_t limitMs
-            = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+    const std::int64_t limitMs =
+            std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
     return std::chrono::milliseconds(std::min(*wanted, limitMs));
 }
 
@@ -72,8 +72,7 @@
     admit(std::move(*admitted), now, out);
 }
 
-tl::expected<std::string, error_kind> entry::customerOf(const http_request &request,
-                                                        time_point now)
+tl::expected<std::string, error_kind> entry::customerOf(const http_request &request, time_point now)
 {
     if (m_config.unconfirmed(now))
         return tl::unexpected(error_kind::configuration_unconfirmed);
@@ -87,14 +86,13 @@
     return (*found)->name;
 }
 
-tl::expected<entry::admitted_call, error_kind> entry::authorize(call_id call,
-                                                                http_request &request,
+tl::expected<entry::admitted_call, error_kind> entry::authorize(call_id call, http_request &request,
                                                                 time_point now)
 {
     if (m_config.current() == nullptr)
         return tl::unexpected(error_kind::not_configured);
-    const tl::expected<const bound_route *, error_kind> route
-            = m_config.current()->findRoute(request.method, request.target);
+    const tl::expected<const bound_route *, error_kind> route =
+            m_config.current()->findRoute(request.method, request.target);
     if (!route)
         return tl::unexpected(route.error());
     admitted_call admitted;
@@ -114,8 +112,8 @@
     } else if (m_refusing) {
         return tl::unexpected(error_kind::leaving);
     } else {
-        admitted.trace = parseTraceparent(headerValue(request.headers, header::traceparent),
-                                          m_random);
+        admitted.trace =
+                parseTraceparent(headerValue(request.headers, header::traceparent), m_random);
         if (!(*route)->definition->open) {
             tl::expected<std::string, error_kind> owner = customerOf(request, now);
             if (!owner)
@@ -171,8 +169,8 @@
         return;
     }
     const std::string idText(text);
-    owner_call forwarded{0, idText, call.customer, call.deadlineLeft, call.trace,
-                         std::move(call.request)};
+    owner_call forwarded{
+            0, idText, call.customer, call.deadlineLeft, call.trace, std::move(call.request)};
     forwarded.request.headers = requestHeaders(forwarded.request.headers);
     m_ownerCalls->forward(call.from.call, *id, std::move(forwarded), now, out);
 }
@@ -186,8 +184,8 @@
         reject(sender, error_kind::outcome_unknown, now, out);
         return;
     }
-    const tl::expected<const bound_route *, error_kind> route
-            = set->findRoute(message.request.method, message.request.target);
+    const tl::expected<const bound_route *, error_kind> route =
+            set->findRoute(message.request.method, message.request.target);
     if (!route || (*route)->definition->idempotent) {
         reject(sender, error_kind::request_id_invalid, now, out);
         return;
@@ -235,8 +233,7 @@
 {
     if (call.parent == nullptr)
         return true;
-    const std::optional<onward_part> part
-            = call.parent->attempts.open(requestDigest(call.request));
+    const std::optional<onward_part> part = call.parent->attempts.open(requestDigest(call.request));
     if (!part)
         return false;
     target.parent = call.parent->run;
--- a/src/core/node/entry.h
+++ b/src/core/node/entry.h
@@ -101,8 +101,7 @@
     void admitWithId(admitted_call call, time_point now, action_list &out);
     void applyDecision(admitted_call call, const ledger_decision &decision, time_point now,
                        action_list &out);
-    void begin(admitted_call call, std::optional<ledger_key> key, time_point now,
-               action_list &out);
+    void begin(admitted_call call, std::optional<ledger_key> key, time_point now, action_list &out);
     owned_request ownedRequest(admitted_call &call, const entry_request &target, time_point now);
     bool openOnward(admitted_call &call, entry_request &target);
     void start(entry_id id, time_point now, action_list &out);
--- a/src/core/node/entry_outcome.cpp
+++ b/src/core/node/entry_outcome.cpp
@@ -23,8 +23,8 @@
         proceed(id, now, out);
         return;
     }
-    const bool spent = target.counted ? m_quota.retrySpend(customer, now)
-                                      : m_quota.trySpend(customer, now);
+    const bool spent =
+            target.counted ? m_quota.retrySpend(customer, now) : m_quota.trySpend(customer, now);
     if (spent) {
         proceed(id, now, out);
         return;
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -32,7 +32,10 @@
 
 executor::executor(handle_table &handles, node_counters &counters, random_source &random,
                    answer_sink sink)
-    : m_handles(handles), m_counters(counters), m_random(random), m_sink(std::move(sink))
+    : m_handles(handles)
+    , m_counters(counters)
+    , m_random(random)
+    , m_sink(std::move(sink))
 { }
 
 void executor::accept(const node_ref &owner, dispatch request, time_point now, action_list &out)
@@ -61,8 +64,8 @@
         refuse(run, error_kind::deadline_exceeded, now, out);
         return;
     }
-    const admission_result result = m_queue.enqueue(
-            {run, work.context.priorityRank, work.chainStart, work.deadline}, now);
+    const admission_result result =
+            m_queue.enqueue({run, work.context.priorityRank, work.chainStart, work.deadline}, now);
     if (result.kind == admission::refused) {
         refuse(run, error_kind::overloaded, now, out);
         return;
--- a/src/core/node/forwarded_headers.cpp
+++ b/src/core/node/forwarded_headers.cpp
@@ -7,9 +7,10 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> hopByHop{
-        "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization",
-        "te",         "trailer",           "transfer-encoding",  "upgrade",
-        "host",       "content-length",    "expect"};
+        "connection",          "keep-alive", "proxy-authenticate",
+        "proxy-authorization", "te",         "trailer",
+        "transfer-encoding",   "upgrade",    "host",
+        "content-length",      "expect"};
 constexpr std::array<std::string_view, 2> callerOnly{"authorization", "traceparent"};
 constexpr std::string_view ownPrefix = "tamarackridge-";
 
@@ -36,7 +37,8 @@
     std::vector<http_header> result;
     for (const http_header &candidate : received) {
         const std::string name = lower(candidate.name);
-        if (!contains(hopByHop, name) && !contains(callerOnly, name) && !name.starts_with(ownPrefix))
+        if (!contains(hopByHop, name) && !contains(callerOnly, name)
+            && !name.starts_with(ownPrefix))
             result.push_back(candidate);
     }
     return result;
--- a/src/core/node/node_counters.h
+++ b/src/core/node/node_counters.h
@@ -47,9 +47,9 @@
 
 private:
     static constexpr std::array<std::string_view, 15> names{
-            "calls",         "calls_answered", "calls_refused",       "dispatches",
-            "retries",       "unmatched_answers", "runs",             "runs_refused",
-            "runs_unknown",  "onward_calls",   "owner_calls",         "log_records_refused",
+            "calls",          "calls_answered",     "calls_refused", "dispatches",
+            "retries",        "unmatched_answers",  "runs",          "runs_refused",
+            "runs_unknown",   "onward_calls",       "owner_calls",   "log_records_refused",
             "handovers_sent", "handovers_received", "crashes"};
     std::array<std::uint64_t, names.size()> m_values{};
 };
--- /dev/null
+++ b/src/core/node/node_state.cpp
@@ -0,0 +1,269 @@
+#include "core/node/node_state.h"
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr duration tickInterval = std::chrono::milliseconds(10);
+constexpr duration expiryInterval = std::chrono::seconds(1);
+// Other nodes stop dispatching here well within this time, and callers move on.
+constexpr duration drainGrace = std::chrono::seconds(3);
+// A zone from which nothing was heard for this long gets no dispatches.
+constexpr duration zoneSilenceLimit = std::chrono::seconds(3);
+constexpr duration ownZoneDelay = std::chrono::microseconds(100);
+constexpr duration otherZoneDelay = std::chrono::microseconds(1500);
+
+member selfMember(const node_options &options)
+{
+    member self;
+    self.node = options.self;
+    self.endpoint = options.peerEndpoint;
+    return self;
+}
+
+std::vector<std::pair<std::string, std::string>> seedList(const node_options &options)
+{
+    std::vector<std::pair<std::string, std::string>> seeds;
+    for (const seed_peer &seed : options.seeds)
+        seeds.emplace_back(seed.node, seed.endpoint);
+    return seeds;
+}
+
+router_options routerOptions(const node_options &options)
+{
+    router_options result;
+    result.node = options.self.name;
+    result.zone = options.self.zone;
+    return result;
+}
+
+} // namespace
+
+node_state::node_state(node_options options, random_source &random)
+    : m_options(std::move(options))
+    , m_random(random)
+    , m_membership(selfMember(m_options), seedList(m_options), overlay_options{}, time_point{})
+    , m_routes(routerOptions(m_options))
+    , m_handles(random)
+    , m_ids(m_options.self, ledger_options{}, random, time_point{})
+    , m_config(m_options, m_membership, m_counters, random,
+               [this](const config_set &set, time_point now) { m_quota.configure(set, now); })
+    , m_quota(m_options, m_membership, random)
+    , m_entry({m_options, m_config, m_quota, m_ids, m_handles, m_membership, m_counters, random})
+    , m_executor(m_handles, m_counters, random,
+                 [this](const node_ref &owner, dispatch_answer answer, time_point now,
+                        action_list &out) {
+                     if (owner == m_options.self)
+                         m_dispatcher.dispatchAnswer(owner.name, std::move(answer), now, out);
+                     else
+                         m_membership.send(owner.name, std::move(answer), out);
+                 })
+    , m_dispatcher(
+              m_options.self, m_membership, m_routes, m_executor, m_counters, random,
+              [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
+                     action_list &out) { m_entry.outcome(owned, std::move(outcome), now, out); },
+              [this](const ledger_key &key, const http_answer &answer) {
+                  m_ids.answered(key, answer);
+              })
+    , m_ownerCalls(m_membership, m_counters)
+{
+    m_entry.connect(m_dispatcher, m_ownerCalls);
+}
+
+void node_state::backendAnnounced(const backend_announcement &announcement, time_point now,
+                                  action_list &out)
+{
+    const bool restarted = m_backendUp && announcement.instance != m_backend.instance;
+    m_backend = announcement;
+    m_backendUp = true;
+    if (restarted)
+        m_executor.stopAccepting(error_kind::no_backend_server, now, out);
+    if (announcement.leaving || m_phase != phase::running)
+        m_executor.stopAccepting(error_kind::leaving, now, out);
+    else
+        m_executor.backendReady(announcement, now);
+    announceSelf(out);
+    updateExecutor(m_options.self.name, now);
+}
+
+void node_state::backendCrashed(time_point now, action_list &out)
+{
+    if (!m_backendUp)
+        return;
+    m_backendUp = false;
+    m_counters.add(node_counter::crashes);
+    m_executor.stopAccepting(error_kind::no_backend_server, now, out);
+    announceSelf(out);
+    updateExecutor(m_options.self.name, now);
+}
+
+void node_state::announceSelf(action_list &out)
+{
+    member_state state = member_state::starting;
+    if (m_phase != phase::running || m_backend.leaving)
+        state = member_state::leaving;
+    else if (m_backendUp)
+        state = member_state::serving;
+    m_membership.setSelf(m_backend.service, m_backend.slots, state, {}, out);
+}
+
+bool node_state::serves(const directory::record &record, time_point now) const
+{
+    return record.info.state == member_state::serving && record.health == liveness::alive
+           && m_membership.silence(record.info.node.zone, now) < zoneSilenceLimit;
+}
+
+void node_state::updateExecutor(std::string_view name, time_point now)
+{
+    const directory::record *record = m_membership.members().find(name);
+    const bool gone = record == nullptr || record->health == liveness::dead
+                      || record->info.state == member_state::left || record->info.service.empty();
+    if (gone) {
+        m_routes.removeExecutor(name);
+        return;
+    }
+    executor_info info;
+    info.node = record->info.node.name;
+    info.zone = record->info.node.zone;
+    info.service = record->info.service;
+    info.state = serves(*record, now) ? executor_state::serving : executor_state::not_serving;
+    if (info.node != m_options.self.name)
+        info.linkDelay = info.zone == m_options.self.zone ? ownZoneDelay : otherZoneDelay;
+    m_routes.upsertExecutor(info);
+}
+
+void node_state::updateReachability(time_point now, action_list &out)
+{
+    for (const std::string &zone : m_membership.otherZones()) {
+        const bool reachable = m_membership.silence(zone, now) < zoneSilenceLimit;
+        const auto [known, isNew] = m_zoneReachable.try_emplace(zone, reachable);
+        if (!isNew && known->second == reachable)
+            continue;
+        known->second = reachable;
+        for (const auto &[name, record] : m_membership.members().records()) {
+            if (record.info.node.zone != zone)
+                continue;
+            updateExecutor(name, now);
+            if (!reachable)
+                m_dispatcher.executorLost(name, now, out);
+        }
+    }
+}
+
+void node_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
+{
+    for (const std::string &name : changes.members) {
+        updateExecutor(name, now);
+        const directory::record *record = m_membership.members().find(name);
+        if (record == nullptr)
+            continue;
+        m_ownerCalls.noteMember(record->info, now);
+        if (record->health != liveness::alive)
+            m_dispatcher.executorLost(name, now, out);
+    }
+    if (!changes.members.empty())
+        m_quota.membersChanged();
+}
+
+void node_state::logRecords(const std::string &stream, std::span<const log_record> records,
+                            std::int64_t first, std::int64_t end, time_point now, action_list &out)
+{
+    if (stream == "config")
+        m_config.logRecords(records, first, end, now, out);
+    else if (stream == "quota")
+        m_quota.logRecords(records, first, end, now, out);
+}
+
+void node_state::appendDone(append_id append, bool accepted)
+{
+    if (append != config_service::snapshotAppend)
+        m_quota.appendDone(append, accepted);
+}
+
+void node_state::tick(time_point now, action_list &out)
+{
+    m_nextTick = now + tickInterval;
+    const heartbeat_state state{m_config.version(), m_config.confirmationAge(now),
+                                m_executor.load(now)};
+    applyChanges(m_membership.tick(state, now, out), now, out);
+    updateReachability(now, out);
+    m_config.tick(now, out);
+    m_quota.tick(now, out);
+    m_entry.tick(now, out);
+    m_executor.tick(now, out);
+    m_dispatcher.tick(now, out);
+    m_ownerCalls.tick(now, out);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryInterval;
+        m_ids.expire(now);
+    }
+    tickShutdown(now, out);
+}
+
+void node_state::beginShutdown(time_point now, action_list &out)
+{
+    if (m_phase != phase::running)
+        return;
+    m_phase = phase::draining;
+    m_shutdownBegan = now;
+    m_executor.stopAccepting(error_kind::leaving, now, out);
+    announceSelf(out);
+    updateExecutor(m_options.self.name, now);
+}
+
+void node_state::tickShutdown(time_point now, action_list &out)
+{
+    if (m_phase == phase::running || now - m_shutdownBegan < drainGrace)
+        return;
+    m_entry.refuseNew();
+    const bool idle =
+            m_entry.idle() && m_executor.idle() && m_dispatcher.idle() && m_ownerCalls.idle();
+    if (m_phase == phase::draining && idle) {
+        handOver(out, now);
+        m_quota.release(now, out);
+        m_phase = phase::handed_over;
+    }
+    if (m_phase == phase::handed_over)
+        m_drained = idle && !m_quota.releasing(now);
+}
+
+void node_state::handOver(action_list &out, time_point now)
+{
+    ledger_handover handover = m_ids.handOver(now);
+    std::string successor;
+    for (const std::string &candidate : m_membership.members().ring(m_options.self.zone)) {
+        const directory::record *record = m_membership.members().find(candidate);
+        if (record->info.state == member_state::serving && record->health == liveness::alive) {
+            successor = candidate;
+            break;
+        }
+    }
+    if (!successor.empty() && m_membership.send(successor, std::move(handover), out))
+        m_counters.add(node_counter::handovers_sent);
+    m_membership.setSelf(m_backend.service, m_backend.slots, member_state::left, successor, out);
+}
+
+node_status node_state::status(time_point now)
+{
+    node_status status;
+    status.self = m_options.self;
+    status.configVersion = m_config.version();
+    status.confirmationAge = m_config.confirmationAge(now);
+    status.ready = m_config.current() != nullptr && m_phase == phase::running;
+    status.leaving = m_phase != phase::running;
+    status.service = m_backend.service;
+    status.load = m_executor.load(now);
+    status.callsInFlight = m_entry.size();
+    status.membersKnown = m_membership.members().records().size();
+    status.quotaSlotsHeld = m_quota.slotsHeld(now);
+    status.counters = m_counters.list();
+    for (const auto &[name, record] : m_membership.members().records()) {
+        std::string line = record.info.node.zone + '/' + name + ' ';
+        line.append(toString(record.info.state)).append(" ").append(record.info.service);
+        if (record.health != liveness::alive)
+            line.append(record.health == liveness::dead ? " dead" : " suspect");
+        status.members.push_back(std::move(line));
+    }
+    return status;
+}
+
+} // namespace tamarackridge::internal
--- a/src/core/node/owner_calls.cpp
+++ b/src/core/node/owner_calls.cpp
@@ -38,7 +38,8 @@
     }
     m_counters.add(node_counter::owner_calls);
     message.call = m_nextCall++;
-    m_pending.emplace(message.call, pending_call{call, *owner, now + message.deadlineLeft + answerGrace});
+    m_pending.emplace(message.call,
+                      pending_call{call, *owner, now + message.deadlineLeft + answerGrace});
     m_membership.send(*owner, std::move(message), out);
 }
 
@@ -73,8 +74,8 @@
             ++entry;
             continue;
         }
-        out.push_back(answer_caller{entry->second.call,
-                                    errorAnswer(error_kind::owner_unreachable)});
+        out.push_back(
+                answer_caller{entry->second.call, errorAnswer(error_kind::owner_unreachable)});
         entry = m_pending.erase(entry);
     }
     std::erase_if(m_successors, [now](const auto &entry) {
--- a/src/core/node/owner_calls.h
+++ b/src/core/node/owner_calls.h
@@ -4,6 +4,8 @@
 #include "tamarackridge/src/ledger/request_id.h"
 #include "tamarackridge/src/membership/overlay.h"
 
+#include <tl/expected.hpp>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -16,7 +18,8 @@
 {
 public:
     owner_calls(overlay &membership, node_counters &counters)
-        : m_membership(membership), m_counters(counters)
+        : m_membership(membership)
+        , m_counters(counters)
     { }
 
     /// \brief Forwards a call; the caller is answered exactly once.
--- a/src/core/node/quota_service.cpp
+++ b/src/core/node/quota_service.cpp
@@ -10,8 +10,8 @@
 {
     std::vector<customer_rate> rates;
     for (const customer &entry : set.objects().customers)
-        rates.push_back({entry.name, entry.rate * tokens_per_request,
-                         entry.burst * tokens_per_request});
+        rates.push_back(
+                {entry.name, entry.rate * tokens_per_request, entry.burst * tokens_per_request});
     return rates;
 }
 
@@ -42,7 +42,7 @@
     std::vector<quota_zone> zones;
     for (const zone &entry : set.objects().zones)
         zones.push_back({entry.name, entry.quotaSlots});
-    m_tenure.setZones(zones);
+    m_tenure.setZones(zones, now);
     const zone *own = set.findZone(m_options.self.zone);
     m_ownZoneSlots = own == nullptr ? 0 : own->quotaSlots;
 }
@@ -99,7 +99,7 @@
     std::vector<node_ref> holders;
     for (const auto &[name, record] : m_membership.members().records()) {
         const bool usable = record.info.holdsQuota && record.health != liveness::dead
-                && record.info.state != member_state::left;
+                            && record.info.state != member_state::left;
         if (usable && record.info.node != m_options.self)
             holders.push_back(record.info.node);
     }
--- a/src/core/node/trace.cpp
+++ b/src/core/node/trace.cpp
@@ -59,9 +59,9 @@
 {
     trace_context trace;
     const bool wellFormed = header.size() >= headerLength && header.substr(0, 3) == "00-"
-            && header[35] == '-' && header[52] == '-'
-            && parseHexBytes(header.substr(3, 32), trace.traceId)
-            && parseHexBytes(header.substr(36, 16), trace.spanId);
+                            && header[35] == '-' && header[52] == '-'
+                            && parseHexBytes(header.substr(3, 32), trace.traceId)
+                            && parseHexBytes(header.substr(36, 16), trace.spanId);
     if (!wellFormed || isZero(trace.traceId) || isZero(trace.spanId))
         return newTrace(random);
     trace.sampled = (digits.find(header[54]) & 1U) != 0;
