--- /dev/null
+++ b/src/scenario/sample_fleet.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "scenario/virtual_fleet.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackridge::scenario {
+
+/// \brief A configuration for scenarios, with a key for each customer.
+struct sample_configuration
+{
+    std::string text;
+    std::map<std::string, std::string> keys; ///< Customer to presented key.
+};
+
+/// \brief A customer of a sample_configuration.
+struct sample_customer
+{
+    std::string name;
+    std::uint32_t rate = 1000;
+    std::uint32_t burst = 1000;
+};
+
+/// \returns a set with the services `movements` (lookups, with an open `/status`) and `invoicing`
+/// (lookups at `/invoices`, non-idempotent posts there, of the highest priority), and `tariffs`.
+sample_configuration sampleConfiguration(const std::vector<std::string> &zones,
+                                         const std::vector<sample_customer> &customers,
+                                         random_source &random);
+
+/// \brief A fleet in which every zone has one server of each service.
+struct sample_fleet
+{
+    explicit sample_fleet(fleet_options options, std::vector<sample_customer> customers,
+                          std::vector<std::string> zoneNames = {"a", "b", "c", "d"});
+
+    /// \returns a request with the customer's key and a marker that the backend servers echo.
+    http_request request(std::string_view method, std::string_view target,
+                         std::string_view customer, std::string_view marker) const;
+    /// \brief Sends a write with its request id; \sa newId
+    http_request write(std::string_view customer, std::string_view marker,
+                       std::string_view id) const;
+    /// \returns a fresh request id of \a node; runs the fleet until it is there.
+    std::string newId(const std::string &node, std::string_view customer);
+    /// \returns how often a backend server began to run the request with \a marker.
+    std::size_t executionsOf(std::string_view marker) const;
+
+    scenario_random random;
+    std::vector<std::string> zones;
+    sample_configuration configuration;
+    virtual_fleet fleet;
+};
+
+} // namespace tamarackridge::scenario
--- /dev/null
+++ b/src/scenario/virtual_actions.cpp
@@ -0,0 +1,134 @@
+#include "scenario/virtual_fleet.h"
+
+namespace tamarackridge::scenario {
+namespace {
+
+constexpr duration pollInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+void virtual_fleet::perform(live_member &member, action_list actions)
+{
+    for (action &step : actions)
+        std::visit([this, &member](auto &content) { act(member, content); }, step);
+}
+
+void virtual_fleet::act(live_member &member, answer_caller &step)
+{
+    const auto found = member.calls.find(step.call);
+    if (found == member.calls.end())
+        return;
+    const answer_sink sink = std::move(found->second);
+    member.calls.erase(found);
+    m_events.after(duration::zero(), [sink, answer = std::move(step.answer)] { sink(answer); });
+}
+
+void virtual_fleet::act(live_member &member, run_backend &step)
+{
+    m_events.after(duration::zero(), [this, name = member.settings.name, life = member.self.life,
+                                      run = std::move(step)] {
+        const auto found = m_members.find(name);
+        if (found != m_members.end() && found->second->self.life == life)
+            found->second->backend->run(run);
+    });
+}
+
+void virtual_fleet::act(live_member &member, cancel_run &step)
+{
+    m_events.after(duration::zero(),
+                   [this, name = member.settings.name, life = member.self.life, run = step.run] {
+                       const auto found = m_members.find(name);
+                       if (found != m_members.end() && found->second->self.life == life)
+                           found->second->backend->cancel(run);
+                   });
+}
+
+void virtual_fleet::act(live_member &member, send_peer &step)
+{
+    ++m_messagesSent[member.settings.name];
+    const auto target = m_settings.find(step.node);
+    if (target == m_settings.end() || !reaches(member.settings.zone, target->second.zone))
+        return;
+    const bool sameZone = member.settings.zone == target->second.zone;
+    const duration delay = sameZone ? m_options.sameZoneDelay : m_options.otherZoneDelay;
+    const node_ref from = member.self;
+    m_events.after(delay, [this, from, message = std::move(step)] {
+        const auto found = m_members.find(message.node);
+        if (found == m_members.end())
+            return;
+        const node_ref &receiver = found->second->self;
+        // As the wire layer does: a frame for another incarnation is refused.
+        if (!reaches(from.zone, receiver.zone)
+            || (message.receiver != 0 && message.receiver != receiver.life))
+            return;
+        deliver(message.node, receiver.life, [this, from, message](live_member &self) {
+            action_list out;
+            self.core->peerMessage(from, message.message, m_events.now(), out);
+            perform(self, std::move(out));
+        });
+    });
+}
+
+void virtual_fleet::act(live_member &member, append_log &step)
+{
+    const std::string name = member.settings.name;
+    const incarnation life = member.self.life;
+    const std::string zone = member.settings.zone;
+    m_events.after(m_options.logDelay, [this, name, life, zone, step] {
+        tl::expected<std::int64_t, error_kind> offset = tl::unexpected(error_kind::log_unavailable);
+        if (!m_cutLogs.contains(zone))
+            offset = m_log.append(step.stream, step.data, m_events.now());
+        m_events.after(m_options.logDelay, [this, name, life, step, offset] {
+            deliver(name, life, [this, step, offset](live_member &self) {
+                action_list out;
+                self.core->appendDone(step.append, offset, m_events.now(), out);
+                perform(self, std::move(out));
+            });
+        });
+    });
+}
+
+void virtual_fleet::act(live_member &member, read_log &step)
+{
+    reading &target = member.readings[step.stream];
+    target.next = step.from;
+    target.generation = m_nextReading++;
+    poll(member.settings.name, member.self.life, step.stream, target.generation);
+}
+
+void virtual_fleet::act(live_member &member, stop_reading &step)
+{
+    member.readings.erase(step.stream);
+}
+
+void virtual_fleet::poll(const std::string &node, incarnation life, const std::string &stream,
+                         std::uint64_t generation)
+{
+    m_events.after(m_options.logDelay, [this, node, life, stream, generation] {
+        const auto member = m_members.find(node);
+        if (member == m_members.end() || member->second->self.life != life)
+            return;
+        const auto target = member->second->readings.find(stream);
+        if (target == member->second->readings.end() || target->second.generation != generation)
+            return;
+        if (!m_cutLogs.contains(member->second->settings.zone)) {
+            const tl::expected<virtual_log::read_result, error_kind> result =
+                    m_log.read(stream, target->second.next, m_events.now());
+            if (result) {
+                if (!result->records.empty())
+                    target->second.next = result->records.back().offset + 1;
+                deliver(node, life, [this, stream, result](live_member &self) {
+                    action_list out;
+                    self.core->logRecords(stream, result->records, result->first, result->end,
+                                          m_events.now(), out);
+                    perform(self, std::move(out));
+                });
+            }
+        }
+        m_events.after(pollInterval, [this, node, life, stream, generation] {
+            poll(node, life, stream, generation);
+        });
+    });
+}
+
+} // namespace tamarackridge::scenario
--- /dev/null
+++ b/src/scenario/virtual_fleet.cpp
@@ -0,0 +1,198 @@
+#include "scenario/virtual_fleet.h"
+
+#include "tamarackridge/config"
+
+namespace tamarackridge::scenario {
+namespace {
+
+constexpr duration announceInterval = std::chrono::seconds(1);
+
+} // namespace
+
+virtual_fleet::virtual_fleet(fleet_options options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_log(options.logRetention)
+{ }
+
+virtual_fleet::~virtual_fleet() = default;
+
+std::vector<std::string> virtual_fleet::names() const
+{
+    std::vector<std::string> result;
+    for (const auto &[name, member] : m_members)
+        result.push_back(name);
+    return result;
+}
+
+void virtual_fleet::start(const fleet_member &member)
+{
+    std::unique_ptr<live_member> fresh = std::make_unique<live_member>();
+    fresh->settings = member;
+    fresh->self = {member.zone, member.name, m_random.next()};
+    fresh->random = std::make_unique<scenario_random>(m_random.next());
+    node_options options;
+    options.self = fresh->self;
+    options.peerEndpoint = "tcp://" + member.name;
+    options.quotaClaimDelay = m_options.quotaClaimDelay;
+    // The first three members ever started are everybody's seeds.
+    for (const auto &[name, settings] : m_settings) {
+        if (options.seeds.size() < 3)
+            options.seeds.push_back({name, "tcp://" + name});
+    }
+    fresh->core = std::make_unique<node_core>(options, *fresh->random);
+    fresh->backend = std::make_unique<virtual_backend>(member.backend, member.name, m_events,
+                                                       m_random, m_executions);
+    m_settings[member.name] = member;
+    const std::string name = member.name;
+    const incarnation life = fresh->self.life;
+    fresh->backend->connect(
+            [this, name, life](run_id run, backend_result result) {
+                deliver(name, life, [this, run, result](live_member &self) {
+                    action_list out;
+                    self.core->backendAnswer(run, result, m_events.now(), out);
+                    perform(self, std::move(out));
+                });
+            },
+            [this, name](const http_request &request,
+                         std::function<void(const http_answer &)> done) {
+                call(name, request, std::move(done));
+            },
+            [this, name, life] {
+                deliver(name, life, [this](live_member &self) {
+                    action_list out;
+                    self.core->backendCrashed(m_events.now(), out);
+                    perform(self, std::move(out));
+                });
+            });
+    m_members[name] = std::move(fresh);
+    deliver(name, life, [this](live_member &self) {
+        action_list out;
+        self.core->start(m_events.now(), out);
+        perform(self, std::move(out));
+    });
+    tickLater(name, life);
+    announceLater(name, life);
+}
+
+void virtual_fleet::deliver(const std::string &node, incarnation life,
+                            std::function<void(live_member &)> event)
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end() || found->second->self.life != life)
+        return;
+    if (m_paused.contains(node))
+        found->second->heldBack.push_back(std::move(event));
+    else
+        event(*found->second);
+}
+
+void virtual_fleet::resume(const std::string &node)
+{
+    m_paused.erase(node);
+    const auto found = m_members.find(node);
+    if (found == m_members.end())
+        return;
+    const incarnation life = found->second->self.life;
+    const std::vector<std::function<void(live_member &)>> events =
+            std::move(found->second->heldBack);
+    found->second->heldBack.clear();
+    for (const std::function<void(live_member &)> &event : events)
+        deliver(node, life, event);
+}
+
+void virtual_fleet::tickLater(const std::string &node, incarnation life)
+{
+    m_events.after(std::chrono::milliseconds(10), [this, node, life] {
+        const auto found = m_members.find(node);
+        if (found == m_members.end() || found->second->self.life != life)
+            return;
+        if (!m_paused.contains(node)) {
+            action_list out;
+            found->second->core->tick(m_events.now(), out);
+            perform(*found->second, std::move(out));
+            if (found->second->core->drained()) {
+                kill(node);
+                return;
+            }
+        }
+        tickLater(node, life);
+    });
+}
+
+void virtual_fleet::announceLater(const std::string &node, incarnation life)
+{
+    deliver(node, life, [this](live_member &self) {
+        if (!self.backend->up())
+            return;
+        action_list out;
+        const backend_model &model = self.backend->model();
+        self.core->backendAnnounced({model.service, self.backend->instance(), model.slots, false},
+                                    m_events.now(), out);
+        perform(self, std::move(out));
+    });
+    m_events.after(announceInterval, [this, node, life] {
+        const auto found = m_members.find(node);
+        if (found != m_members.end() && found->second->self.life == life)
+            announceLater(node, life);
+    });
+}
+
+void virtual_fleet::kill(const std::string &node)
+{
+    // The backend server's own events refer to it, so it stays until the fleet ends.
+    const auto found = m_members.find(node);
+    if (found == m_members.end())
+        return;
+    found->second->backend->crash();
+    m_endedBackends.push_back(std::move(found->second->backend));
+    m_members.erase(found);
+    m_paused.erase(node);
+}
+
+void virtual_fleet::stop(const std::string &node)
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end())
+        return;
+    action_list out;
+    found->second->core->beginShutdown(m_events.now(), out);
+    perform(*found->second, std::move(out));
+}
+
+void virtual_fleet::replace(const std::string &node)
+{
+    kill(node);
+    start(fleet_member(m_settings.at(node)));
+}
+
+bool virtual_fleet::reaches(const std::string &fromZone, const std::string &toZone) const
+{
+    return fromZone == toZone || (!m_cutZones.contains(fromZone) && !m_cutZones.contains(toZone));
+}
+
+void virtual_fleet::call(const std::string &node, http_request request, answer_sink sink)
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end())
+        return;
+    const call_id call = m_nextCall++;
+    found->second->calls.emplace(call, std::move(sink));
+    deliver(node, found->second->self.life, [this, call, request](live_member &self) {
+        action_list out;
+        self.core->callerRequest(call, request, m_events.now(), out);
+        perform(self, std::move(out));
+    });
+}
+
+void virtual_fleet::publish(std::string_view configText)
+{
+    const tl::expected<config_set, config_faults> set = parseConfigSet(configText);
+    if (!set)
+        throw std::invalid_argument(toString(set.error().front()));
+    const config_set empty;
+    const publication record{"scenario", -1, difference(empty, *set)};
+    static_cast<void>(m_log.append("config", encodePublication(record), m_events.now()));
+}
+
+} // namespace tamarackridge::scenario
--- /dev/null
+++ b/tests/node_request_path_test.cpp
@@ -0,0 +1,189 @@
+#include "scenario/sample_fleet.h"
+
+#include <gtest/gtest.h>
+
+using namespace tamarackridge;
+using namespace tamarackridge::scenario;
+using namespace std::chrono_literals;
+
+namespace {
+
+class NodeTest : public ::testing::Test
+{
+protected:
+    NodeTest()
+        : m_sample({.seed = 20261204}, {{"andes", 1000, 1000}, {"pampa", 1000, 1000}})
+    {
+        m_sample.fleet.run(15s);
+    }
+
+    http_answer call(const std::string &node, const http_request &request, duration wait = 3s)
+    {
+        http_answer result;
+        m_sample.fleet.call(node, request,
+                            [&result](const http_answer &answer) { result = answer; });
+        m_sample.fleet.run(wait);
+        return result;
+    }
+    static std::string_view state(const http_answer &answer)
+    {
+        return headerValue(answer.headers, "Tamarackridge-Run-State");
+    }
+    static std::string_view error(const http_answer &answer)
+    {
+        return headerValue(answer.headers, "Tamarackridge-Error");
+    }
+
+    sample_fleet m_sample;
+    virtual_fleet &m_fleet = m_sample.fleet;
+};
+
+} // namespace
+
+// Guards against an answer that is not the whole answer to the caller's own request.
+TEST_F(NodeTest, ALookupIsServedByThePeerThatHasTheService)
+{
+    const http_answer answer =
+            call("a-tariffs", m_sample.request("GET", "/movements", "andes", "m1"));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(bodyView(answer.body), "answer to m1");
+    EXPECT_EQ(state(answer), "ran");
+}
+
+// Guards against keys that reach backend servers and requests that run for nobody's or another's
+// key.
+TEST_F(NodeTest, KeysStayAtTheNodeAndDecideForWhomARequestRuns)
+{
+    call("a-tariffs", m_sample.request("GET", "/movements", "andes", "m1"));
+    ASSERT_EQ(m_sample.executionsOf("m1"), 1U);
+    EXPECT_EQ(m_fleet.executions().back().customer, "andes");
+    EXPECT_FALSE(m_fleet.executions().back().sawKey);
+    EXPECT_EQ(error(call("a-tariffs", m_sample.request("GET", "/movements", "nobody", "m2"))),
+              "key_missing");
+    http_request forged = m_sample.request("GET", "/movements", "nobody", "m3");
+    forged.headers.push_back({"Authorization", "Bearer andes.wrong"});
+    forged.headers.push_back({"Tamarackridge-Customer", "pampa"});
+    EXPECT_EQ(error(call("a-tariffs", forged)), "key_unknown");
+    EXPECT_EQ(m_sample.executionsOf("m2") + m_sample.executionsOf("m3"), 0U);
+    EXPECT_EQ(call("a-tariffs", m_sample.request("GET", "/status", "nobody", "m4")).status, 200);
+}
+
+// Guards against a write that runs without an id and so cannot be recognised when sent again.
+TEST_F(NodeTest, AWriteWithoutAnIdIsRefusedWithAFreshOne)
+{
+    const http_answer refused =
+            call("b-tariffs", m_sample.request("POST", "/invoices", "andes", "w1"));
+    EXPECT_EQ(refused.status, 428);
+    EXPECT_EQ(state(refused), "not-run");
+    const std::string id(headerValue(refused.headers, "Tamarackridge-Request-Id"));
+    const http_answer answer = call("b-tariffs", m_sample.write("andes", "w1", id));
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(m_sample.executionsOf("w1"), 1U);
+}
+
+// Guards against onward calls that lose the customer or need the key.
+TEST_F(NodeTest, AnOnwardCallRunsForTheSameCustomer)
+{
+    const std::string id = m_sample.newId("a-movements", "pampa");
+    EXPECT_EQ(call("a-movements", m_sample.write("pampa", "w2", id)).status, 200);
+    ASSERT_EQ(m_sample.executionsOf("w2//tariffs"), 1U);
+    for (const execution_record &record : m_fleet.executions())
+        EXPECT_EQ(record.customer, "pampa") << record.marker;
+}
+
+// Guards against a resend through another zone that runs a write twice.
+TEST_F(NodeTest, AResendThroughAnotherZoneGetsTheSameAnswer)
+{
+    const std::string id = m_sample.newId("a-movements", "andes");
+    const http_answer first = call("a-movements", m_sample.write("andes", "w3", id));
+    const http_answer second = call("d-tariffs", m_sample.write("andes", "w3", id));
+    EXPECT_EQ(second.status, 200);
+    EXPECT_EQ(bodyView(second.body), bodyView(first.body));
+    EXPECT_EQ(m_sample.executionsOf("w3"), 1U);
+}
+
+// Guards against a fresh node that runs, or denies, what its predecessor was asked to run.
+TEST_F(NodeTest, AfterTheOwnerDiedAResendIsUnknownAndNeverRuns)
+{
+    const std::string id = m_sample.newId("a-movements", "andes");
+    call("a-movements", m_sample.write("andes", "w4", id));
+    m_fleet.replace("a-movements");
+    m_fleet.run(10s);
+    for (const char *node : {"a-movements", "c-tariffs"}) {
+        const http_answer answer = call(node, m_sample.write("andes", "w4", id));
+        EXPECT_EQ(state(answer), "unknown") << node;
+    }
+    EXPECT_EQ(m_sample.executionsOf("w4"), 1U);
+}
+
+// Guards against a planned stop that forgets which writes ran.
+TEST_F(NodeTest, APlannedStopHandsItsRequestIdsOver)
+{
+    const std::string used = m_sample.newId("a-movements", "andes");
+    const std::string unused = m_sample.newId("a-movements", "andes");
+    call("a-movements", m_sample.write("andes", "w5", used));
+    m_fleet.stop("a-movements");
+    m_fleet.run(10s);
+    EXPECT_FALSE(m_fleet.alive("a-movements"));
+    const http_answer again = call("b-movements", m_sample.write("andes", "w5", used));
+    EXPECT_EQ(again.status, 200);
+    EXPECT_EQ(m_sample.executionsOf("w5"), 1U);
+    EXPECT_EQ(call("b-movements", m_sample.write("andes", "w6", unused)).status, 200);
+}
+
+// Guards against a write that runs again after its backend server died with it.
+TEST_F(NodeTest, AWriteWhoseBackendServerDiedIsUnknownForGood)
+{
+    for (const std::string &zone : m_sample.zones)
+        m_fleet.backend(zone + "-invoicing").setServiceTime(600s);
+    const std::string id = m_sample.newId("a-movements", "andes");
+    http_answer first;
+    m_fleet.call("a-movements", m_sample.write("andes", "w7", id),
+                 [&first](const http_answer &answer) { first = answer; });
+    m_fleet.run(200ms);
+    for (const std::string &zone : m_sample.zones)
+        m_fleet.backend(zone + "-invoicing").crash();
+    m_fleet.run(3s);
+    EXPECT_EQ(state(first), "unknown");
+    for (const std::string &zone : m_sample.zones)
+        m_fleet.backend(zone + "-invoicing").restart();
+    m_fleet.run(3s);
+    EXPECT_EQ(state(call("b-movements", m_sample.write("andes", "w7", id))), "unknown");
+    EXPECT_EQ(m_sample.executionsOf("w7"), 1U);
+}
+
+// Guards against an owner that wakes after a pause with the request in its hand and dispatches it
+// when its caller has long been told otherwise.
+TEST_F(NodeTest, APausedOwnerDoesNotRunAWriteTwice)
+{
+    const std::string id = m_sample.newId("a-movements", "andes");
+    m_fleet.pause("a-movements");
+    m_fleet.call("a-movements", m_sample.write("andes", "w8", id), [](const http_answer &) {});
+    const http_answer resend = call("b-movements", m_sample.write("andes", "w8", id));
+    EXPECT_EQ(state(resend), "unknown");
+    m_fleet.run(10s);
+    m_fleet.resume("a-movements");
+    m_fleet.run(5s);
+    EXPECT_LE(m_sample.executionsOf("w8"), 1U);
+}
+
+// Guards against a zone that stops serving because it is cut off from the others and the log.
+TEST_F(NodeTest, ACutOffZoneGoesOnServing)
+{
+    m_fleet.cutZone("c");
+    m_fleet.cutLog("c");
+    m_fleet.run(60s);
+    EXPECT_EQ(call("c-tariffs", m_sample.request("GET", "/movements", "andes", "m5")).status, 200);
+    EXPECT_EQ(call("a-tariffs", m_sample.request("GET", "/movements", "andes", "m6")).status, 200);
+}
+
+// Guards against a fresh VM that cannot serve while the platform log is down.
+TEST_F(NodeTest, AFreshNodeLearnsTheConfigurationFromPeers)
+{
+    m_fleet.log().setAvailable(false);
+    m_fleet.replace("b-tariffs");
+    m_fleet.run(8s);
+    const http_answer answer
+            = call("b-tariffs", m_sample.request("GET", "/movements", "andes", "m7"));
+    EXPECT_EQ(answer.status, 200) << error(answer);
+}
