Implement the admission queue on indexed heaps with rank shedding

Cause: the placeholder sorted a vector per insertion and never raised its shed threshold. The queue now keeps its entries in three heaps (best, worst, earliest deadline) and a list by arrival, all in storage allocated once. The threshold rises by one arriving rank per interval whose smallest delay was above the target, and only as far as the ranks above still arrive as fast as requests run.

Ruled out: shedding without the arrival counts, which leaves the server idle when one rank carries the whole surge; the delay of popped entries as the signal, which stays small for high ranks while low ranks starve.

--- a/include/tamarackridge/src/overload/admission_queue.h
+++ b/include/tamarackridge/src/overload/admission_queue.h
@@ -1,19 +1,28 @@
 #pragma once
 
 #include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/overload/service_time.h"
+#include "tamarackridge/src/overload/shed_control.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
 namespace tamarackridge {
 
+namespace internal {
+class waiting_set;
+} // namespace internal
+
 /// \brief Settings of an admission_queue.
 struct admission_queue_options
 {
-    std::uint32_t capacity = 1024;
-    duration targetDelay = std::chrono::milliseconds(20);
-    duration interval = std::chrono::milliseconds(100);
+    std::uint32_t capacity = 1024; ///< Storage for this many entries is allocated at once.
+    /// While the queue stays long it is kept to the entries that run within this time.
+    duration maxDelay = std::chrono::milliseconds(100);
+    std::uint32_t minLength = 8; ///< The queue is not kept shorter than this.
+    shed_control_options shed;
 };
 
 /// \brief A request that waits for a place on the backend server.
@@ -26,44 +35,59 @@
 };
 
 /// \brief What became of an entry.
-enum class admission : std::uint8_t { admitted, refused, admitted_evicting };
+enum class admission : std::uint8_t {
+    admitted,
+    admitted_evicting, ///< Admitted; a less important entry is refused instead.
+    refused, ///< The rank is shed, or the queue is full of more important entries.
+    too_late, ///< The deadline cannot be met.
+};
 
 /// \brief Answer of admission_queue::enqueue.
 struct admission_result
 {
     admission kind = admission::refused;
-    std::uint64_t evicted = 0; ///< Set with `admitted_evicting`: this entry is refused instead.
+    std::uint64_t evicted = 0; ///< Set with `admitted_evicting`.
 };
 
 /// \brief Bounded queue in front of the concurrency limit.
 ///
 /// Entries leave by rank, then by the age of their whole call chain: a request that was admitted
-/// at the top of a chain is not dropped further down in favour of a newer one.
+/// at the top of a chain is not dropped further down in favour of a newer one. No operation
+/// allocates memory, apart from takeExpired() when \a out has to grow.
 ///
 /// \code
 /// admission_queue queue;
 /// const admission_result result = queue.enqueue(entry, now);
+/// while (limit.inFlight() < limit.limit()) {
+///     const std::optional<std::uint64_t> id = queue.popReady(now);
+///     if (!id)
+///         break;
+///     limit.tryAcquire();
+///     run(*id);
+/// }
 /// queue.takeExpired(now, dropped); // refuse these with `deadline_exceeded`
-/// if (limit.inFlight() < limit.limit())
-///     if (std::optional<std::uint64_t> id = queue.popReady(now))
-///         run(*id);
 /// \endcode
+/// \sa shed_control, concurrency_limit
 class admission_queue
 {
 public:
     explicit admission_queue(const admission_queue_options &options = {});
+    admission_queue(const admission_queue &) = delete;
+    admission_queue &operator=(const admission_queue &) = delete;
+    ~admission_queue();
 
     admission_result enqueue(const queue_entry &entry, time_point now);
-    /// \returns the entry that is to run next, if any.
+    /// \returns the entry that is to run next, if any; never one whose deadline cannot be met.
     std::optional<std::uint64_t> popReady(time_point now);
-    /// \brief Appends the entries that were dropped since their deadline cannot be met.
+    /// \brief Appends the entries that were dropped because their deadline cannot be met, here or
+    /// in an earlier call of enqueue() or popReady(). To be called after those and on every tick.
     void takeExpired(time_point now, std::vector<std::uint64_t> &out);
     /// \brief Removes a cancelled entry.
     /// \returns false when it was not waiting.
     bool remove(std::uint64_t id);
 
-    /// \brief Tells how long a run took; entries that have less time left are dropped.
-    void observeServiceTime(duration latency, time_point now);
+    /// \brief Tells how long a run took that was not cancelled.
+    void observeServiceTime(duration latency, time_point now) { m_service.observe(latency, now); }
 
     /// \returns the lowest rank still admitted, 0 when everything is.
     std::uint8_t shedThreshold(time_point now);
@@ -71,15 +95,15 @@
     std::uint32_t size() const;
 
 private:
-    struct waiting
-    {
-        queue_entry entry;
-        time_point since;
-    };
+    void dropHopeless(time_point now);
+    void observeDelay(time_point now);
+    std::uint32_t allowedLength(time_point now) const;
 
     admission_queue_options m_options;
-    std::vector<waiting> m_waiting;
-    std::uint8_t m_threshold = 0;
+    std::unique_ptr<internal::waiting_set> m_waiting;
+    std::vector<std::uint64_t> m_dropped;
+    service_time m_service;
+    shed_control m_shed;
 };
 
 } // namespace tamarackridge
--- a/src/core/overload/admission_queue.cpp
+++ b/src/core/overload/admission_queue.cpp
@@ -1,68 +1,102 @@
 #include "tamarackridge/src/overload/admission_queue.h"
 
+#include "core/overload/waiting_set.h"
+
 #include <algorithm>
 
 namespace tamarackridge {
 
 admission_queue::admission_queue(const admission_queue_options &options)
     : m_options(options)
+    , m_waiting(std::make_unique<internal::waiting_set>(std::max(options.capacity, 1U)))
+    , m_shed(options.shed)
 {
-    m_waiting.reserve(options.capacity + 1);
+    m_dropped.reserve(m_options.capacity);
 }
 
+admission_queue::~admission_queue() = default;
+
 admission_result admission_queue::enqueue(const queue_entry &entry, time_point now)
 {
-    if (entry.deadline <= now || entry.rank < m_threshold)
+    dropHopeless(now);
+    observeDelay(now);
+    m_shed.onArrival(entry.rank);
+    if (entry.deadline <= now + m_service.estimate(now))
+        return {admission::too_late, 0};
+    if (entry.rank < m_shed.threshold() || m_waiting->contains(entry.id))
         return {};
-    const auto before = [](const waiting &a, const waiting &b) {
-        return a.entry.rank != b.entry.rank ? a.entry.rank > b.entry.rank
-                                            : a.entry.chainStart < b.entry.chainStart;
-    };
-    const waiting item{entry, now};
-    m_waiting.insert(std::upper_bound(m_waiting.begin(), m_waiting.end(), item, before), item);
-    if (m_waiting.size() <= m_options.capacity)
+    if (!m_waiting->full() && m_waiting->size() < allowedLength(now)) {
+        m_waiting->insert(entry, now);
         return {admission::admitted, 0};
-    const std::uint64_t worst = m_waiting.back().entry.id;
-    m_waiting.pop_back();
-    if (worst == entry.id)
+    }
+    const queue_entry worst = m_waiting->worst();
+    if (!internal::moreImportant(entry, worst))
         return {};
-    return {admission::admitted_evicting, worst};
+    m_waiting->erase(worst.id);
+    m_waiting->insert(entry, now);
+    return {admission::admitted_evicting, worst.id};
 }
 
-std::optional<std::uint64_t> admission_queue::popReady(time_point)
+std::optional<std::uint64_t> admission_queue::popReady(time_point now)
 {
-    if (m_waiting.empty())
-        return std::nullopt;
-    const std::uint64_t id = m_waiting.front().entry.id;
-    m_waiting.erase(m_waiting.begin());
-    return id;
+    dropHopeless(now);
+    std::optional<std::uint64_t> next;
+    if (!m_waiting->empty()) {
+        next = m_waiting->best().id;
+        m_waiting->erase(*next);
+        m_shed.onRun();
+    }
+    observeDelay(now);
+    return next;
 }
 
 void admission_queue::takeExpired(time_point now, std::vector<std::uint64_t> &out)
 {
-    std::erase_if(m_waiting, [&](const waiting &item) {
-        if (item.entry.deadline > now)
-            return false;
-        out.push_back(item.entry.id);
-        return true;
-    });
+    dropHopeless(now);
+    out.insert(out.end(), m_dropped.begin(), m_dropped.end());
+    m_dropped.clear();
 }
 
 bool admission_queue::remove(std::uint64_t id)
 {
-    return std::erase_if(m_waiting, [id](const waiting &item) { return item.entry.id == id; }) > 0;
+    return m_waiting->erase(id);
 }
 
-void admission_queue::observeServiceTime(duration, time_point) { }
-
-std::uint8_t admission_queue::shedThreshold(time_point)
+std::uint8_t admission_queue::shedThreshold(time_point now)
 {
-    return m_threshold;
+    observeDelay(now);
+    return m_shed.threshold();
 }
 
 std::uint32_t admission_queue::size() const
 {
-    return static_cast<std::uint32_t>(m_waiting.size());
+    return m_waiting->size();
+}
+
+void admission_queue::dropHopeless(time_point now)
+{
+    const time_point earliestEnd = now + m_service.estimate(now);
+    while (!m_waiting->empty() && m_waiting->firstDeadline().deadline <= earliestEnd) {
+        m_dropped.push_back(m_waiting->firstDeadline().id);
+        m_waiting->erase(m_dropped.back());
+    }
+}
+
+void admission_queue::observeDelay(time_point now)
+{
+    const duration delay = m_waiting->empty() ? duration::zero() : now - m_waiting->oldestArrival();
+    // Behind runs of a second, a wait of 20 ms is no sign of overload.
+    m_shed.observeDelay(delay, m_service.estimate(now) / 2, now);
+}
+
+std::uint32_t admission_queue::allowedLength(time_point now) const
+{
+    if (!m_shed.standing())
+        return m_options.capacity;
+    const duration longest = std::max(m_options.maxDelay, m_service.estimate(now));
+    const double intervals = std::chrono::duration<double>(longest) / m_options.shed.interval;
+    const double length = m_shed.runsPerInterval() * intervals;
+    return std::max(static_cast<std::uint32_t>(length), m_options.minLength);
 }
 
 } // namespace tamarackridge
--- /dev/null
+++ b/src/core/overload/service_time.cpp
@@ -0,0 +1,34 @@
+#include "tamarackridge/src/overload/service_time.h"
+
+#include <algorithm>
+
+namespace tamarackridge {
+
+namespace {
+// A down step nine times the up step balances where one run in ten is quicker.
+constexpr std::int64_t upStepDivisor = 64;
+constexpr std::int64_t downStepFactor = 9;
+constexpr duration halfLife = std::chrono::seconds(1);
+constexpr std::int64_t maxHalvings = 62;
+} // namespace
+
+void service_time::observe(duration latency, time_point now)
+{
+    const duration present = estimate(now);
+    const duration step = present / upStepDivisor + duration(1);
+    if (present == duration::zero())
+        m_quick = latency;
+    else if (latency > present)
+        m_quick = std::min(latency, present + step);
+    else
+        m_quick = std::max(latency, present - downStepFactor * step);
+    m_observedAt = now;
+}
+
+duration service_time::estimate(time_point now) const
+{
+    const std::int64_t halvings = std::max<std::int64_t>(0, (now - m_observedAt) / halfLife);
+    return duration(m_quick.count() >> std::min(halvings, maxHalvings));
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/overload_queue_test.cpp
@@ -0,0 +1,163 @@
+#include "tamarackridge/overload"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <tuple>
+
+using namespace tamarackridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start(1h);
+
+queue_entry entryOf(std::uint64_t id, std::uint8_t rank, duration chainAge, duration left = 10s)
+{
+    return {id, rank, start - chainAge, start + left};
+}
+
+bool runsBefore(const queue_entry &a, const queue_entry &b)
+{
+    return std::make_tuple(-a.rank, a.chainStart, a.id)
+           < std::make_tuple(-b.rank, b.chainStart, b.id);
+}
+
+/// The same queue as a sorted vector.
+struct sorted_queue
+{
+    std::vector<queue_entry> waiting;
+
+    void add(const queue_entry &entry, std::size_t capacity, std::optional<std::uint64_t> &lost)
+    {
+        waiting.insert(std::upper_bound(waiting.begin(), waiting.end(), entry, runsBefore), entry);
+        if (waiting.size() > capacity) {
+            lost = waiting.back().id;
+            waiting.pop_back();
+        }
+    }
+    std::optional<std::uint64_t> pop()
+    {
+        if (waiting.empty())
+            return std::nullopt;
+        const std::uint64_t id = waiting.front().id;
+        waiting.erase(waiting.begin());
+        return id;
+    }
+};
+
+std::optional<std::uint64_t> lostBy(const admission_result &result, std::uint64_t id)
+{
+    if (result.kind == admission::admitted)
+        return std::nullopt;
+    return result.kind == admission::admitted_evicting ? result.evicted : id;
+}
+
+} // namespace
+
+// Guards against a newer call, or a lower rank, that takes the place of an older or higher one, and
+// against entries that are lost or run twice.
+RC_GTEST_PROP(AdmissionQueue, BehavesLikeASortedBoundedList, ())
+{
+    constexpr std::size_t capacity = 8;
+    admission_queue_options options;
+    options.capacity = capacity;
+    admission_queue queue(options);
+    sorted_queue model;
+    const int steps = *rc::gen::inRange(1, 200);
+    for (int step = 1; step <= steps; ++step) {
+        const std::uint64_t id = static_cast<std::uint64_t>(step);
+        switch (*rc::gen::weightedElement<int>({{4, 0}, {2, 1}, {1, 2}})) {
+        case 0: {
+            const queue_entry entry = entryOf(id, *rc::gen::inRange<std::uint8_t>(0, 4),
+                                              *rc::gen::inRange(0, 5) * 1ms);
+            std::optional<std::uint64_t> lost;
+            model.add(entry, capacity, lost);
+            RC_ASSERT(lostBy(queue.enqueue(entry, start), id) == lost);
+            break;
+        }
+        case 1:
+            RC_ASSERT(queue.popReady(start) == model.pop());
+            break;
+        default: {
+            const std::uint64_t gone = *rc::gen::inRange<std::uint64_t>(1, id + 1);
+            const std::size_t removed = std::erase_if(
+                    model.waiting, [gone](const queue_entry &entry) { return entry.id == gone; });
+            RC_ASSERT(queue.remove(gone) == (removed == 1));
+        }
+        }
+        RC_ASSERT(queue.size() == model.waiting.size());
+    }
+}
+
+// Guards against running a request whose caller will have given up, and against dropping one
+// that still has time.
+TEST(AdmissionQueue, DropsEntriesWithLessTimeThanARunTakes)
+{
+    admission_queue queue;
+    queue.observeServiceTime(50ms, start);
+    EXPECT_EQ(queue.enqueue(entryOf(1, 0, 0ms, 40ms), start).kind, admission::too_late);
+    EXPECT_EQ(queue.enqueue(entryOf(2, 9, 0ms, 60ms), start).kind, admission::admitted);
+    EXPECT_EQ(queue.enqueue(entryOf(3, 0, 0ms, 90ms), start).kind, admission::admitted);
+    EXPECT_EQ(queue.popReady(start + 20ms), 3U);
+    std::vector<std::uint64_t> dropped;
+    queue.takeExpired(start + 20ms, dropped);
+    EXPECT_EQ(dropped, std::vector<std::uint64_t>{2});
+}
+
+// Guards against a single slow phase that makes every deadline look hopeless for ever.
+TEST(AdmissionQueue, ServiceTimeEstimateFadesWithoutRuns)
+{
+    admission_queue queue;
+    queue.observeServiceTime(5s, start);
+    EXPECT_EQ(queue.enqueue({1, 0, start, start + 1s}, start).kind, admission::too_late);
+    const time_point later = start + 4s;
+    EXPECT_EQ(queue.enqueue({2, 0, later, later + 1s}, later).kind, admission::admitted);
+}
+
+// Guards against shedding a higher rank before a lower one, shedding the highest rank at all, and
+// shedding so much that the server idles.
+RC_GTEST_PROP(ShedControl, ShedsFromLowToHighAndOnlyWhatCannotRun, ())
+{
+    const std::vector<std::uint32_t> perInterval =
+            *rc::gen::container<std::vector<std::uint32_t>>(4, rc::gen::inRange(0U, 50U));
+    const std::uint32_t capacity = *rc::gen::inRange(1U, 60U);
+    RC_PRE(std::any_of(perInterval.begin(), perInterval.end(), [](auto n) { return n > 0; }));
+    shed_control shed;
+    time_point now = start;
+    shed.observeDelay(0ms, 0ms, now);
+    for (int interval = 0; interval < 20; ++interval) {
+        for (std::uint8_t rank = 0; rank < perInterval.size(); ++rank) {
+            for (std::uint32_t i = 0; i < perInterval[rank]; ++i)
+                shed.onArrival(rank);
+        }
+        for (std::uint32_t i = 0; i < capacity; ++i)
+            shed.onRun();
+        now += 100ms;
+        const std::uint8_t before = shed.threshold();
+        shed.observeDelay(1s, 0ms, now);
+        std::uint32_t admitted = 0;
+        for (std::size_t rank = shed.threshold(); rank < perInterval.size(); ++rank)
+            admitted += perInterval[rank];
+        RC_ASSERT(shed.threshold() >= before);
+        RC_ASSERT(shed.threshold() == 0 || admitted >= capacity);
+    }
+    const std::uint8_t highest = shed.threshold();
+    for (int interval = 0; interval < highest; ++interval)
+        shed.observeDelay(0ms, 0ms, now += 100ms);
+    shed.observeDelay(0ms, 0ms, now += 100ms);
+    RC_ASSERT(shed.threshold() == 0);
+}
+
+// Guards against a burst, which the queue absorbs, being taken for overload.
+TEST(ShedControl, BurstThatDrainsWithinAnIntervalShedsNothing)
+{
+    shed_control shed;
+    for (int i = 0; i < 50; ++i) {
+        shed.onArrival(1);
+        shed.observeDelay(i % 5 == 0 ? 0ms : 80ms, 0ms, start + i * 20ms);
+    }
+    EXPECT_EQ(shed.threshold(), 0);
+}
