Learn the concurrency limit from latency with checked baselines

Cause: additive increase without latency fills the backend server's own queue. Latency over a baseline starts a check: the limit is lowered for a window, and only latency that falls with it counts as queueing; otherwise the baseline moves.

Ruled out: a slowly rising average as the baseline, since it follows the queue that the limit itself causes.

--- a/include/tamarackridge/src/overload/concurrency_limit.h
+++ b/include/tamarackridge/src/overload/concurrency_limit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/overload/latency_window.h"
 #include "tamarackridge/src/overload/run_outcome.h"
 
 #include <cstdint>
@@ -12,11 +13,22 @@
 {
     std::uint32_t minLimit = 1;
     std::uint32_t maxLimit = 1000;
-    std::uint32_t initialLimit = 8; ///< Start of the ramp when the slots are not known.
+    std::uint32_t initialLimit = 8; ///< Start of the cold-start ramp.
+    double tolerance = 1.5; ///< Latency over the baseline that is taken as a sign of queueing.
+    duration minWindow = std::chrono::milliseconds(50);
+    duration maxWindow = std::chrono::seconds(1);
+    duration checkPeriod = std::chrono::seconds(10); ///< Between full checks of the baseline.
 };
 
 /// \brief Concurrent requests that a backend server is given, learned from what it does with them.
 ///
+/// The latency of each window is compared with a baseline. A higher latency alone does not tell a
+/// queue in the backend server, where a lower limit helps, from a server that has become slower,
+/// where it only costs throughput. The limit is therefore lowered for a window to see: if latency
+/// falls with concurrency, requests were queueing and the limit stays down; if it does not, the
+/// server is slower, the baseline moves to the new latency and the limit returns. The same check
+/// runs periodically at full use, so that a baseline that was learned under load is corrected.
+///
 /// \code
 /// concurrency_limit limit;
 /// limit.restart(now, announcement.slots);
@@ -39,19 +51,45 @@
     /// \brief Starts again with the cold-start ramp, for a new instance of the backend server.
     /// \param slots upper bound that the backend server announced; 0 when not known.
     void restart(time_point now, std::uint32_t slots);
-    /// \brief Lowers the limit's ceiling to what a load endpoint reports; it never raises a limit.
+    /// \brief Lowers the limit to what a load endpoint reports; it never raises one.
     /// \param slots 0 withdraws the hint.
-    void hintSlots(std::uint32_t slots);
+    void hintSlots(std::uint32_t slots) { m_hint = slots; }
 
     std::uint32_t limit() const;
     std::uint32_t inFlight() const { return m_inFlight; }
+    /// \returns the latency that counts as normal, 0 while it is not known.
+    duration baseline() const { return duration(static_cast<std::int64_t>(m_baseline)); }
 
 private:
+    enum class phase : std::uint8_t { ramp, steady, check };
+    using window_handler = void (concurrency_limit::*)(const latency_point &, time_point);
+
+    bool windowComplete(time_point now) const;
+    void closeWindow(time_point now);
+    void onRampWindow(const latency_point &point, time_point now);
+    void onSteadyWindow(const latency_point &point, time_point now);
+    void onCheckWindow(const latency_point &point, time_point now);
+    void beginCheck(const latency_point &point, time_point now);
+    void stepDown(const latency_point &point, time_point now);
+    void endCheck(time_point now);
+    double ceiling() const;
+    void setLimit(double limit);
+    void grow(double step);
+
     concurrency_limit_options m_options;
     double m_limit;
+    double m_baseline = 0; ///< In nanoseconds.
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_slots = 0;
     std::uint32_t m_hint = 0;
+    phase m_phase = phase::ramp;
+    bool m_used = false; ///< Whether the limit was reached in this window.
+    bool m_untilFlat = false; ///< Whether the check goes on until latency stops falling.
+    double m_limitBefore = 0; ///< Limit and latency before the last step of the check.
+    latency_point m_before;
+    time_point m_learnFrom; ///< Runs that started earlier saw another limit.
+    time_point m_nextCheck;
+    latency_window m_window;
 };
 
 } // namespace tamarackridge
