Implement routing with subsets, ejection, zones and early refusal

Cause: the placeholder compared requests in flight over a linear list. Executors are now indexed by name and grouped by service and zone; each zone contributes at most 8 by rendezvous hashing; two random ones are compared by expected delay. Ejection counts failures and also dispatches that wait without any answer, so heartbeats alone keep no executor in use.

--- a/include/tamarackridge/src/routing/router.h
+++ b/include/tamarackridge/src/routing/router.h
@@ -6,13 +6,18 @@
 #include "tamarackridge/src/node/peer_message.h"
 #include "tamarackridge/src/overload/run_outcome.h"
 #include "tamarackridge/src/routing/executor.h"
+#include "tamarackridge/src/routing/executor_health.h"
 
 #include <tl/expected.hpp>
 
+#include <array>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace tamarackridge {
@@ -22,10 +27,10 @@
 {
     std::string node; ///< Own name; the subsets of executors depend on it.
     std::string zone; ///< Own availability zone.
-    std::uint32_t subsetSize = 8; ///< Executors used per service and zone.
-    duration ejectionTime = std::chrono::seconds(1); ///< First one; doubles with each failed probe.
-    duration maxEjectionTime = std::chrono::seconds(30);
-    std::uint32_t failureStreak = 5; ///< Consecutive failures that eject an executor.
+    std::uint32_t subsetSize = 8; ///< Executors used per service and zone, at most 16.
+    double clearlySlower = 2; ///< Delay in the own zone, over another zone's, that spills over.
+    std::uint32_t probePercent = 1; ///< Share of early refusals that is sent nevertheless.
+    ejection_options ejection;
 };
 
 /// \brief Chooses the backend server for a request and learns from the answers.
@@ -36,14 +41,17 @@
 /// tl::expected<std::string_view, error_kind> target
 ///         = routes.choose("booking", rank, {}, now, random);
 /// routes.onDispatched(*target, now);
-/// routes.onAnswer(*target, latency, run_outcome::success, load, now);
+/// routes.onAnswer(*target, latency, run_outcome::success, &load, now);
 /// \endcode
+/// \sa executor_health
 class router
 {
 public:
+    static constexpr std::size_t maxSubsetSize = 16;
+
     explicit router(router_options options);
 
-    /// \brief Adds an executor, or changes its service, state or link delay.
+    /// \brief Adds an executor, or changes its zone, service, state or link delay.
     void upsertExecutor(const executor_info &info);
     void removeExecutor(std::string_view node);
 
@@ -57,26 +65,101 @@
     /// \brief A dispatch was sent; each must be followed by one onAnswer().
     void onDispatched(std::string_view node, time_point now);
     /// \brief A dispatch ended.
+    /// \param latency from sending the dispatch to its end.
     /// \param load as received with the answer; null when none was received.
     void onAnswer(std::string_view node, duration latency, run_outcome outcome,
                   const executor_load *load, time_point now);
-    void onHeartbeat(std::string_view node, const executor_load &load, time_point now);
+    /// \brief Updates the load only; a heartbeat is no sign that requests are served.
+    void onHeartbeat(std::string_view node, const executor_load &load);
 
-    std::size_t executorCount() const { return m_executors.size(); }
+    std::size_t executorCount() const { return m_byNode.size(); }
+    /// \returns true when the executor is ejected after failures.
+    bool isEjected(std::string_view node, time_point now);
 
 private:
+    using index = std::uint32_t;
+
+    struct name_hash : std::hash<std::string_view>
+    {
+        using is_transparent = void;
+    };
+    template <typename value>
+    using name_map = std::unordered_map<std::string, value, name_hash, std::equal_to<>>;
+
+    /// The executors of one service in one zone.
+    struct zone_group
+    {
+        std::uint16_t zone = 0; ///< Position in m_zones.
+        std::vector<index> members;
+        std::vector<index> subset; ///< The serving members that this node uses.
+        bool subsetCurrent = false;
+    };
+    struct service_group
+    {
+        std::vector<zone_group> zones; ///< The own zone comes first.
+        double usualLatency = 1e6; ///< Average over all executors in nanoseconds.
+    };
+
     struct record
     {
-        executor_info info;
-        executor_load load;
-        duration latency{};
-        std::uint32_t inFlight = 0;
+        std::string_view node; ///< Key of m_byNode.
+        service_group *service = nullptr; ///< Value in m_services.
+        std::uint64_t affinity = 0; ///< Rendezvous hash of the own node with this one.
+        std::uint16_t zone = 0; ///< Position in m_zones.
+        executor_state state = executor_state::serving;
+        duration linkDelay{};
+        executor_health health;
+    };
+
+    /// The usable executors of one zone for one request.
+    struct candidates
+    {
+        std::array<index, maxSubsetSize> admitting{};
+        std::size_t admittingCount = 0;
+        std::array<index, maxSubsetSize> refusing{};
+        std::size_t refusingCount = 0;
+        std::optional<index> probe; ///< Ejected, and due to be tried.
+        std::optional<index> lastResort; ///< Ejected, with no dispatch waiting.
+
+        std::span<const index> admittingList() const { return {admitting.data(), admittingCount}; }
+        std::span<const index> refusingList() const { return {refusing.data(), refusingCount}; }
+    };
+
+    struct request
+    {
+        std::uint8_t rank;
+        std::span<const std::string> excluded;
+        time_point now;
+    };
+
+    /// An executor and its expected delay.
+    struct option
+    {
+        index executor = 0;
+        double delay = 0;
     };
 
     record *find(std::string_view node);
+    std::uint16_t zoneIndex(std::string_view zone);
+    void attach(index position, std::string_view service);
+    void detach(index position);
+    void refreshSubset(zone_group &group) const;
+    candidates gather(zone_group &group, const request &wanted);
+    double delayOf(index executor, time_point now) const;
+    option bestOf(std::span<const index> list, time_point now) const;
+    option pickOfTwo(std::span<const index> list, time_point now, random_source &random) const;
+    tl::expected<index, error_kind> chooseFrom(service_group &service, const request &wanted,
+                                               random_source &random);
+    index preferNear(service_group &service, const candidates &near, const request &wanted,
+                     random_source &random);
 
     router_options m_options;
-    std::vector<record> m_executors;
+    std::uint64_t m_seed; ///< Of the rendezvous hash.
+    std::vector<std::string> m_zones;
+    name_map<service_group> m_services;
+    name_map<index> m_byNode;
+    std::vector<record> m_records;
+    std::vector<index> m_free;
 };
 
 } // namespace tamarackridge
