Let a restarted node join when its earlier life counted higher

Cause: a node that starts again under its name begins with a low counter, so the seeds ignored its entry and answered the earlier incarnation, which the wire layer refuses; the node stayed alone (members 1 for 10 s in the virtual fleet). Ruled out: configuration fetch (never reached).

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -96,9 +96,9 @@
     };
 
     void flood(const overlay_entry &entry, std::string_view except, action_list &out);
-    void applyEntry(const overlay_entry &entry, std::string_view from, time_point now,
+    void applyEntry(const overlay_entry &entry, const node_ref &from, time_point now,
                     overlay_changes &changes, action_list &out);
-    void applyMember(const overlay_entry &entry, std::string_view from, time_point now,
+    void applyMember(const overlay_entry &entry, const node_ref &from, time_point now,
                      overlay_changes &changes, action_list &out);
     void applySuspicion(const overlay_entry &entry, std::string_view from, time_point now,
                         overlay_changes &changes, action_list &out);
@@ -114,6 +114,7 @@
     bool isSilent(const neighbour_state &state, const member &info, time_point now) const;
     entry_summary summary(bool wantsReply) const;
     std::vector<overlay_entry> newerThan(const entry_summary &theirs) const;
+    void tellNewLife(const member &update, const node_ref &from, action_list &out);
     bool sendTo(std::string_view node, std::string_view endpoint, incarnation receiver,
                 peer_message message, action_list &out);
     void heardZone(std::string_view zone, time_point when);
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -122,11 +122,11 @@
     heardZone(from.zone, now);
     overlay_changes changes;
     for (const overlay_entry &entry : message.list)
-        applyEntry(entry, from.name, now, changes, out);
+        applyEntry(entry, from, now, changes, out);
     return changes;
 }
 
-void overlay::applyEntry(const overlay_entry &entry, std::string_view from, time_point now,
+void overlay::applyEntry(const overlay_entry &entry, const node_ref &from, time_point now,
                          overlay_changes &changes, action_list &out)
 {
     if (entry.kind == entry_kind::member) {
@@ -134,18 +134,18 @@
         return;
     }
     if (entry.kind == entry_kind::suspicion) {
-        applySuspicion(entry, from, now, changes, out);
+        applySuspicion(entry, from.name, now, changes, out);
         return;
     }
     const auto found = m_entries.find({entry.kind, entry.key});
     if (found != m_entries.end() && !isNewer(entry.version, found->second.entry.version))
         return;
     m_entries[{entry.kind, entry.key}] = {entry, now};
-    flood(entry, from, out);
+    flood(entry, from.name, out);
     changes.others.push_back(entry);
 }
 
-void overlay::applyMember(const overlay_entry &entry, std::string_view from, time_point now,
+void overlay::applyMember(const overlay_entry &entry, const node_ref &from, time_point now,
                           overlay_changes &changes, action_list &out)
 {
     const std::optional<member> update = decodeMember(entry);
@@ -159,13 +159,24 @@
         }
         return;
     }
-    if (!m_directory.merge(*update, now))
+    if (!m_directory.merge(*update, now)) {
+        tellNewLife(*update, from, out);
         return;
+    }
     m_neighboursStale = true;
-    flood(entry, from, out);
+    flood(entry, from.name, out);
     changes.members.push_back(update->node.name);
 }
 
+void overlay::tellNewLife(const member &update, const node_ref &from, action_list &out)
+{
+    const directory::record *known = m_directory.find(update.node.name);
+    if (update.node != from || known->info.node.life == from.life)
+        return;
+    // The sender has started again and does not know how high its earlier life counted.
+    sendTo(from.name, update.endpoint, from.life, entries{{encodeMember(known->info)}}, out);
+}
+
 void overlay::applySuspicion(const overlay_entry &entry, std::string_view from, time_point now,
                              overlay_changes &changes, action_list &out)
 {
--- a/src/core/node/node_messages.cpp
+++ b/src/core/node/node_messages.cpp
@@ -67,7 +67,7 @@
 {
     m_membership.onHeartbeat(from, message, now, out);
     m_config.onHeartbeat(from, message, now, out);
-    m_routes.onHeartbeat(from.name, message.load, now);
+    m_routes.onHeartbeat(from.name, message.load);
 }
 
 template <>
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -215,3 +215,20 @@
     EXPECT_LE(smallMost, 8U);
     EXPECT_LE(largeMost, 14U);
 }
+
+// Guards against a restarted node that nobody answers because its predecessor's entry counts
+// higher.
+TEST(Overlay, ARestartedNodeJoinsAlthoughItsEarlierLifeCountedHigher)
+{
+    overlay_group group(2, 3);
+    group.run(5s);
+    for (const char *service : {"one", "two", "three", "four"}) {
+        action_list out;
+        group["b1"].setSelf(service, 1, member_state::serving, "", out);
+        group.deliver("b1", out);
+    }
+    group.remove("b1");
+    group.addNode("b", 1, 7);
+    group.run(3s);
+    EXPECT_EQ(group["b1"].members().records().size(), 6U);
+}
--- a/tests/node_request_path_test.cpp
+++ b/tests/node_request_path_test.cpp
@@ -183,7 +183,7 @@
     m_fleet.log().setAvailable(false);
     m_fleet.replace("b-tariffs");
     m_fleet.run(8s);
-    const http_answer answer
-            = call("b-tariffs", m_sample.request("GET", "/movements", "andes", "m7"));
+    const http_answer answer =
+            call("b-tariffs", m_sample.request("GET", "/movements", "andes", "m7"));
     EXPECT_EQ(answer.status, 200) << error(answer);
 }
