--- /dev/null
+++ b/src/process/http_client.cpp
@@ -0,0 +1,197 @@
+#include "process/http_client.h"
+
+#include "process/hop_headers.h"
+#include "process/http_exchange.h"
+
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+struct submission
+{
+    std::uint64_t id = 0;
+    http_target target;
+    http_request request;
+    std::chrono::nanoseconds timeout{};
+};
+
+struct cancellation
+{
+    std::uint64_t id = 0;
+};
+
+using command = std::variant<submission, cancellation>;
+
+struct curl_multi_deleter
+{
+    void operator()(CURLM *handle) const { curl_multi_cleanup(handle); }
+};
+
+} // namespace
+
+class http_client::implementation
+{
+public:
+    implementation(http_client_options options, completion done)
+        : m_options(options)
+        , m_done(std::move(done))
+    {
+        internal::initialiseCurl();
+        m_multi.reset(curl_multi_init());
+        curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS,
+                          static_cast<long>(m_options.keptConnections));
+        curl_multi_setopt(m_multi.get(), CURLMOPT_PIPELINING,
+                          static_cast<long>(CURLPIPE_NOTHING));
+    }
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+    ~implementation()
+    {
+        for (const auto &[id, exchange] : m_exchanges)
+            curl_multi_remove_handle(m_multi.get(), exchange->handle());
+    }
+
+    void push(command next)
+    {
+        bool wake = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            wake = m_commands.empty();
+            m_commands.push_back(std::move(next));
+        }
+        if (wake)
+            curl_multi_wakeup(m_multi.get());
+    }
+
+    void runOnce(std::chrono::milliseconds wait)
+    {
+        // Transfers that just began may already have an answer; libcurl's own timers bound the wait.
+        curl_multi_poll(m_multi.get(), nullptr, 0, static_cast<int>(wait.count()), nullptr);
+        takeCommands();
+        int running = 0;
+        curl_multi_perform(m_multi.get(), &running);
+        completeFinished();
+    }
+
+private:
+    void takeCommands()
+    {
+        while (std::optional<command> next = nextCommand()) {
+            if (auto *const request = std::get_if<submission>(&*next))
+                begin(*request);
+            else
+                stop(std::get<cancellation>(*next).id);
+        }
+    }
+
+    // Takes one command at a time, so that a completion that throws repeats and loses none.
+    std::optional<command> nextCommand()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_commands.empty())
+            return std::nullopt;
+        std::optional<command> next(std::move(m_commands.front()));
+        m_commands.pop_front();
+        return next;
+    }
+
+    void begin(submission &request)
+    {
+        const std::uint64_t id = request.id;
+        if (!isWellFormed(request.request)) {
+            http_outcome outcome;
+            outcome.answer = tl::unexpected(error_kind::bad_request);
+            m_done(id, std::move(outcome));
+            return;
+        }
+        if (request.target.host.empty()) {
+            m_done(id, http_outcome{});
+            return;
+        }
+        auto exchange = std::make_unique<internal::http_exchange>(
+                id, std::move(request.target), std::move(request.request), idleHandle(),
+                m_options);
+        exchange->prepare(request.timeout);
+        curl_multi_add_handle(m_multi.get(), exchange->handle());
+        m_exchanges.insert_or_assign(id, std::move(exchange));
+    }
+
+    void stop(std::uint64_t id)
+    {
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end())
+            return;
+        const std::unique_ptr<internal::http_exchange> exchange = std::move(found->second);
+        m_exchanges.erase(found);
+        // Removing an unfinished transfer closes its connection.
+        curl_multi_remove_handle(m_multi.get(), exchange->handle());
+        m_done(id, exchange->abandon(error_kind::cancelled));
+    }
+
+    void completeFinished()
+    {
+        int left = 0;
+        while (const CURLMsg *const message = curl_multi_info_read(m_multi.get(), &left)) {
+            if (message->msg != CURLMSG_DONE)
+                continue;
+            const CURLcode result = message->data.result;
+            internal::http_exchange *finished = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
+            curl_multi_remove_handle(m_multi.get(), finished->handle());
+            const auto found = m_exchanges.find(finished->id());
+            const std::unique_ptr<internal::http_exchange> exchange = std::move(found->second);
+            m_exchanges.erase(found);
+            http_outcome outcome = exchange->finish(result);
+            m_idle.push_back(exchange->takeHandle());
+            m_done(exchange->id(), std::move(outcome));
+        }
+    }
+
+    internal::curl_easy idleHandle()
+    {
+        if (m_idle.empty())
+            return internal::curl_easy(curl_easy_init());
+        internal::curl_easy handle = std::move(m_idle.back());
+        m_idle.pop_back();
+        return handle;
+    }
+
+    http_client_options m_options;
+    completion m_done;
+    std::unique_ptr<CURLM, curl_multi_deleter> m_multi;
+    std::unordered_map<std::uint64_t, std::unique_ptr<internal::http_exchange>> m_exchanges;
+    std::vector<internal::curl_easy> m_idle;
+    std::mutex m_mutex;
+    std::deque<command> m_commands;
+};
+
+http_client::http_client(http_client_options options, completion done)
+    : m_implementation(std::make_unique<implementation>(options, std::move(done)))
+{ }
+
+http_client::~http_client() = default;
+
+void http_client::submit(std::uint64_t id, const http_target &target, http_request request,
+                         std::chrono::nanoseconds timeout)
+{
+    m_implementation->push(submission{id, target, std::move(request), timeout});
+}
+
+void http_client::cancel(std::uint64_t id)
+{
+    m_implementation->push(cancellation{id});
+}
+
+void http_client::runOnce(std::chrono::milliseconds wait)
+{
+    m_implementation->runOnce(wait);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/process/http_exchange.cpp
@@ -0,0 +1,228 @@
+#include "process/http_exchange.h"
+
+#include "process/hop_headers.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr std::size_t initialBodyReserve = std::size_t{1} << 20U; // Larger bodies grow as received.
+
+std::string_view trimmedLine(std::string_view line)
+{
+    while (!line.empty() && (line.back() == '\r' || line.back() == '\n' || line.back() == ' '))
+        line.remove_suffix(1);
+    return line;
+}
+
+bool endsWithChunked(std::string_view value)
+{
+    constexpr std::string_view chunked = "chunked";
+    return value.size() >= chunked.size()
+            && equalHeaderNames(value.substr(value.size() - chunked.size()), chunked);
+}
+
+// Failures after which the connection is known to be broken, as opposed to a timeout.
+bool isBroken(CURLcode result)
+{
+    constexpr std::array broken = {CURLE_COULDNT_CONNECT, CURLE_SEND_ERROR, CURLE_RECV_ERROR,
+                                   CURLE_GOT_NOTHING, CURLE_PARTIAL_FILE};
+    return std::find(broken.begin(), broken.end(), result) != broken.end();
+}
+
+} // namespace
+
+http_exchange::http_exchange(std::uint64_t id, http_target target, http_request request,
+                             curl_easy handle, const http_client_options &options)
+    : m_id(id)
+    , m_target(std::move(target))
+    , m_request(std::move(request))
+    , m_handle(std::move(handle))
+    , m_options(options)
+{ }
+
+void http_exchange::prepare(std::chrono::nanoseconds timeout)
+{
+    CURL *const handle = m_handle.get();
+    curl_easy_reset(handle);
+    setCommonOptions(handle);
+    const std::string url = "http://" + m_target.host + ':' + std::to_string(m_target.port) + '/';
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_REQUEST_TARGET, m_request.target.c_str());
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &http_exchange::onHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &http_exchange::onBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+    const auto milliseconds =
+            std::max<long>(1, std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, milliseconds);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(m_options.connectTimeout.count()));
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                     static_cast<long>(m_options.keptConnectionIdle.count()));
+    m_guard.install(handle);
+    setMethodAndBody();
+    setHeaders();
+}
+
+void http_exchange::setMethodAndBody()
+{
+    CURL *const handle = m_handle.get();
+    const std::string_view body = bodyView(m_request.body);
+    const bool bodyExpected = m_request.method == "POST" || m_request.method == "PUT"
+            || m_request.method == "PATCH";
+    if (m_request.method == "HEAD") {
+        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    } else if (bodyExpected || !body.empty()) {
+        curl_easy_setopt(handle, CURLOPT_POST, 1L);
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.empty() ? "" : body.data());
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+    } else {
+        curl_easy_setopt(handle, CURLOPT_HTTPGET, 1L);
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+    }
+}
+
+void http_exchange::setHeaders()
+{
+    removeHopHeaders(m_request.headers);
+    // A name followed by a colon and nothing removes a header that libcurl adds by default.
+    appendLine(m_headerLines, "Expect:");
+    for (const char *name : {"Accept", "Content-Type"}) {
+        if (headerValue(m_request.headers, name).empty())
+            appendLine(m_headerLines, (std::string(name) + ':').c_str());
+    }
+    for (const http_header &header : m_request.headers) {
+        const std::string line =
+                header.value.empty() ? header.name + ';' : header.name + ": " + header.value;
+        appendLine(m_headerLines, line.c_str());
+    }
+    curl_easy_setopt(m_handle.get(), CURLOPT_HTTPHEADER, m_headerLines.get());
+}
+
+std::size_t http_exchange::onHeader(char *data, std::size_t size, std::size_t count, void *self)
+{
+    const std::size_t length = size * count;
+    const bool taken = static_cast<http_exchange *>(self)->takeHeaderLine({data, length});
+    return taken ? length : 0;
+}
+
+std::size_t http_exchange::onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    const std::size_t length = size * count;
+    return static_cast<http_exchange *>(self)->takeBody({data, length}) ? length : 0;
+}
+
+bool http_exchange::takeHeaderLine(std::string_view line)
+{
+    m_headerBytes += line.size();
+    if (m_headerBytes > m_options.maxHeaderBytes)
+        return false;
+    const std::string_view content = trimmedLine(line);
+    // Informational answers end with an empty line too; the final answer's headers follow.
+    if (content.empty()) {
+        m_headersDone = m_answer.status >= 200;
+        return true;
+    }
+    if (m_headersDone)
+        return true; // Trailer fields are not forwarded.
+    return content.starts_with("HTTP/") ? takeStatusLine(content) : takeField(content);
+}
+
+bool http_exchange::takeStatusLine(std::string_view line)
+{
+    m_answer = {};
+    m_contentLength.clear();
+    m_chunked = false;
+    const std::size_t space = line.find(' ');
+    if (space == std::string_view::npos)
+        return false;
+    const std::string_view code = line.substr(space + 1, 3);
+    return std::from_chars(code.data(), code.data() + code.size(), m_answer.status).ec
+            == std::errc{};
+}
+
+bool http_exchange::takeField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+        return false;
+    std::string_view value = line.substr(colon + 1);
+    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+    const std::string_view name = line.substr(0, colon);
+    if (equalHeaderNames(name, "content-length")) {
+        m_lengthConflict |= !m_contentLength.empty() && m_contentLength != value;
+        m_contentLength = value;
+    } else if (equalHeaderNames(name, "transfer-encoding")) {
+        m_chunked = endsWithChunked(value);
+    }
+    m_answer.headers.push_back({std::string(name), std::string(value)});
+    return true;
+}
+
+bool http_exchange::takeBody(std::string_view part)
+{
+    if (m_body.empty() && !m_contentLength.empty()) {
+        std::size_t expected = 0;
+        std::from_chars(m_contentLength.data(), m_contentLength.data() + m_contentLength.size(),
+                        expected);
+        m_body.reserve(std::min({expected, m_options.maxAnswerBytes, initialBodyReserve}));
+    }
+    if (m_body.size() + part.size() > m_options.maxAnswerBytes)
+        return false;
+    m_body.append(part);
+    return true;
+}
+
+bool http_exchange::isDelimited() const
+{
+    const bool bodyless =
+            m_answer.status == 204 || m_answer.status == 304 || m_request.method == "HEAD";
+    return !m_lengthConflict && (bodyless || m_chunked || !m_contentLength.empty());
+}
+
+tl::expected<http_answer, error_kind> http_exchange::takeAnswer(CURLcode result)
+{
+    if (result == CURLE_OPERATION_TIMEDOUT)
+        return tl::unexpected(error_kind::backend_timeout);
+    if (result == CURLE_OK) {
+        if (!isDelimited())
+            return tl::unexpected(error_kind::backend_answer_incomplete);
+        removeHopHeaders(m_answer.headers);
+        if (!m_body.empty())
+            m_answer.body = std::make_shared<const std::string>(std::move(m_body));
+        return std::move(m_answer);
+    }
+    const bool answerBegan = m_answer.status != 0;
+    return tl::unexpected(answerBegan ? error_kind::backend_answer_incomplete
+                                      : error_kind::backend_failed);
+}
+
+http_outcome http_exchange::finish(CURLcode result)
+{
+    long systemError = 0;
+    curl_easy_getinfo(m_handle.get(), CURLINFO_OS_ERRNO, &systemError);
+    http_outcome outcome;
+    outcome.bytesSent = m_guard.transmitted();
+    outcome.connectRefused = result == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
+    outcome.connectionBroken = m_guard.resendAborted() || isBroken(result);
+    outcome.answer = takeAnswer(result);
+    outcome.target = std::move(m_target);
+    return outcome;
+}
+
+http_outcome http_exchange::abandon(error_kind kind)
+{
+    http_outcome outcome;
+    outcome.bytesSent = m_guard.transmitted();
+    outcome.answer = tl::unexpected(kind);
+    outcome.target = std::move(m_target);
+    return outcome;
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/process/http_exchange.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "process/curl_support.h"
+#include "process/http_client.h"
+
+#include <string_view>
+
+namespace tamarackridge::internal {
+
+/// \brief One request on one libcurl handle, and the answer as it arrives.
+class http_exchange
+{
+public:
+    /// \param handle reusable handle; the exchange owns it until takeHandle().
+    http_exchange(std::uint64_t id, http_target target, http_request request, curl_easy handle,
+                  const http_client_options &options);
+    http_exchange(const http_exchange &) = delete;
+    http_exchange &operator=(const http_exchange &) = delete;
+    ~http_exchange() = default;
+
+    /// \brief Sets all options of the handle.
+    void prepare(std::chrono::nanoseconds timeout);
+
+    std::uint64_t id() const { return m_id; }
+    CURL *handle() const { return m_handle.get(); }
+    /// \returns the outcome of a transfer that libcurl ended with \a result.
+    http_outcome finish(CURLcode result);
+    /// \returns the outcome of a transfer that was ended from this side.
+    http_outcome abandon(error_kind kind);
+    curl_easy takeHandle() { return std::move(m_handle); }
+
+private:
+    void setMethodAndBody();
+    void setHeaders();
+    bool takeHeaderLine(std::string_view line);
+    bool takeStatusLine(std::string_view line);
+    bool takeField(std::string_view line);
+    bool takeBody(std::string_view part);
+    bool isDelimited() const;
+    tl::expected<http_answer, error_kind> takeAnswer(CURLcode result);
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
+
+    std::uint64_t m_id;
+    http_target m_target;
+    http_request m_request;
+    curl_easy m_handle;
+    const http_client_options &m_options;
+    curl_list m_headerLines;
+    transmission_guard m_guard;
+    http_answer m_answer;
+    std::string m_body;
+    std::size_t m_headerBytes = 0;
+    std::string m_contentLength;
+    bool m_lengthConflict = false;
+    bool m_chunked = false;
+    bool m_headersDone = false;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/process/log_client.cpp
@@ -0,0 +1,173 @@
+#include "process/log_client.h"
+
+#include "process/curl_support.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+
+namespace tamarackridge {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
+
+std::optional<std::int64_t> integerAt(const json &object, const char *name)
+{
+    if (!object.is_object() || !object.contains(name) || !object[name].is_number_integer())
+        return std::nullopt;
+    return object[name].get<std::int64_t>();
+}
+
+std::optional<log_record> recordFrom(json &object)
+{
+    const std::optional<std::int64_t> offset = integerAt(object, "offset");
+    const std::optional<std::int64_t> age = integerAt(object, "age_ms");
+    if (!offset || !age || *age < 0 || !object.contains("data") || !object["data"].is_string())
+        return std::nullopt;
+    return log_record{*offset, std::chrono::milliseconds(*age),
+                      std::move(object["data"].get_ref<std::string &>())};
+}
+
+std::optional<log_page> pageFrom(json &answer)
+{
+    const std::optional<std::int64_t> first = integerAt(answer, "first");
+    const std::optional<std::int64_t> next = integerAt(answer, "next");
+    if (!first || !next || !answer.contains("records") || !answer["records"].is_array())
+        return std::nullopt;
+    log_page page{*first, *next, {}};
+    for (json &object : answer["records"]) {
+        std::optional<log_record> record = recordFrom(object);
+        // Offsets must rise; anything else would apply a record twice or in the wrong order.
+        const bool rises = record
+                && (page.records.empty() || page.records.back().offset < record->offset);
+        if (!rises)
+            return std::nullopt;
+        page.records.push_back(std::move(*record));
+    }
+    return page;
+}
+
+std::size_t collect(char *data, std::size_t size, std::size_t count, void *out)
+{
+    std::string &body = *static_cast<std::string *>(out);
+    if (body.size() + size * count > maxAnswerBytes)
+        return 0;
+    body.append(data, size * count);
+    return size * count;
+}
+
+int checkInterrupt(void *flag, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    return static_cast<const std::atomic<bool> *>(flag)->load(std::memory_order_acquire) ? 1 : 0;
+}
+
+} // namespace
+
+class log_client::implementation
+{
+public:
+    implementation(std::string address, std::chrono::milliseconds timeout)
+        : m_address(std::move(address))
+        , m_timeout(timeout)
+    {
+        internal::initialiseCurl();
+        m_handle.reset(curl_easy_init());
+    }
+
+    // Sends one request; a body makes it a POST.
+    tl::expected<json, error_kind> exchange(const std::string &path, const std::string *body,
+                                            std::chrono::milliseconds extraTime)
+    {
+        std::string answer;
+        internal::curl_list headers;
+        internal::transmission_guard guard;
+        prepare(path, body, extraTime, headers, answer);
+        // Reads may be repeated by libcurl; an append may take effect twice.
+        if (body != nullptr)
+            guard.install(m_handle.get());
+        long status = 0;
+        if (curl_easy_perform(m_handle.get()) == CURLE_OK)
+            curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
+        json parsed = json::parse(answer, nullptr, false);
+        if (status < 200 || status > 299 || parsed.is_discarded())
+            return tl::unexpected(error_kind::log_unavailable);
+        return parsed;
+    }
+
+    void interrupt() { m_interrupted.store(true, std::memory_order_release); }
+
+private:
+    void prepare(const std::string &path, const std::string *body,
+                 std::chrono::milliseconds extraTime, internal::curl_list &headers,
+                 std::string &answer)
+    {
+        CURL *const handle = m_handle.get();
+        curl_easy_reset(handle);
+        internal::setCommonOptions(handle);
+        curl_easy_setopt(handle, CURLOPT_URL, (m_address + path).c_str());
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_timeout.count()));
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                         static_cast<long>((m_timeout + extraTime).count()));
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &collect);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &answer);
+        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &checkInterrupt);
+        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_interrupted);
+        if (body == nullptr)
+            return;
+        internal::appendLine(headers, "Content-Type: application/json");
+        internal::appendLine(headers, "Expect:");
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(body->size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body->data());
+    }
+
+    std::string m_address;
+    std::chrono::milliseconds m_timeout;
+    internal::curl_easy m_handle;
+    std::atomic<bool> m_interrupted = false;
+};
+
+log_client::log_client(std::string address, std::chrono::milliseconds timeout)
+    : m_implementation(std::make_unique<implementation>(std::move(address), timeout))
+{ }
+
+log_client::~log_client() = default;
+
+tl::expected<std::int64_t, error_kind> log_client::append(const std::string &stream,
+                                                          const std::string &data)
+{
+    const tl::expected<json, error_kind> answer = m_implementation->exchange(
+            "/streams/" + stream + "/records", &data, std::chrono::milliseconds(0));
+    if (!answer)
+        return tl::unexpected(answer.error());
+    const std::optional<std::int64_t> offset = integerAt(*answer, "offset");
+    if (!offset)
+        return tl::unexpected(error_kind::log_unavailable);
+    return *offset;
+}
+
+tl::expected<log_page, error_kind> log_client::read(const std::string &stream, std::int64_t from,
+                                                    std::size_t max,
+                                                    std::chrono::milliseconds wait)
+{
+    const std::string path = "/streams/" + stream + "/records?from=" + std::to_string(from)
+            + "&max=" + std::to_string(max) + "&wait_ms=" + std::to_string(wait.count());
+    tl::expected<json, error_kind> answer = m_implementation->exchange(path, nullptr, wait);
+    if (!answer)
+        return tl::unexpected(answer.error());
+    std::optional<log_page> page = pageFrom(*answer);
+    if (!page)
+        return tl::unexpected(error_kind::log_unavailable);
+    return std::move(*page);
+}
+
+void log_client::interrupt()
+{
+    m_implementation->interrupt();
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/process/secure_random.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "tamarackridge/src/base/random_source.h"
+
+#include <array>
+#include <cstddef>
+
+namespace tamarackridge {
+
+/// \brief Cryptographically strong random numbers from GnuTLS, fetched in blocks.
+///
+/// Not synchronised: each thread, or each mutex, has its own object.
+class secure_random final : public random_source
+{
+public:
+    std::uint64_t next() override;
+
+private:
+    std::array<std::uint64_t, 64> m_block{};
+    std::size_t m_used = m_block.size();
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,248 @@
+#include "process/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <limits>
+#include <set>
+#include <sstream>
+
+namespace tamarackridge {
+namespace {
+
+using nlohmann::json;
+using fault_list = std::vector<settings_fault>;
+
+std::string joined(const std::string &left, const std::string &right)
+{
+    if (left.empty() || right.empty() || right.front() == '[')
+        return left + right;
+    return left + '.' + right;
+}
+
+// Field whose values are right or wrong as a whole.
+settings_field simpleField(std::string path, std::string expected, field_need need,
+                           std::function<bool(const json &)> store)
+{
+    std::function<fault_list(const json &)> take = [expected,
+                                                    store = std::move(store)](const json &value) {
+        return store(value) ? fault_list{} : fault_list{{"", expected}};
+    };
+    return {std::move(path), std::move(expected), need, std::move(take)};
+}
+
+// The value at a dotted path, or null when it is absent.
+const json *find(const json &object, std::string_view path)
+{
+    const json *place = &object;
+    while (!path.empty()) {
+        const std::size_t dot = std::min(path.find('.'), path.size());
+        const std::string name(path.substr(0, dot));
+        if (!place->is_object() || !place->contains(name))
+            return nullptr;
+        place = &(*place)[name];
+        path.remove_prefix(std::min(dot + 1, path.size()));
+    }
+    return place;
+}
+
+bool isGroup(const std::string &path, std::span<const settings_field> fields)
+{
+    return std::any_of(fields.begin(), fields.end(), [&](const settings_field &field) {
+        return field.path.starts_with(path + '.');
+    });
+}
+
+void findUnknown(const json &object, const std::string &prefix,
+                 std::span<const settings_field> fields, fault_list &faults)
+{
+    for (const auto &[name, value] : object.items()) {
+        const std::string path = joined(prefix, name);
+        const bool known =
+                std::any_of(fields.begin(), fields.end(),
+                            [&](const settings_field &field) { return field.path == path; });
+        if (known)
+            continue;
+        if (!isGroup(path, fields))
+            faults.push_back({path, "no field of this name"});
+        else if (value.is_object())
+            findUnknown(value, path, fields, faults);
+        else
+            faults.push_back({path, "an object"});
+    }
+}
+
+// A name that is given twice would silently hide its first value.
+class repeated_names
+{
+public:
+    bool operator()(int, json::parse_event_t event, json &parsed)
+    {
+        if (event == json::parse_event_t::object_start)
+            m_open.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            m_open.pop_back();
+        else if (event == json::parse_event_t::key
+                 && !m_open.back().insert(parsed.get<std::string>()).second)
+            m_faults.push_back({parsed.get<std::string>(), "a name that is given once"});
+        return true;
+    }
+    const fault_list &faults() const { return m_faults; }
+
+private:
+    std::vector<std::set<std::string>> m_open;
+    fault_list m_faults;
+};
+
+} // namespace
+
+settings_field textField(std::string path, std::string &target, field_need need)
+{
+    return simpleField(std::move(path), "a text that is not empty", need, [&](const json &value) {
+        if (!value.is_string() || value.get_ref<const std::string &>().empty())
+            return false;
+        target = value.get<std::string>();
+        return true;
+    });
+}
+
+settings_field flagField(std::string path, bool &target, field_need need)
+{
+    return simpleField(std::move(path), "true or false", need, [&](const json &value) {
+        if (!value.is_boolean())
+            return false;
+        target = value.get<bool>();
+        return true;
+    });
+}
+
+settings_field integerField(std::string path, std::int64_t &target, std::int64_t smallest,
+                            std::int64_t largest, field_need need)
+{
+    std::string expected =
+            "an integer from " + std::to_string(smallest) + " to " + std::to_string(largest);
+    return simpleField(std::move(path), std::move(expected), need,
+                       [&target, smallest, largest](const json &value) {
+                           const bool fits = value.is_number_integer()
+                                   && (!value.is_number_unsigned()
+                                       || value.get<std::uint64_t>() <= static_cast<std::uint64_t>(
+                                                  std::numeric_limits<std::int64_t>::max()));
+                           if (!fits || value.get<std::int64_t>() < smallest
+                               || value.get<std::int64_t>() > largest) {
+                               return false;
+                           }
+                           target = value.get<std::int64_t>();
+                           return true;
+                       });
+}
+
+settings_field portField(std::string path, std::uint16_t &target, field_need need)
+{
+    return simpleField(std::move(path), "an integer from 1 to 65535", need, [&](const json &value) {
+        if (!value.is_number_unsigned() || value.get<std::uint64_t>() < 1
+            || value.get<std::uint64_t>() > std::numeric_limits<std::uint16_t>::max()) {
+            return false;
+        }
+        target = value.get<std::uint16_t>();
+        return true;
+    });
+}
+
+settings_field choiceField(std::string path, std::string &target, std::vector<std::string> choices,
+                           field_need need)
+{
+    std::string expected = "one of";
+    for (const std::string &choice : choices)
+        expected += ' ' + choice;
+    return simpleField(std::move(path), std::move(expected), need,
+                       [&target, choices = std::move(choices)](const json &value) {
+                           if (!value.is_string()
+                               || std::find(choices.begin(), choices.end(),
+                                            value.get_ref<const std::string &>())
+                                       == choices.end()) {
+                               return false;
+                           }
+                           target = value.get<std::string>();
+                           return true;
+                       });
+}
+
+settings_field textListField(std::string path, std::vector<std::string> &target, field_need need)
+{
+    return simpleField(
+            std::move(path), "a list of texts that are not empty", need, [&](const json &value) {
+                const auto isText = [](const json &element) {
+                    return element.is_string() && !element.get_ref<const std::string &>().empty();
+                };
+                if (!value.is_array() || !std::all_of(value.begin(), value.end(), isText))
+                    return false;
+                target = value.get<std::vector<std::string>>();
+                return true;
+            });
+}
+
+fault_list takeObject(const json &object, std::span<const settings_field> fields)
+{
+    if (!object.is_object())
+        return {{"", "an object"}};
+    fault_list faults;
+    findUnknown(object, {}, fields, faults);
+    for (const settings_field &field : fields) {
+        const json *const value = find(object, field.path);
+        if (value == nullptr) {
+            if (field.need == field_need::required)
+                faults.push_back({field.path, field.expected + " (the field is missing)"});
+            continue;
+        }
+        for (settings_fault &fault : field.take(*value))
+            faults.push_back({joined(field.path, fault.path), std::move(fault.expected)});
+    }
+    return faults;
+}
+
+fault_list internal::takeEach(const json &list,
+                              const std::function<fault_list(const json &)> &takeElement)
+{
+    if (!list.is_array())
+        return {{"", "a list of objects"}};
+    fault_list faults;
+    std::size_t index = 0;
+    for (const json &element : list) {
+        const std::string place = '[' + std::to_string(index++) + ']';
+        for (settings_fault &fault : takeElement(element))
+            faults.push_back({joined(place, fault.path), std::move(fault.expected)});
+    }
+    return faults;
+}
+
+fault_list readSettings(std::string_view text, std::span<const settings_field> fields)
+{
+    repeated_names repeated;
+    json parsed;
+    try {
+        parsed = json::parse(text.begin(), text.end(), std::ref(repeated), true, true);
+    } catch (const json::parse_error &error) {
+        return {{"", std::string("JSON with comments: ") + error.what()}};
+    }
+    fault_list faults = takeObject(parsed, fields);
+    faults.insert(faults.end(), repeated.faults().begin(), repeated.faults().end());
+    return faults;
+}
+
+fault_list readSettingsFile(const std::string &fileName, std::span<const settings_field> fields)
+{
+    std::ifstream file(fileName, std::ios::binary);
+    std::ostringstream text;
+    if (!file || !(text << file.rdbuf()))
+        return {{"", "a readable file that is not empty: " + fileName}};
+    return readSettings(text.view(), fields);
+}
+
+std::string toString(const settings_fault &fault)
+{
+    return (fault.path.empty() ? std::string("settings") : fault.path) + ": expected "
+            + fault.expected;
+}
+
+} // namespace tamarackridge
