Add the node's shell: callers' HTTP server, peer link, log workers and backend runner

One mutex serialises the events of node_core, and its actions are queued under that mutex so that their order is kept.

--- /dev/null
+++ b/src/node/caller_server.cpp
@@ -0,0 +1,306 @@
+#include "node/caller_server.h"
+
+#include "node/error_reply.h"
+#include "node/listen_socket.h"
+#include "process/hop_headers.h"
+
+#include <ulfius.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <optional>
+#include <stdexcept>
+
+namespace tamarackridge {
+namespace {
+
+// Stack of a connection's thread; only the pages that are touched take memory.
+constexpr std::size_t connectionStackBytes = std::size_t{256} << 10U;
+// Memory of a connection in libmicrohttpd beyond the header limit; it also holds answer headers.
+constexpr std::size_t connectionSpareBytes = std::size_t{8} << 10U;
+
+// State of the request that the present thread reads; each connection has a thread of its own.
+struct connection_state
+{
+    MHD_Connection *connection = nullptr;
+    std::string target;
+    bool reading = false; // From the request line until the handler is called.
+};
+
+thread_local connection_state current;
+
+int socketOf(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *const info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
+MHD_Result appendHeader(void *out, MHD_ValueKind, const char *name, std::size_t nameSize,
+                        const char *value, std::size_t valueSize)
+{
+    static_cast<std::vector<http_header> *>(out)->push_back(
+            {std::string(name, nameSize), std::string(value == nullptr ? "" : value, valueSize)});
+    return MHD_YES;
+}
+
+// Read from libmicrohttpd, because ulfius keeps only one header of a name.
+std::vector<http_header> currentHeaders()
+{
+    std::vector<http_header> headers;
+    headers.reserve(16);
+    MHD_get_connection_values_n(current.connection, MHD_HEADER_KIND, &appendHeader, &headers);
+    return headers;
+}
+
+std::size_t sizeOf(const std::vector<http_header> &headers)
+{
+    std::size_t size = 0;
+    for (const http_header &header : headers)
+        size += header.name.size() + header.value.size() + 4; // Colon, space and line end.
+    return size;
+}
+
+// Two statements about the body's end let a request hide another one behind it.
+bool isBodyAmbiguous(const std::vector<http_header> &headers)
+{
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    for (const http_header &header : headers) {
+        lengths += equalHeaderNames(header.name, "content-length") ? 1 : 0;
+        encodings += equalHeaderNames(header.name, "transfer-encoding") ? 1 : 0;
+    }
+    return lengths + encodings > 1;
+}
+
+// Returns the name with the case of some letters changed, another choice for each number.
+std::string caseVariant(std::string name, std::size_t number)
+{
+    for (char &c : name) {
+        const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        if (!letter)
+            continue;
+        if ((number & 1U) != 0)
+            c = static_cast<char>(c ^ 0x20);
+        number >>= 1U;
+    }
+    return name;
+}
+
+// ulfius's map keeps one value for a name. Header names ignore the case and its keys don't, so a
+// repeated header such as Set-Cookie is stored under another spelling.
+void putHeader(_u_map *map, const std::string &name, const std::string &value)
+{
+    std::string key = name;
+    for (std::size_t i = 1; u_map_has_key(map, key.c_str()) != 0; ++i)
+        key = caseVariant(name, i);
+    u_map_put(map, key.c_str(), value.c_str());
+}
+
+void putAnswer(const http_answer &answer, bool close, _u_response *response)
+{
+    response->status = answer.status;
+    for (const http_header &header : answer.headers) {
+        if (!isHopHeader(header.name))
+            putHeader(response->map_header, header.name, header.value);
+    }
+    if (close)
+        putHeader(response->map_header, "Connection", "close");
+    const std::string_view body = bodyView(answer.body);
+    if (!body.empty())
+        ulfius_set_binary_body_response(response, static_cast<unsigned>(answer.status), body.data(),
+                                        body.size());
+}
+
+// Writes an answer past libmicrohttpd, which sends none for a request that ended early. A caller
+// that closed only its sending side still receives it.
+void sendRawReply(int socket, error_kind kind)
+{
+    const http_answer answer = errorReply(kind);
+    std::string text = "HTTP/1.1 " + std::to_string(answer.status) + " Error\r\n";
+    for (const http_header &header : answer.headers)
+        text += header.name + ": " + header.value + "\r\n";
+    const std::string_view body = bodyView(answer.body);
+    text += "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    text += body;
+    static_cast<void>(send(socket, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+} // namespace
+
+class caller_server::implementation
+{
+public:
+    implementation(const caller_server_options &options, handler handle)
+        : m_options(options)
+        , m_handle(std::move(handle))
+        , m_listenSocket(internal::openListenSocket(options.address, options.port))
+        , m_port(internal::boundPort(m_listenSocket))
+    {
+        ulfius_init_instance(&m_instance, m_port, nullptr, nullptr);
+        m_instance.max_post_body_size = m_options.maxBodyBytes + 1;
+        m_instance.allowed_post_processor = U_POST_PROCESS_NONE;
+        m_instance.check_utf8 = 0;
+        ulfius_set_default_endpoint(&m_instance, &implementation::onRequest, this);
+        start();
+    }
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+    ~implementation()
+    {
+        stopListening();
+        ulfius_stop_framework(&m_instance);
+        ulfius_clean_instance(&m_instance);
+    }
+
+    void stopListening()
+    {
+        if (m_listenSocket < 0)
+            return;
+        MHD_quiesce_daemon(m_instance.mhd_daemon);
+        close(m_listenSocket);
+        m_listenSocket = -1;
+    }
+
+    std::size_t activeRequests() const { return m_active.load(std::memory_order_relaxed); }
+    void closeAfterAnswers() { m_closing.store(true, std::memory_order_relaxed); }
+    std::uint16_t port() const { return m_port; }
+
+private:
+    void start()
+    {
+        const auto option = [](MHD_OPTION name, std::intptr_t value, void *pointer = nullptr) {
+            return MHD_OptionItem{name, value, pointer};
+        };
+        std::vector<MHD_OptionItem> options = {
+                option(MHD_OPTION_NOTIFY_COMPLETED,
+                       reinterpret_cast<std::intptr_t>(&implementation::onCompleted), this),
+                option(MHD_OPTION_URI_LOG_CALLBACK,
+                       reinterpret_cast<std::intptr_t>(&implementation::onRequestLine), this),
+                option(MHD_OPTION_LISTEN_SOCKET, m_listenSocket),
+                option(MHD_OPTION_STRICT_FOR_CLIENT, 1),
+                option(MHD_OPTION_CONNECTION_LIMIT, m_options.maxConnections),
+                option(MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds),
+                option(MHD_OPTION_THREAD_STACK_SIZE, connectionStackBytes),
+                option(MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                       static_cast<std::intptr_t>(m_options.maxHeaderBytes + connectionSpareBytes)),
+                option(MHD_OPTION_END, 0)};
+        constexpr unsigned flags =
+                MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_ITC;
+        if (ulfius_start_framework_with_mhd_options(&m_instance, flags, options.data()) != U_OK) {
+            close(m_listenSocket);
+            ulfius_clean_instance(&m_instance);
+            throw std::runtime_error("the HTTP server did not start");
+        }
+    }
+
+    // Called when the request line is read; returns the context of ulfius.
+    static void *onRequestLine(void *self, const char *target, MHD_Connection *connection)
+    {
+        auto *const server = static_cast<implementation *>(self);
+        server->m_active.fetch_add(1, std::memory_order_relaxed);
+        current.connection = connection;
+        current.target = target;
+        current.reading = true;
+        return ulfius_uri_logger(&server->m_instance, target);
+    }
+
+    static void onCompleted(void *self, MHD_Connection *connection, void **context,
+                            MHD_RequestTerminationCode reason)
+    {
+        auto *const server = static_cast<implementation *>(self);
+        if (current.reading && reason != MHD_REQUEST_TERMINATED_COMPLETED_OK
+            && reason != MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN) {
+            const auto *const progress = static_cast<connection_info_struct *>(*context);
+            const bool headersRead = progress != nullptr && progress->callback_first_iteration == 0;
+            sendRawReply(socketOf(connection),
+                         headersRead ? error_kind::body_incomplete : error_kind::bad_request);
+        }
+        current.reading = false;
+        mhd_request_completed(&server->m_instance, connection, context, reason);
+        server->m_active.fetch_sub(1, std::memory_order_relaxed);
+    }
+
+    static int onRequest(const _u_request *request, _u_response *response, void *self)
+    {
+        auto *const server = static_cast<implementation *>(self);
+        current.reading = false;
+        std::vector<http_header> headers = currentHeaders();
+        http_answer answer;
+        const std::optional<error_kind> fault = server->faultOf(*request, headers);
+        if (fault) {
+            answer = errorReply(*fault);
+        } else {
+            http_request converted{request->http_verb, std::move(current.target),
+                                   std::move(headers), nullptr};
+            if (request->binary_body_length > 0)
+                converted.body = std::make_shared<const std::string>(
+                        static_cast<const char *>(request->binary_body),
+                        request->binary_body_length);
+            answer = server->handle(std::move(converted),
+                                    {request->client_address, socketOf(current.connection)});
+        }
+        putAnswer(answer, fault || server->m_closing.load(std::memory_order_relaxed), response);
+        return U_CALLBACK_COMPLETE;
+    }
+
+    http_answer handle(http_request request, const caller_connection &connection)
+    {
+        // An exception must not pass through the C code of the server.
+        try {
+            return m_handle(std::move(request), connection);
+        } catch (const std::exception &) {
+            return errorReply(error_kind::internal_error);
+        }
+    }
+
+    std::optional<error_kind> faultOf(const _u_request &request,
+                                      const std::vector<http_header> &headers) const
+    {
+        if (sizeOf(headers) + current.target.size() > m_options.maxHeaderBytes)
+            return error_kind::headers_too_large;
+        if (isBodyAmbiguous(headers))
+            return error_kind::bad_request;
+        if (request.binary_body_length > m_options.maxBodyBytes)
+            return error_kind::request_too_large;
+        return std::nullopt;
+    }
+
+    caller_server_options m_options;
+    handler m_handle;
+    int m_listenSocket;
+    std::uint16_t m_port;
+    _u_instance m_instance{};
+    std::atomic<std::size_t> m_active = 0;
+    std::atomic<bool> m_closing = false;
+};
+
+caller_server::caller_server(const caller_server_options &options, handler handle)
+    : m_implementation(std::make_unique<implementation>(options, std::move(handle)))
+{ }
+
+caller_server::~caller_server() = default;
+
+std::uint16_t caller_server::port() const
+{
+    return m_implementation->port();
+}
+
+std::size_t caller_server::activeRequests() const
+{
+    return m_implementation->activeRequests();
+}
+
+void caller_server::closeAfterAnswers()
+{
+    m_implementation->closeAfterAnswers();
+}
+
+void caller_server::stopListening()
+{
+    m_implementation->stopListening();
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/node/caller_table.cpp
@@ -0,0 +1,41 @@
+#include "node/caller_table.h"
+
+#include <poll.h>
+
+#include <array>
+#include <utility>
+
+namespace tamarackridge {
+
+void caller_slot::complete(http_answer answer)
+{
+    m_answer = std::move(answer);
+    m_complete.store(true, std::memory_order_release);
+    m_wake.signal();
+}
+
+bool caller_slot::wait(int socket) const
+{
+    std::array<pollfd, 2> watched = {pollfd{m_wake.descriptor(), POLLIN, 0},
+                                     pollfd{socket, POLLRDHUP, 0}};
+    for (;;) {
+        // The event is consumed only after complete() has finished writing to it, so the slot and
+        // its descriptor may go away afterwards.
+        if (m_wake.consume() && m_complete.load(std::memory_order_acquire))
+            return true;
+        if ((watched[1].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+            return false;
+        poll(watched.data(), watched.size(), -1);
+    }
+}
+
+void caller_table::complete(call_id call, http_answer answer)
+{
+    const auto found = m_slots.find(call);
+    if (found == m_slots.end())
+        return;
+    found->second->complete(std::move(answer));
+    m_slots.erase(found);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/node/line_writer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace tamarackridge {
+
+class child_context;
+
+/// \brief Appends lines to a file on a thread of its own.
+///
+/// Lines beyond a bound are dropped and counted, so that a slow disk delays no request.
+class line_writer
+{
+public:
+    /// \param fileName empty: all lines are ignored.
+    explicit line_writer(std::string fileName)
+        : m_fileName(std::move(fileName))
+    { }
+
+    bool enabled() const { return !m_fileName.empty(); }
+    void write(std::string line);
+    std::uint64_t dropped() const { return m_dropped.load(std::memory_order_relaxed); }
+
+    /// \brief Writes until a stop is requested and the queue is empty.
+    void run(child_context &context);
+    /// \brief Wakes run().
+    void wake() { m_filled.notify_one(); }
+
+private:
+    std::string m_fileName;
+    std::mutex m_mutex;
+    std::condition_variable m_filled;
+    std::string m_pending;
+    std::atomic<std::uint64_t> m_dropped = 0;
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/node/node_app.cpp
@@ -0,0 +1,306 @@
+#include "node/node_app.h"
+
+#include "node/error_reply.h"
+#include "node/status_text.h"
+#include "node/trace_lines.h"
+#include "process/json_line.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+constexpr std::chrono::seconds longestAnswerWriting{5};
+
+http_client_options clientOptions(const node_settings &settings)
+{
+    http_client_options options;
+    options.maxAnswerBytes = static_cast<std::size_t>(settings.maxAnswerBytes);
+    return options;
+}
+
+own_path_access accessOf(const node_settings &settings)
+{
+    std::vector<std::string> addresses =
+            settings.ownAddresses.empty() ? interfaceAddresses() : settings.ownAddresses;
+    return {settings.adminToken, std::move(addresses), settings.backendAddress};
+}
+
+std::int64_t unixMicroseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+std::int64_t microsecondsSince(time_point start)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(monotonicNow() - start).count();
+}
+
+} // namespace
+
+node_app::node_app(const node_settings &settings)
+    : m_self{settings.zone, settings.name, m_random.next()}
+    , m_spans(settings.traceFile)
+    , m_requests(settings.requestFile)
+    , m_peers({m_self, settings.peerBind, settings.fleetPublicKey, settings.fleetSecretKey},
+              m_metrics,
+              [this](const node_ref &from, peer_message message) {
+                  m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+                      core.peerMessage(from, std::move(message), now, out);
+                  });
+              })
+    , m_backend(clientOptions(settings),
+                [this](bool crashed, std::vector<finished_run> runs) {
+                    takeRuns(crashed, std::move(runs));
+                })
+    , m_appender(settings.logAddress,
+                 [this](append_id append, tl::expected<std::int64_t, error_kind> offset) {
+                     m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+                         core.appendDone(append, offset, now, out);
+                     });
+                 })
+    , m_readers(settings.logAddress,
+                [this](const std::string &stream, const log_page &page) {
+                    m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+                        core.logRecords(stream, page.records, page.first, page.next, now, out);
+                    });
+                })
+    , m_runtime(optionsOf(settings, m_self.life), m_random, *this)
+    , m_ownPaths(ownPathServices(), accessOf(settings))
+    , m_callSeconds(m_metrics.histogram(
+              "tamarackridge_call_seconds", "Time from a whole request to its answer.",
+              {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10}))
+{
+    addChildren(!settings.logAddress.empty());
+    m_supervisor.step(supervisor::clock::now());
+    m_runtime.post([](node_core &core, time_point now, action_list &out) { core.start(now, out); });
+    m_server.emplace(settings.callers,
+                     [this](http_request request, const caller_connection &connection) {
+                         return handleCaller(std::move(request), connection);
+                     });
+    logLine(log_level::info, "node started", {{"zone", m_self.zone}, {"node", m_self.name}});
+}
+
+node_app::~node_app()
+{
+    if (m_server) {
+        m_server->stopListening();
+        const time_point begin = monotonicNow();
+        while (m_server->activeRequests() > 0 && monotonicNow() - begin < longestAnswerWriting)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        m_server.reset();
+    }
+    m_supervisor.stop();
+    logLine(log_level::info, "node stopped");
+}
+
+void node_app::addChildren(bool readsLog)
+{
+    const auto add = [this](std::string name, auto run, std::function<void()> wake) {
+        child_spec spec;
+        spec.name = std::move(name);
+        spec.run = run;
+        spec.wake = std::move(wake);
+        m_supervisor.add(std::move(spec));
+    };
+    using context = child_context;
+    // Stopped in reverse order: the writers and the links outlive what feeds them.
+    if (m_spans.enabled())
+        add(
+                "spans", [this](context &c) { m_spans.run(c); }, [this] { m_spans.wake(); });
+    if (m_requests.enabled())
+        add(
+                "requests", [this](context &c) { m_requests.run(c); },
+                [this] { m_requests.wake(); });
+    add(
+            "peers", [this](context &c) { m_peers.run(c); }, [this] { m_peers.wake(); });
+    add(
+            "appender", [this](context &c) { m_appender.run(c); }, [this] { m_appender.wake(); });
+    add("backend", [this](context &c) { m_backend.runClient(c); }, {});
+    add(
+            "prober", [this](context &c) { m_backend.runProber(c); },
+            [this] { m_backend.wakeProber(); });
+    for (std::size_t i = 0; readsLog && i < log_readers::mostStreams; ++i) {
+        add(
+                "reader " + std::to_string(i), [this, i](context &c) { m_readers.run(i, c); },
+                [this] { m_readers.wake(); });
+    }
+    add(
+            "timers", [this](context &c) { m_runtime.runTimers(c); },
+            [this] { m_runtime.wakeTimers(); });
+}
+
+own_path_services node_app::ownPathServices()
+{
+    own_path_services services;
+    services.status = [this] {
+        return m_runtime.ask(
+                [](const node_core &core, time_point now) { return core.status(now); });
+    };
+    services.shellReady = [this] { return m_supervisor.ready(); };
+    services.metrics = [this] { return metricsText(); };
+    services.announce = [this](const backend_announcement &announcement,
+                               const http_target &target) {
+        m_backend.setTarget(target);
+        m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+            core.backendAnnounced(announcement, now, out);
+        });
+    };
+    services.drain = [this] { drain(); };
+    return services;
+}
+
+std::optional<std::string> node_app::supervise()
+{
+    m_supervisor.step(supervisor::clock::now());
+    return m_supervisor.escalation();
+}
+
+void node_app::drain()
+{
+    if (m_leaving.exchange(true))
+        return;
+    logLine(log_level::info, "shutdown begins");
+    m_server->closeAfterAnswers();
+    m_runtime.post([](node_core &core, time_point now, action_list &out) {
+        core.beginShutdown(now, out);
+    });
+}
+
+bool node_app::drained()
+{
+    return m_leaving.load()
+           && m_runtime.ask([](const node_core &core, time_point) { return core.drained(); });
+}
+
+http_answer node_app::handleCaller(http_request request, const caller_connection &connection)
+{
+    if (std::optional<http_answer> answer = m_ownPaths.answer(request, connection))
+        return std::move(*answer);
+    const time_point start = monotonicNow();
+    if (!m_requests.enabled()) {
+        http_answer answer = decide(std::move(request), connection);
+        m_callSeconds.Observe(static_cast<double>(microsecondsSince(start)) * 1e-6);
+        return answer;
+    }
+    http_request copy = request;
+    http_answer answer = decide(std::move(request), connection);
+    m_callSeconds.Observe(static_cast<double>(microsecondsSince(start)) * 1e-6);
+    recordRequest(copy, answer, start);
+    return answer;
+}
+
+http_answer node_app::decide(http_request request, const caller_connection &connection)
+{
+    thread_local const wake_event wake;
+    caller_slot slot(wake);
+    const call_id call = m_lastCall.fetch_add(1, std::memory_order_relaxed) + 1;
+    m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+        m_callers.insert(call, slot);
+        core.callerRequest(call, std::move(request), now, out);
+    });
+    if (slot.wait(connection.socket))
+        return std::move(slot.answer());
+    m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+        m_callers.erase(call);
+        core.callerGone(call, now, out);
+    });
+    // The answer may have come between the wait and the lock; its event must not wake the next.
+    wake.consume();
+    return errorReply(error_kind::cancelled);
+}
+
+void node_app::recordRequest(const http_request &request, const http_answer &answer,
+                             time_point start)
+{
+    // Headers and the query are left out: they may hold keys, handles and personal data.
+    const std::string path = request.target.substr(0, request.target.find('?'));
+    m_requests.write(
+            json_line()
+                    .add("time", utcNow())
+                    .add("method", request.method)
+                    .add("path", path)
+                    .add("body_bytes", bodyView(request.body).size())
+                    .add("status", answer.status)
+                    .add("error", headerValue(answer.headers, "Tamarackridge-Error"))
+                    .add("run_state", headerValue(answer.headers, "Tamarackridge-Run-State"))
+                    .add("duration_us", microsecondsSince(start))
+                    .finish());
+}
+
+void node_app::takeRuns(bool crashed, std::vector<finished_run> runs)
+{
+    m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+        if (crashed)
+            core.backendCrashed(now, out);
+        for (finished_run &item : runs)
+            core.backendAnswer(item.run, std::move(item.result), now, out);
+    });
+}
+
+std::string node_app::metricsText()
+{
+    putStatusMetrics(
+            m_runtime.ask([](const node_core &core, time_point now) { return core.status(now); }),
+            m_metrics);
+    m_metrics.gauge("tamarackridge_child_restarts", "Restarted threads of this process.")
+            .Set(static_cast<double>(m_supervisor.restarts()));
+    m_metrics.gauge("tamarackridge_lines_dropped", "Spans and records that were not written.")
+            .Set(static_cast<double>(m_spans.dropped() + m_requests.dropped()));
+    return m_metrics.text();
+}
+
+void node_app::execute(answer_caller item)
+{
+    m_callers.complete(item.call, std::move(item.answer));
+}
+
+void node_app::execute(run_backend item)
+{
+    m_backend.run(std::move(item));
+}
+
+void node_app::execute(cancel_run item)
+{
+    m_backend.cancel(item);
+}
+
+void node_app::execute(send_peer item)
+{
+    m_peers.send(std::move(item));
+}
+
+void node_app::execute(connect_peer item)
+{
+    m_peers.connect(std::move(item));
+}
+
+void node_app::execute(disconnect_peer item)
+{
+    m_peers.disconnect(std::move(item));
+}
+
+void node_app::execute(append_log item)
+{
+    m_appender.append(std::move(item));
+}
+
+void node_app::execute(read_log item)
+{
+    m_readers.read(item);
+}
+
+void node_app::execute(stop_reading item)
+{
+    m_readers.stop(item);
+}
+
+void node_app::execute(emit_span item)
+{
+    if (m_spans.enabled())
+        m_spans.write(spanLine(item, m_self, unixMicroseconds() - microsecondsSince(item.start)));
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/node/node_settings.cpp
@@ -0,0 +1,94 @@
+#include "node/node_settings.h"
+
+#include "node/fleet_key.h"
+
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+constexpr std::int64_t smallestHeaderLimit = 1 << 10;
+constexpr std::int64_t largestHeaderLimit = 64 << 10;
+constexpr std::int64_t largestBodyLimit = 64 << 20;
+constexpr std::int64_t largestAnswerLimit = 256 << 20;
+constexpr std::int64_t mostConnections = 10'000;
+constexpr std::int64_t longestIdle = 3600;
+
+std::vector<settings_field> seedFields(seed_peer &seed)
+{
+    return {textField("node", seed.node), textField("endpoint", seed.endpoint)};
+}
+
+// Numbers of the file whose place in node_settings has another type.
+struct caller_limits
+{
+    std::int64_t body = std::int64_t{4} << 20;
+    std::int64_t headers = 12 << 10;
+    std::int64_t connections = 1200;
+    std::int64_t idle = 120;
+};
+
+std::vector<settings_field> fieldsOf(node_settings &out, caller_limits &limits)
+{
+    using enum field_need;
+    return {
+            textField("node.zone", out.zone),
+            textField("node.name", out.name),
+            textField("callers.address", out.callers.address, optional),
+            portField("callers.port", out.callers.port),
+            integerField("callers.max_body_bytes", limits.body, 0, largestBodyLimit),
+            integerField("callers.max_header_bytes", limits.headers, smallestHeaderLimit,
+                         largestHeaderLimit),
+            integerField("callers.max_connections", limits.connections, 1, mostConnections),
+            integerField("callers.idle_s", limits.idle, 1, longestIdle),
+            textField("peers.bind", out.peerBind),
+            textField("peers.endpoint", out.peerEndpoint),
+            textField("peers.public_key", out.fleetPublicKey),
+            textField("peers.secret_key", out.fleetSecretKey),
+            listField("peers.seeds", out.seeds, &seedFields),
+            textField("log.address", out.logAddress, optional),
+            textField("backend.address", out.backendAddress, optional),
+            integerField("backend.max_answer_bytes", out.maxAnswerBytes, 1, largestAnswerLimit),
+            textField("admin.token", out.adminToken, optional),
+            textListField("admin.own_addresses", out.ownAddresses),
+            choiceField("logging.level", out.logLevel, {"debug", "info", "warning", "error"}),
+            textField("logging.trace_file", out.traceFile, optional),
+            textField("logging.request_file", out.requestFile, optional),
+    };
+}
+
+void applyLimits(const caller_limits &limits, caller_server_options &out)
+{
+    out.maxBodyBytes = static_cast<std::size_t>(limits.body);
+    out.maxHeaderBytes = static_cast<std::size_t>(limits.headers);
+    out.maxConnections = static_cast<unsigned>(limits.connections);
+    out.idleSeconds = static_cast<unsigned>(limits.idle);
+}
+
+} // namespace
+
+std::vector<settings_fault> readNodeSettings(const std::string &fileName, node_settings &out)
+{
+    caller_limits limits;
+    const std::vector<settings_field> fields = fieldsOf(out, limits);
+    std::vector<settings_fault> faults = readSettingsFile(fileName, fields);
+    applyLimits(limits, out.callers);
+    if (!out.fleetPublicKey.empty() && !out.fleetSecretKey.empty()
+        && !isKeyPair(out.fleetPublicKey, out.fleetSecretKey)) {
+        faults.push_back({"peers.secret_key",
+                          "the CURVE key (40 characters in Z85) that belongs to peers.public_key"});
+    }
+    return faults;
+}
+
+node_options optionsOf(const node_settings &settings, incarnation life)
+{
+    node_options options;
+    options.self = {settings.zone, settings.name, life};
+    options.peerEndpoint = settings.peerEndpoint;
+    options.seeds = settings.seeds;
+    options.logConfigured = !settings.logAddress.empty();
+    return options;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/node/own_paths.cpp
@@ -0,0 +1,197 @@
+#include "node/own_paths.h"
+
+#include "node/error_reply.h"
+#include "node/status_text.h"
+#include "process/hop_headers.h"
+#include "process/json_line.h"
+#include "process/log.h"
+#include "process/settings.h"
+
+#include <gnutls/gnutls.h>
+#include <ifaddrs.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace tamarackridge {
+namespace {
+
+struct announcement_body
+{
+    backend_announcement announcement;
+    std::uint16_t port = 0;
+};
+
+// Reads the body of an announcement; its fields follow the rules of settings.
+std::vector<settings_fault> readAnnouncement(std::string_view text, announcement_body &out)
+{
+    std::int64_t slots = 0;
+    const std::vector<settings_field> fields = {
+            textField("service", out.announcement.service),
+            textField("instance", out.announcement.instance),
+            portField("port", out.port),
+            integerField("slots", slots, 0, std::numeric_limits<std::int32_t>::max()),
+            flagField("leaving", out.announcement.leaving),
+    };
+    std::vector<settings_fault> faults = readSettings(text, fields);
+    out.announcement.slots = static_cast<std::uint32_t>(slots);
+    return faults;
+}
+
+http_answer faultReply(const std::vector<settings_fault> &faults)
+{
+    http_answer answer = errorReply(error_kind::bad_request);
+    std::string list = "[";
+    for (const settings_fault &fault : faults) {
+        if (list.size() > 1)
+            list += ',';
+        appendJsonString(toString(fault), list);
+    }
+    list += ']';
+    answer.body = std::make_shared<const std::string>(
+            json_line().add("error", "bad_request").addRaw("faults", list).finish());
+    return answer;
+}
+
+std::string_view pathOf(const std::string &target)
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+} // namespace
+
+own_paths::own_paths(own_path_services services, own_path_access access)
+    : m_services(std::move(services))
+    , m_access(std::move(access))
+{ }
+
+const std::vector<own_paths::path_entry> &own_paths::table()
+{
+    static const std::vector<path_entry> entries = {
+            {"status", "GET", &own_paths::status},      {"health", "GET", &own_paths::health},
+            {"ready", "GET", &own_paths::ready},        {"metrics", "GET", &own_paths::metrics},
+            {"announce", "POST", &own_paths::announce}, {"drain", "POST", &own_paths::drain},
+            {"log-level", "", &own_paths::logLevel},
+    };
+    return entries;
+}
+
+std::optional<http_answer> own_paths::answer(const http_request &request,
+                                             const caller_connection &connection) const
+{
+    std::string_view path = pathOf(request.target);
+    if (!path.starts_with(ownPathPrefix))
+        return std::nullopt;
+    path.remove_prefix(ownPathPrefix.size());
+    if (path == "request-ids") // node_core issues them.
+        return std::nullopt;
+    const auto found = std::find_if(table().begin(), table().end(),
+                                    [&](const path_entry &entry) { return entry.name == path; });
+    if (found == table().end())
+        return errorReply(error_kind::unknown_route);
+    if (!found->method.empty() && found->method != request.method)
+        return errorReply(error_kind::method_not_allowed);
+    return (this->*found->reply)(request, connection);
+}
+
+http_answer own_paths::status(const http_request &, const caller_connection &) const
+{
+    return jsonReply(200, statusText(m_services.status()));
+}
+
+http_answer own_paths::health(const http_request &, const caller_connection &) const
+{
+    return jsonReply(200, R"({"healthy":true})");
+}
+
+http_answer own_paths::ready(const http_request &, const caller_connection &) const
+{
+    const node_status status = m_services.status();
+    const bool ready = status.ready && !status.leaving && m_services.shellReady();
+    return jsonReply(ready ? 200 : 503, json_line().add("ready", ready).finish());
+}
+
+http_answer own_paths::metrics(const http_request &, const caller_connection &) const
+{
+    return {200,
+            {{"Content-Type", "text/plain; version=0.0.4"}},
+            std::make_shared<const std::string>(m_services.metrics())};
+}
+
+http_answer own_paths::announce(const http_request &request,
+                                const caller_connection &connection) const
+{
+    const std::string sender = addressText(connection.address);
+    if (!isOwnVm(sender))
+        return errorReply(error_kind::announcement_refused);
+    announcement_body body;
+    const std::vector<settings_fault> faults = readAnnouncement(bodyView(request.body), body);
+    if (!faults.empty())
+        return faultReply(faults);
+    const std::string &host = m_access.backendAddress.empty() ? sender : m_access.backendAddress;
+    m_services.announce(body.announcement, {host, body.port});
+    return jsonReply(200, "{}");
+}
+
+http_answer own_paths::drain(const http_request &request, const caller_connection &connection) const
+{
+    if (!mayAdminister(request, connection))
+        return errorReply(error_kind::key_unknown);
+    m_services.drain();
+    return jsonReply(202, R"({"leaving":true})");
+}
+
+http_answer own_paths::logLevel(const http_request &request,
+                                const caller_connection &connection) const
+{
+    if (request.method != "GET") {
+        if (!mayAdminister(request, connection))
+            return errorReply(error_kind::key_unknown);
+        std::string name;
+        const std::vector<settings_field> fields = {choiceField(
+                "level", name, {"debug", "info", "warning", "error"}, field_need::required)};
+        const std::vector<settings_fault> faults = readSettings(bodyView(request.body), fields);
+        if (!faults.empty())
+            return faultReply(faults);
+        setLogLevel(*logLevelFrom(name));
+    }
+    return jsonReply(200, json_line().add("level", toString(currentLogLevel())).finish());
+}
+
+bool own_paths::isOwnVm(const std::string &address) const
+{
+    return std::find(m_access.ownAddresses.begin(), m_access.ownAddresses.end(), address)
+           != m_access.ownAddresses.end();
+}
+
+bool own_paths::mayAdminister(const http_request &request,
+                              const caller_connection &connection) const
+{
+    if (isOwnVm(addressText(connection.address)))
+        return true;
+    const std::string expected = "Bearer " + m_access.adminToken;
+    const std::string_view given = headerValue(request.headers, "Authorization");
+    // Compared in constant time, so that the token can't be guessed from response times.
+    return !m_access.adminToken.empty() && given.size() == expected.size()
+           && gnutls_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
+std::vector<std::string> interfaceAddresses()
+{
+    ifaddrs *first = nullptr;
+    std::vector<std::string> addresses;
+    if (getifaddrs(&first) != 0)
+        return addresses;
+    for (const ifaddrs *item = first; item != nullptr; item = item->ifa_next) {
+        if (item->ifa_addr != nullptr
+            && (item->ifa_addr->sa_family == AF_INET || item->ifa_addr->sa_family == AF_INET6)) {
+            addresses.push_back(addressText(item->ifa_addr));
+        }
+    }
+    freeifaddrs(first);
+    return addresses;
+}
+
+} // namespace tamarackridge
--- a/src/process/hop_headers.cpp
+++ b/src/process/hop_headers.cpp
@@ -44,7 +44,7 @@
 {
     constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
     return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z')
-            || marks.find(c) != std::string_view::npos;
+           || marks.find(c) != std::string_view::npos;
 }
 
 } // namespace
@@ -66,9 +66,9 @@
     const std::vector<std::string> listed = connectionOptions(headers);
     std::erase_if(headers, [&](const http_header &header) {
         return isHopHeader(header.name)
-                || std::any_of(listed.begin(), listed.end(), [&](const std::string &name) {
-                       return equalHeaderNames(header.name, name);
-                   });
+               || std::any_of(listed.begin(), listed.end(), [&](const std::string &name) {
+                      return equalHeaderNames(header.name, name);
+                  });
     });
 }
 
@@ -87,16 +87,17 @@
 
 bool isWellFormed(const http_request &request)
 {
-    const bool targetValid = !request.target.empty() && request.target.front() == '/'
+    const bool targetValid =
+            !request.target.empty() && request.target.front() == '/'
             && std::all_of(request.target.begin(), request.target.end(), [](char c) {
                    const auto byte = static_cast<unsigned char>(c);
                    return byte > 0x20 && byte != 0x7f;
                });
     return targetValid && isToken(request.method)
-            && std::all_of(request.headers.begin(), request.headers.end(),
-                           [](const http_header &header) {
-                               return isToken(header.name) && isFieldValue(header.value);
-                           });
+           && std::all_of(request.headers.begin(), request.headers.end(),
+                          [](const http_header &header) {
+                              return isToken(header.name) && isFieldValue(header.value);
+                          });
 }
 
 } // namespace tamarackridge
--- a/src/process/http_client.cpp
+++ b/src/process/http_client.cpp
@@ -47,8 +47,7 @@
         m_multi.reset(curl_multi_init());
         curl_multi_setopt(m_multi.get(), CURLMOPT_MAXCONNECTS,
                           static_cast<long>(m_options.keptConnections));
-        curl_multi_setopt(m_multi.get(), CURLMOPT_PIPELINING,
-                          static_cast<long>(CURLPIPE_NOTHING));
+        curl_multi_setopt(m_multi.get(), CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
     }
     implementation(const implementation &) = delete;
     implementation &operator=(const implementation &) = delete;
@@ -72,7 +71,8 @@
 
     void runOnce(std::chrono::milliseconds wait)
     {
-        // Transfers that just began may already have an answer; libcurl's own timers bound the wait.
+        // Transfers that just began may already have an answer; libcurl's own timers bound the
+        // wait.
         curl_multi_poll(m_multi.get(), nullptr, 0, static_cast<int>(wait.count()), nullptr);
         takeCommands();
         int running = 0;
@@ -116,8 +116,7 @@
             return;
         }
         auto exchange = std::make_unique<internal::http_exchange>(
-                id, std::move(request.target), std::move(request.request), idleHandle(),
-                m_options);
+                id, std::move(request.target), std::move(request.request), idleHandle(), m_options);
         exchange->prepare(request.timeout);
         curl_multi_add_handle(m_multi.get(), exchange->handle());
         m_exchanges.insert_or_assign(id, std::move(exchange));
--- a/src/process/http_exchange.cpp
+++ b/src/process/http_exchange.cpp
@@ -21,7 +21,7 @@
 {
     constexpr std::string_view chunked = "chunked";
     return value.size() >= chunked.size()
-            && equalHeaderNames(value.substr(value.size() - chunked.size()), chunked);
+           && equalHeaderNames(value.substr(value.size() - chunked.size()), chunked);
 }
 
 // Failures after which the connection is known to be broken, as opposed to a timeout.
@@ -72,14 +72,13 @@
 {
     CURL *const handle = m_handle.get();
     const std::string_view body = bodyView(m_request.body);
-    const bool bodyExpected = m_request.method == "POST" || m_request.method == "PUT"
-            || m_request.method == "PATCH";
+    const bool bodyExpected =
+            m_request.method == "POST" || m_request.method == "PUT" || m_request.method == "PATCH";
     if (m_request.method == "HEAD") {
         curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
     } else if (bodyExpected || !body.empty()) {
         curl_easy_setopt(handle, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(body.size()));
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.empty() ? "" : body.data());
         curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
     } else {
@@ -144,7 +143,7 @@
         return false;
     const std::string_view code = line.substr(space + 1, 3);
     return std::from_chars(code.data(), code.data() + code.size(), m_answer.status).ec
-            == std::errc{};
+           == std::errc{};
 }
 
 bool http_exchange::takeField(std::string_view line)
--- a/src/process/json_line.h
+++ b/src/process/json_line.h
@@ -23,8 +23,11 @@
     {
         return add(name, std::string_view(value));
     }
-    json_line &add(std::string_view name, bool value) { return addRaw(name, value ? "true" : "false"); }
-    template<std::integral Integer>
+    json_line &add(std::string_view name, bool value)
+    {
+        return addRaw(name, value ? "true" : "false");
+    }
+    template <std::integral Integer>
     json_line &add(std::string_view name, Integer value)
     {
         return addRaw(name, std::to_string(value));
--- a/src/process/log_client.cpp
+++ b/src/process/log_client.cpp
@@ -40,8 +40,8 @@
     for (json &object : answer["records"]) {
         std::optional<log_record> record = recordFrom(object);
         // Offsets must rise; anything else would apply a record twice or in the wrong order.
-        const bool rises = record
-                && (page.records.empty() || page.records.back().offset < record->offset);
+        const bool rises =
+                record && (page.records.empty() || page.records.back().offset < record->offset);
         if (!rises)
             return std::nullopt;
         page.records.push_back(std::move(*record));
@@ -151,11 +151,11 @@
 }
 
 tl::expected<log_page, error_kind> log_client::read(const std::string &stream, std::int64_t from,
-                                                    std::size_t max,
-                                                    std::chrono::milliseconds wait)
+                                                    std::size_t max, std::chrono::milliseconds wait)
 {
     const std::string path = "/streams/" + stream + "/records?from=" + std::to_string(from)
-            + "&max=" + std::to_string(max) + "&wait_ms=" + std::to_string(wait.count());
+                             + "&max=" + std::to_string(max)
+                             + "&wait_ms=" + std::to_string(wait.count());
     tl::expected<json, error_kind> answer = m_implementation->exchange(path, nullptr, wait);
     if (!answer)
         return tl::unexpected(answer.error());
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -23,8 +23,11 @@
                             const prometheus::Histogram::BucketBoundaries &bounds,
                             const prometheus::Labels &labels)
 {
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(m_registry).Add(labels,
-                                                                                       bounds);
+    return prometheus::BuildHistogram()
+            .Name(name)
+            .Help(help)
+            .Register(m_registry)
+            .Add(labels, bounds);
 }
 
 std::string metrics_registry::text() const
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -124,7 +124,8 @@
             "an integer from " + std::to_string(smallest) + " to " + std::to_string(largest);
     return simpleField(std::move(path), std::move(expected), need,
                        [&target, smallest, largest](const json &value) {
-                           const bool fits = value.is_number_integer()
+                           const bool fits =
+                                   value.is_number_integer()
                                    && (!value.is_number_unsigned()
                                        || value.get<std::uint64_t>() <= static_cast<std::uint64_t>(
                                                   std::numeric_limits<std::int64_t>::max()));
@@ -160,7 +161,7 @@
                            if (!value.is_string()
                                || std::find(choices.begin(), choices.end(),
                                             value.get_ref<const std::string &>())
-                                       == choices.end()) {
+                                          == choices.end()) {
                                return false;
                            }
                            target = value.get<std::string>();
@@ -242,7 +243,7 @@
 std::string toString(const settings_fault &fault)
 {
     return (fault.path.empty() ? std::string("settings") : fault.path) + ": expected "
-            + fault.expected;
+           + fault.expected;
 }
 
 } // namespace tamarackridge
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -60,7 +60,7 @@
 
 /// \brief A list of objects.
 /// \param fieldsOf returns the table of fields of one element.
-template<class Element>
+template <class Element>
 settings_field listField(std::string path, std::vector<Element> &target,
                          std::vector<settings_field> (*fieldsOf)(Element &))
 {
--- a/src/process/supervisor.cpp
+++ b/src/process/supervisor.cpp
@@ -110,8 +110,8 @@
 {
     const std::lock_guard lock(m_mutex);
     return !m_escalation
-            && std::all_of(m_children.begin(), m_children.end(),
-                           [](const std::unique_ptr<child> &item) { return item->running; });
+           && std::all_of(m_children.begin(), m_children.end(),
+                          [](const std::unique_ptr<child> &item) { return item->running; });
 }
 
 std::optional<std::string> supervisor::escalation() const
--- a/src/wire/decode_message.cpp
+++ b/src/wire/decode_message.cpp
@@ -13,7 +13,7 @@
 // Every take() returns false when a value is outside its range; the frame is then refused as a
 // whole, so a partly filled result is never used.
 
-template<std::size_t Size>
+template <std::size_t Size>
 bool takeBytes(const std::string &in, std::array<std::uint8_t, Size> &out)
 {
     if (in.size() != Size)
@@ -22,7 +22,7 @@
     return true;
 }
 
-template<class Enum>
+template <class Enum>
 bool takeEnum(std::uint32_t in, std::size_t count, Enum &out)
 {
     out = static_cast<Enum>(in);
@@ -40,7 +40,7 @@
     return takeEnum(in, static_cast<std::size_t>(run_state::unknown) + 1, out);
 }
 
-template<class List>
+template <class List>
 void takeHeaders(List &in, std::vector<http_header> &out)
 {
     out.reserve(static_cast<std::size_t>(in.size()));
@@ -103,7 +103,7 @@
 }
 
 // Fields that dispatch_answer and owner_answer have in common.
-template<class Converted, class Answer>
+template <class Converted, class Answer>
 bool takeOutcome(Converted &in, Answer &out)
 {
     if (in.has_error()) {
@@ -122,7 +122,7 @@
     out.customer = std::move(*in.mutable_customer());
     out.age = duration(in.age());
     return takeEnum(in.state(), static_cast<std::size_t>(ledger_state::unknown) + 1, out.state)
-            && take(*in.mutable_answer(), out.answer);
+           && take(*in.mutable_answer(), out.answer);
 }
 
 bool take(pb::TokenAmount &in, token_amount &out)
@@ -153,7 +153,7 @@
     return true;
 }
 
-template<class List, class Element>
+template <class List, class Element>
 bool takeList(List &in, std::vector<Element> &out)
 {
     out.resize(static_cast<std::size_t>(in.size()));
@@ -221,7 +221,7 @@
 {
     out.grant = in.grant();
     return takeList(*in.mutable_spent(), out.spent)
-            && takeList(*in.mutable_returned(), out.returned);
+           && takeList(*in.mutable_returned(), out.returned);
 }
 
 bool take(pb::Heartbeat &in, heartbeat &out)
@@ -260,7 +260,7 @@
     return takeList(*in.mutable_records(), out.records);
 }
 
-template<class Message, class Converted>
+template <class Message, class Converted>
 std::optional<peer_message> convert(Converted &in)
 {
     std::optional<peer_message> result{Message{}};
--- a/src/wire/encode_message.cpp
+++ b/src/wire/encode_message.cpp
@@ -6,13 +6,13 @@
 namespace tamarackridge::internal {
 namespace {
 
-template<class Bytes>
+template <class Bytes>
 std::string toBytes(const Bytes &bytes)
 {
     return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
 }
 
-template<class List>
+template <class List>
 void putHeaders(const std::vector<http_header> &headers, List &out)
 {
     out.Reserve(static_cast<int>(headers.size()));
@@ -76,7 +76,7 @@
 }
 
 // Fields that dispatch_answer and owner_answer have in common.
-template<class Answer, class Converted>
+template <class Answer, class Converted>
 void putOutcome(const Answer &in, Converted &out)
 {
     out.set_state(static_cast<std::uint32_t>(in.state));
@@ -122,7 +122,7 @@
     out.set_data(in.data);
 }
 
-template<class Element, class List>
+template <class Element, class List>
 void putList(const std::vector<Element> &in, List &out)
 {
     out.Reserve(static_cast<int>(in.size()));
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -13,8 +13,8 @@
 namespace tamarackridge {
 namespace {
 
-using google::protobuf::io::CodedOutputStream;
 using google::protobuf::internal::WireFormatLite;
+using google::protobuf::io::CodedOutputStream;
 
 std::uint64_t checksumOf(std::string_view payload)
 {
