--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -9,7 +9,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config
     clang-format clang-tidy
-    libulfius-dev libzmq3-dev cppzmq-dev libprotobuf-dev libgflags-dev libspdlog-dev
+    libulfius-dev libmicrohttpd-dev libzmq3-dev cppzmq-dev libprotobuf-dev libgflags-dev libspdlog-dev
     libexpected-dev nlohmann-json3-dev libxxhash-dev libgnutls28-dev
     libprometheus-cpp-core1.0 libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev
 )
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
