Add the open-loop load generator with report, bounds and plot

The arrival schedule is drawn from the plan alone, latency counts from the intended start, and a request that exceeds the bound on outstanding requests is recorded as not sent, so a stalled server cannot slow the generator down and hide its own delay. A timerfd wakes the loop because libcurl's own timeouts have a resolution of 1 ms.

--- /dev/null
+++ b/src/load/group_stats.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "load/latency_histogram.h"
+#include "load/request_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace tamarackridge::load {
+
+/// \brief Outcomes and latencies of a group of requests.
+class group_stats
+{
+public:
+    void add(const request_record &request);
+
+    /// \param seconds time that the group covers, for the goodput per second.
+    nlohmann::ordered_json toJson(double seconds) const;
+
+private:
+    std::array<std::size_t, 5> m_outcomes{}; ///< By request_outcome.
+    latency_histogram m_latency; ///< Of whole answers, from the intended start.
+};
+
+/// \returns p50, p99, p99.9 and the maximum in milliseconds.
+nlohmann::ordered_json latencyJson(const latency_histogram &latency);
+
+} // namespace tamarackridge::load
--- /dev/null
+++ b/src/load/http_transfer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "load/client_call.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tamarackridge::load {
+
+/// \brief One HTTP request and its answer on a libcurl handle; the handle is reused.
+class http_transfer
+{
+public:
+    /// \brief What is sent.
+    struct request
+    {
+        std::string method;
+        std::string url;
+        std::vector<std::string> headers; ///< Whole lines, `Name: value`.
+        std::string body;
+        std::chrono::milliseconds timeout{};
+    };
+
+    http_transfer();
+    http_transfer(const http_transfer &) = delete;
+    http_transfer &operator=(const http_transfer &) = delete;
+    ~http_transfer();
+
+    /// \brief Prepares the handle for \a request and clears the previous answer.
+    void prepare(request request);
+    /// \brief Reads the outcome after libcurl has finished with the handle.
+    /// \param whole whether libcurl received a whole answer.
+    void finish(bool whole);
+
+    /// \returns the CURL easy handle.
+    void *handle() const { return m_handle; }
+    const request &sent() const { return m_request; }
+    /// \returns the result, apart from the check of the body.
+    send_result &result() { return m_result; }
+    const std::string &body() const { return m_body; }
+
+private:
+    static std::size_t takeHeader(char *data, std::size_t size, std::size_t count, void *self);
+    static std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *self);
+
+    void *m_handle;
+    void *m_headerLines = nullptr;
+    request m_request;
+    send_result m_result;
+    std::string m_body;
+};
+
+} // namespace tamarackridge::load
--- /dev/null
+++ b/src/load/id_pool.cpp
@@ -0,0 +1,40 @@
+#include "load/id_pool.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarackridge::load {
+namespace {
+
+constexpr std::chrono::milliseconds pauseAfterFailure{500};
+
+} // namespace
+
+std::optional<id_pool::issued_id> id_pool::take()
+{
+    if (m_ids.empty())
+        return std::nullopt;
+    issued_id next = std::move(m_ids.front());
+    m_ids.pop_front();
+    return next;
+}
+
+bool id_pool::wantsBatch(std::chrono::nanoseconds now) const
+{
+    return !m_asked && m_ids.size() < batchSize / 2 && now >= m_notBefore;
+}
+
+void id_pool::batchAnswered(std::string_view body, std::size_t target, std::chrono::nanoseconds now)
+{
+    m_asked = false;
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("ids") || !answer["ids"].is_array()) {
+        m_notBefore = now + pauseAfterFailure;
+        return;
+    }
+    for (const nlohmann::json &id : answer["ids"]) {
+        if (id.is_string())
+            m_ids.push_back({id.get<std::string>(), target});
+    }
+}
+
+} // namespace tamarackridge::load
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -1,4 +1,154 @@
-int main()
+#include "load/outcome_check.h"
+#include "load/plot.h"
+#include "load/report.h"
+#include "load/runner.h"
+
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+DEFINE_string(out, "", "file for the result, JSON");
+DEFINE_string(journals, "", "execution journals of the backend servers, comma-separated");
+DEFINE_int32(settle_ms, 500, "time between the last answer and the reading of the journals");
+DEFINE_string(check, "", "file with bounds on the result; the exit code says whether they held");
+DEFINE_string(baseline, "", "customer to whose latency the other customers' is compared");
+DEFINE_string(plot, "", "draws the goodput of the result files given as arguments to this SVG");
+
+namespace {
+
+using namespace tamarackridge::load;
+
+enum exit_code : int { outcomes_held = 0, outcomes_failed = 1, unusable_input = 2 };
+
+/// \brief Input that cannot be used; the message says why.
+class input_error : public std::runtime_error
 {
-    return 0;
+public:
+    using std::runtime_error::runtime_error;
+};
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+        throw input_error("cannot read " + path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return content.str();
+}
+
+void writeFile(const std::string &path, const std::string &content)
+{
+    std::ofstream file(path, std::ios::binary);
+    file << content;
+    if (!file.flush())
+        throw input_error("cannot write " + path);
+}
+
+/// \brief Reads a file with \a parse and reports all its faults together.
+template <typename Parse>
+auto parseFile(const std::string &path, Parse parse)
+{
+    fault_list faults;
+    auto parsed = parse(readFile(path), faults);
+    if (faults.empty())
+        return parsed;
+    std::string message = path + ":";
+    for (const std::string &fault : faults)
+        message += "\n  " + fault;
+    throw input_error(message);
+}
+
+history_index readJournals(const std::string &list)
+{
+    history_index index;
+    std::istringstream paths(list);
+    for (std::string path; std::getline(paths, path, ',');) {
+        std::ifstream file(path);
+        if (!file)
+            throw input_error("cannot read the journal " + path);
+        if (const std::size_t unreadable = readJournal(file, index); unreadable > 0)
+            std::fprintf(stderr, "%s: %zu unreadable lines\n", path.c_str(), unreadable);
+    }
+    return index;
+}
+
+std::optional<truth_report> compareWithJournals(const finished_run &run)
+{
+    if (FLAGS_journals.empty())
+        return std::nullopt;
+    std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_settle_ms));
+    const std::chrono::nanoseconds start = run.start.time_since_epoch();
+    return checkTruth(run.records.requests, readJournals(FLAGS_journals), start.count());
+}
+
+int printVerdicts(const std::vector<outcome_bound> &bounds, const result_json &report)
+{
+    int code = outcomes_held;
+    for (const bound_verdict &verdict : checkBounds(bounds, report)) {
+        std::cout << verdict.line << "\n";
+        if (!verdict.held)
+            code = outcomes_failed;
+    }
+    return code;
+}
+
+int runLoad(const std::string &planPath)
+{
+    const load_plan plan = parseFile(planPath, parsePlan);
+    std::vector<outcome_bound> bounds;
+    if (!FLAGS_check.empty())
+        bounds = parseFile(FLAGS_check, parseBounds);
+    const finished_run run = runPlan(plan);
+    result_json report = makeReport(plan, run.records, compareWithJournals(run));
+    if (!FLAGS_baseline.empty() && !addLatencyComparison(report, FLAGS_baseline))
+        throw input_error("the plan has no customer " + FLAGS_baseline);
+    if (!FLAGS_out.empty())
+        writeFile(FLAGS_out, report.dump(1) + "\n");
+    std::cout << formatTable(report);
+    return printVerdicts(bounds, report);
+}
+
+int plotResults(int count, char **paths)
+{
+    std::vector<named_result> results;
+    for (int index = 0; index < count; ++index) {
+        result_json report = result_json::parse(readFile(paths[index]), nullptr, false);
+        if (!report.contains("seconds") || !report.contains("phases"))
+            throw input_error(std::string(paths[index]) + ": not a result of this program");
+        results.push_back({paths[index], std::move(report)});
+    }
+    writeFile(FLAGS_plot, plotGoodput(results));
+    return outcomes_held;
+}
+
+int dispatch(int argc, char **argv)
+{
+    if (!FLAGS_plot.empty() && argc > 1)
+        return plotResults(argc - 1, argv + 1);
+    if (FLAGS_plot.empty() && argc == 2)
+        return runLoad(argv[1]);
+    throw input_error("expected a plan, or --plot=FILE and results; see --help");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetVersionString(TAMARACKRIDGE_VERSION);
+    gflags::SetUsageMessage("open-loop load generator\n"
+                            "  tamarackridge-load [flags] PLAN.json\n"
+                            "  tamarackridge-load --plot=OUT.svg RESULT.json...");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        return dispatch(argc, argv);
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "tamarackridge-load: %s\n", error.what());
+        return unusable_input;
+    }
 }
--- /dev/null
+++ b/src/load/service_received.cpp
@@ -0,0 +1,62 @@
+#include "load/service_received.h"
+
+#include "load/ideal_bucket.h"
+
+#include <algorithm>
+
+namespace tamarackridge::load {
+namespace {
+
+std::vector<ideal_bucket> makeBuckets(const load_plan &plan)
+{
+    std::vector<ideal_bucket> buckets;
+    for (const load_customer &customer : plan.customers)
+        buckets.emplace_back(customer.limit);
+    return buckets;
+}
+
+/// \returns pointers to \a elements in order of \a time.
+template <typename Element>
+std::vector<const Element *> sortedBy(const std::vector<Element> &elements, duration Element::*time)
+{
+    std::vector<const Element *> sorted;
+    sorted.reserve(elements.size());
+    for (const Element &element : elements)
+        sorted.push_back(&element);
+    std::sort(sorted.begin(), sorted.end(), [time](const Element *left, const Element *right) {
+        return left->*time < right->*time;
+    });
+    return sorted;
+}
+
+} // namespace
+
+double service_received::servedRatio() const
+{
+    if (insideRate == 0)
+        return 1.0;
+    return std::min(1.0, static_cast<double>(whole) / static_cast<double>(insideRate));
+}
+
+std::vector<service_received> measureService(const load_plan &plan, const run_records &records)
+{
+    std::vector<service_received> received(plan.customers.size());
+    std::vector<ideal_bucket> requestBuckets = makeBuckets(plan);
+    for (const request_record *request : sortedBy(records.requests, &request_record::intended)) {
+        service_received &customer = received[request->customer];
+        if (requestBuckets[request->customer].take(request->intended))
+            ++customer.insideRate;
+        if (request->outcome == request_outcome::whole)
+            ++customer.whole;
+    }
+    // Every send counts against the rate here, so a customer that resends is judged strictly.
+    std::vector<ideal_bucket> sendBuckets = makeBuckets(plan);
+    for (const send_record *send : sortedBy(records.sends, &send_record::at)) {
+        const bool inside = sendBuckets[send->customer].take(send->at);
+        if (inside && send->refusedForRate)
+            ++received[send->customer].wrongfulRefusals;
+    }
+    return received;
+}
+
+} // namespace tamarackridge::load
