--- a/src/wire/decode_message.cpp
+++ b/src/wire/decode_message.cpp
@@ -199,7 +199,7 @@
 bool take(pb::LedgerHandover &in, ledger_handover &out)
 {
     out.life = in.life();
-    out.idAge = duration(in.id_age());
+    out.clockAge = duration(in.clock_age());
     return takeBytes(in.secret(), out.secret) && takeList(*in.mutable_entries(), out.entries);
 }
 
@@ -229,6 +229,11 @@
     out.directoryDigest = in.directory_digest();
     out.configVersion = in.config_version();
     out.confirmationAge = duration(in.confirmation_age());
+    for (pb::ZoneContact &contact : *in.mutable_zones()) {
+        if (contact.silence() < 0)
+            return false;
+        out.zones.push_back({std::move(*contact.mutable_zone()), duration(contact.silence())});
+    }
     return take(in.load(), out.load);
 }
 
--- a/src/wire/encode_message.cpp
+++ b/src/wire/encode_message.cpp
@@ -175,7 +175,7 @@
         pb::LedgerHandover &converted = *out.mutable_ledger_handover();
         converted.set_life(in.life);
         converted.set_secret(toBytes(in.secret));
-        converted.set_id_age(in.idAge.count());
+        converted.set_clock_age(in.clockAge.count());
         putList(in.entries, *converted.mutable_entries());
     }
     void operator()(const token_request &in) const
@@ -206,6 +206,11 @@
         converted.set_config_version(in.configVersion);
         converted.set_confirmation_age(in.confirmationAge.count());
         put(in.load, *converted.mutable_load());
+        for (const zone_contact &contact : in.zones) {
+            pb::ZoneContact &zone = *converted.add_zones();
+            zone.set_zone(contact.zone);
+            zone.set_silence(contact.silence.count());
+        }
     }
     void operator()(const entry_summary &in) const
     {
--- a/tests/wire_frame_test.cpp
+++ b/tests/wire_frame_test.cpp
@@ -37,7 +37,7 @@
             token_request{35, {{"a", 36}, {"b", 37}}},
             token_grant{38, 39, duration(40), {{"a", 41}}},
             token_report{42, {{"a", 43}}, {{"b", 44}}},
-            heartbeat{45, 46, duration(47), load},
+            heartbeat{45, 46, duration(47), load, {{"zone", duration(57)}}},
             entry_summary{{{entry_kind::quarantine, "key", {48, 49}}}, true},
             entries{{{entry_kind::suspicion, "key", {50, 51}, "payload"}}},
             config_fetch{52},
