Recognise requests that crash backend servers in the node

A crash makes what was running suspect and spreads it; a retry after a broken connection waits 50 ms, so that the next executor knows of the suspicion.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -7,6 +7,9 @@
 
 // An executor's answer needs this long to travel after the deadline that it works towards.
 constexpr duration answerGrace = std::chrono::milliseconds(50);
+// The request may have crashed the backend server: the next executor is to know of the suspicion
+// before it is asked to run it.
+constexpr duration crashSpreadTime = std::chrono::milliseconds(50);
 // Bounds the memory for answers that may still come; the oldest are forgotten first.
 constexpr std::size_t maxLateDispatches = 10'000;
 
@@ -128,7 +131,10 @@
         work.mayHaveRun = true;
     if (mayRetry(work, answer, now)) {
         m_counters.add(node_counter::retries);
-        attempt(owned, now, out);
+        if (answer.error == error_kind::backend_failed)
+            work.retryAt = now + crashSpreadTime;
+        else
+            attempt(owned, now, out);
         return;
     }
     if (answer.error) {
@@ -156,7 +162,8 @@
         return false;
     if (!refusedBeforeRunning && !work.request.context.idempotent)
         return false;
-    if (answer.error == error_kind::cancelled || answer.error == error_kind::deadline_exceeded)
+    if (answer.error == error_kind::cancelled || answer.error == error_kind::deadline_exceeded
+        || answer.error == error_kind::request_quarantined)
         return false;
     // An executor that is leaving refuses at once; moving on is not a sign of trouble.
     if (answer.error == error_kind::leaving)
@@ -187,6 +194,10 @@
     if (found == m_owned.end() || !found->second.request.context.idempotent)
         return;
     progress &work = found->second;
+    if (work.dispatchSequence == 0) {
+        m_owned.erase(found);
+        return;
+    }
     const dispatch_id id{m_self.life, work.dispatchSequence};
     const std::string node = work.executorNode;
     endAttempt(work, run_outcome::cancelled, nullptr, 0, now);
@@ -201,7 +212,8 @@
 {
     std::vector<owned_id> affected;
     for (const auto &[owned, work] : m_owned) {
-        if (work.executorNode == node && work.request.context.idempotent)
+        if (work.executorNode == node && work.request.context.idempotent
+            && work.dispatchSequence != 0)
             affected.push_back(owned);
     }
     std::sort(affected.begin(), affected.end());
@@ -248,12 +260,20 @@
 {
     std::vector<owned_id> due;
     for (const auto &[owned, work] : m_owned) {
-        if (now >= work.attemptDeadline)
+        const bool underWay = work.dispatchSequence != 0;
+        if (now >= (underWay ? work.attemptDeadline : work.retryAt))
             due.push_back(owned);
     }
     std::sort(due.begin(), due.end());
-    for (owned_id owned : due)
-        expireAttempt(owned, now, out);
+    for (owned_id owned : due) {
+        const auto found = m_owned.find(owned);
+        if (found == m_owned.end())
+            continue;
+        if (found->second.dispatchSequence != 0)
+            expireAttempt(owned, now, out);
+        else
+            attempt(owned, now, out);
+    }
 }
 
 } // namespace tamarackridge::internal
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -77,6 +77,7 @@
         std::uint32_t part = 0;
         time_point sent;
         time_point attemptDeadline;
+        time_point retryAt; ///< When nothing is under way.
         bool mayHaveRun = false;
     };
     using owned_map = std::unordered_map<owned_id, progress>;
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -31,11 +31,12 @@
 } // namespace
 
 executor::executor(handle_table &handles, node_counters &counters, random_source &random,
-                   answer_sink sink)
+                   answer_sink sink, entry_sink spread)
     : m_handles(handles)
     , m_counters(counters)
     , m_random(random)
     , m_sink(std::move(sink))
+    , m_spread(std::move(spread))
 { }
 
 void executor::accept(const node_ref &owner, dispatch request, time_point now, action_list &out)
@@ -86,11 +87,25 @@
         const std::optional<std::uint64_t> run = m_queue.popReady(now);
         if (!run)
             return;
-        if (m_limit.tryAcquire())
+        const run_decision decision = m_crashes.mayRun(m_executions.at(*run), now);
+        if (decision.permission == run_permission::refuse) {
+            refuse(*run, error_kind::request_quarantined, now, out);
+        } else if (decision.permission == run_permission::wait) {
+            // Another suspect is running here; the owner can find a server without one.
+            refuse(*run, error_kind::overloaded, now, out);
+        } else if (m_limit.tryAcquire()) {
+            m_crashes.onRunStarted(*run, m_executions.at(*run), decision);
             start(*run, now, out);
+        }
     }
 }
 
+fingerprint_parts executor::execution::parts() const
+{
+    return {context.route, request.method, request.target, context.customer,
+            bodyView(request.body)};
+}
+
 void executor::start(run_id run, time_point now, action_list &out)
 {
     execution &work = m_executions.at(run);
@@ -134,6 +149,7 @@
     m_limit.release(now, latency, limitOutcome(result));
     if (result.answer)
         m_queue.observeServiceTime(latency, now);
+    publish(m_crashes.onRunFinished(run, result.answer.has_value(), now), out);
     dispatch_answer answer = outcomeOf(result);
     if (result.answer)
         answer.answer = std::move(*result.answer);
@@ -212,6 +228,23 @@
         out.push_back(cancel_run{run});
 }
 
+void executor::backendCrashed(time_point now, action_list &out)
+{
+    publish(m_crashes.onCrash(now), out);
+    stopAccepting(error_kind::no_backend_server, now, out);
+}
+
+void executor::quarantineEntry(const overlay_entry &entry, time_point now)
+{
+    m_crashes.onEntry(entry.key, entry.payload, now);
+}
+
+void executor::publish(const std::vector<overlay_entry> &entries, action_list &out)
+{
+    for (const overlay_entry &entry : entries)
+        m_spread(entry, out);
+}
+
 void executor::backendReady(const backend_announcement &announcement, time_point now)
 {
     m_closed.reset();
@@ -232,6 +265,7 @@
 
 void executor::tick(time_point now, action_list &out)
 {
+    m_crashes.expire(now);
     startReady(now, out);
 }
 
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -5,6 +5,7 @@
 #include "tamarackridge/src/node/node_core.h"
 #include "tamarackridge/src/overload/admission_queue.h"
 #include "tamarackridge/src/overload/concurrency_limit.h"
+#include "tamarackridge/src/quarantine/crash_tracker.h"
 
 #include <functional>
 #include <map>
@@ -23,8 +24,11 @@
     using answer_sink = std::function<void(const node_ref &owner, dispatch_answer answer,
                                            time_point now, action_list &out)>;
 
+    /// \brief Receives entries about requests that crash backend servers.
+    using entry_sink = std::function<void(const overlay_entry &entry, action_list &out)>;
+
     executor(handle_table &handles, node_counters &counters, random_source &random,
-             answer_sink sink);
+             answer_sink sink, entry_sink spread);
 
     /// \brief Takes a dispatch; it is answered now or later, exactly once.
     void accept(const node_ref &owner, dispatch request, time_point now, action_list &out);
@@ -34,6 +38,11 @@
 
     /// \brief The backend server is ready; another instance starts with the cold-start ramp.
     void backendReady(const backend_announcement &announcement, time_point now);
+    /// \brief The backend server's process has ended with everything that it was running.
+    void backendCrashed(time_point now, action_list &out);
+    /// \brief A peer spread what it knows of a request that crashes backend servers.
+    void quarantineEntry(const overlay_entry &entry, time_point now);
+
     /// \brief The backend server takes no new work: what has not started yet is refused.
     void stopAccepting(error_kind reason, time_point now, action_list &out);
 
@@ -44,8 +53,10 @@
     const std::string &service() const { return m_service; }
 
 private:
-    struct execution
+    struct execution final : fingerprint_source
     {
+        fingerprint_parts parts() const override;
+
         dispatch_id id;
         node_ref owner;
         request_context context;
@@ -57,6 +68,7 @@
         bool running = false;
     };
 
+    void publish(const std::vector<overlay_entry> &entries, action_list &out);
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
     void finish(run_id run, dispatch_answer answer, time_point now, action_list &out);
     void startReady(time_point now, action_list &out);
@@ -70,6 +82,8 @@
     node_counters &m_counters;
     random_source &m_random;
     answer_sink m_sink;
+    entry_sink m_spread;
+    crash_tracker m_crashes;
     concurrency_limit m_limit;
     admission_queue m_queue;
     std::unordered_map<run_id, execution> m_executions;
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -49,14 +49,18 @@
                [this](const config_set &set, time_point now) { m_quota.configure(set, now); })
     , m_quota(m_options, m_membership, random)
     , m_entry({m_options, m_config, m_quota, m_ids, m_handles, m_membership, m_counters, random})
-    , m_executor(m_handles, m_counters, random,
-                 [this](const node_ref &owner, dispatch_answer answer, time_point now,
-                        action_list &out) {
-                     if (owner == m_options.self)
-                         m_dispatcher.dispatchAnswer(owner.name, std::move(answer), now, out);
-                     else
-                         m_membership.send(owner.name, std::move(answer), out);
-                 })
+    , m_executor(
+              m_handles, m_counters, random,
+              [this](const node_ref &owner, dispatch_answer answer, time_point now,
+                     action_list &out) {
+                  if (owner == m_options.self)
+                      m_dispatcher.dispatchAnswer(owner.name, std::move(answer), now, out);
+                  else
+                      m_membership.send(owner.name, std::move(answer), out);
+              },
+              [this](const overlay_entry &entry, action_list &out) {
+                  m_membership.publish(entry, out);
+              })
     , m_dispatcher(
               m_options.self, m_membership, m_routes, m_executor, m_counters, random,
               [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
@@ -76,7 +80,7 @@
     m_backend = announcement;
     m_backendUp = true;
     if (restarted)
-        m_executor.stopAccepting(error_kind::no_backend_server, now, out);
+        m_executor.backendCrashed(now, out);
     if (announcement.leaving || m_phase != phase::running)
         m_executor.stopAccepting(error_kind::leaving, now, out);
     else
@@ -91,7 +95,7 @@
         return;
     m_backendUp = false;
     m_counters.add(node_counter::crashes);
-    m_executor.stopAccepting(error_kind::no_backend_server, now, out);
+    m_executor.backendCrashed(now, out);
     announceSelf(out);
     updateExecutor(m_options.self.name, now);
 }
@@ -162,6 +166,10 @@
     }
     if (!changes.members.empty())
         m_quota.membersChanged();
+    for (const overlay_entry &entry : changes.others) {
+        if (entry.kind == entry_kind::quarantine)
+            m_executor.quarantineEntry(entry, now);
+    }
 }
 
 void node_state::logRecords(const std::string &stream, std::span<const log_record> records,
--- a/src/core/node/quota_service.cpp
+++ b/src/core/node/quota_service.cpp
@@ -3,6 +3,7 @@
 namespace tamarackridge::internal {
 namespace {
 
+constexpr duration tenureInterval = std::chrono::milliseconds(100);
 // A leaving node waits at most this long for the log to take its releases.
 constexpr duration releasePatience = std::chrono::seconds(3);
 
@@ -148,7 +149,8 @@
 {
     updateReading(out);
     updateHolders();
-    if (!m_released) {
+    if (!m_released && now >= m_nextTenureTick) {
+        m_nextTenureTick = now + tenureInterval;
         append(m_tenure.tick(now), out);
         const std::vector<held_slot> held = m_tenure.held(now);
         m_holder.setSlots(held, now);
--- a/src/core/node/quota_service.h
+++ b/src/core/node/quota_service.h
@@ -62,6 +62,7 @@
     bool m_released = false;
     std::size_t m_appendsOpen = 0;
     time_point m_releaseEnd;
+    time_point m_nextTenureTick;
 };
 
 } // namespace tamarackridge::internal
