--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -8,6 +8,7 @@
 #include <google/protobuf/wire_format_lite.h>
 #include <xxhash.h>
 
+#include <array>
 #include <limits>
 
 namespace tamarackridge {
@@ -16,9 +17,16 @@
 using google::protobuf::internal::WireFormatLite;
 using google::protobuf::io::CodedOutputStream;
 
-std::uint64_t checksumOf(std::string_view payload)
+// The other fields seed the payload's checksum, so that a damaged sender, receiver or sequence is
+// noticed as well.
+std::uint64_t checksumOf(const frame_header &header, std::string_view payload)
 {
-    return XXH3_64bits(payload.data(), payload.size());
+    const std::array<std::uint64_t, 5> fields = {
+            header.sender.life, header.receiver, header.sequence,
+            XXH3_64bits(header.sender.zone.data(), header.sender.zone.size()),
+            XXH3_64bits(header.sender.name.data(), header.sender.name.size())};
+    const std::uint64_t seed = XXH3_64bits(fields.data(), sizeof fields);
+    return XXH3_64bits_withSeed(payload.data(), payload.size(), seed);
 }
 
 // Appends the payload as the envelope's last field, which saves a copy through a bytes field.
@@ -47,7 +55,7 @@
     envelope.set_sender_life(header.sender.life);
     envelope.set_receiver(header.receiver);
     envelope.set_sequence(header.sequence);
-    envelope.set_checksum(checksumOf(payload));
+    envelope.set_checksum(checksumOf(header, payload));
     std::string frame;
     frame.reserve(envelope.ByteSizeLong() + payload.size() + 16);
     envelope.AppendToString(&frame);
@@ -64,18 +72,19 @@
     }
     if (envelope.version() != protocolVersion)
         return tl::unexpected(error_kind::protocol_mismatch);
+    frame_header header{{std::move(*envelope.mutable_sender_zone()),
+                         std::move(*envelope.mutable_sender_name()), envelope.sender_life()},
+                        envelope.receiver(),
+                        envelope.sequence()};
     pb::PeerMessage payload;
-    if (envelope.sender_name().empty() || checksumOf(envelope.payload()) != envelope.checksum()
+    if (header.sender.name.empty()
+        || checksumOf(header, envelope.payload()) != envelope.checksum()
         || !payload.ParseFromString(envelope.payload())) {
         return tl::unexpected(error_kind::frame_invalid);
     }
     std::optional<peer_message> message = internal::fromProtobuf(payload);
     if (!message)
         return tl::unexpected(error_kind::frame_invalid);
-    frame_header header{{std::move(*envelope.mutable_sender_zone()),
-                         std::move(*envelope.mutable_sender_name()), envelope.sender_life()},
-                        envelope.receiver(),
-                        envelope.sequence()};
     return decoded_frame{std::move(header), std::move(*message)};
 }
 
