--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -223,7 +223,7 @@
     json parsed;
     try {
         parsed = json::parse(text.begin(), text.end(), std::ref(repeated), true, true);
-    } catch (const json::parse_error &error) {
+    } catch (const json::exception &error) {
         return {{"", std::string("JSON with comments: ") + error.what()}};
     }
     fault_list faults = takeObject(parsed, fields);
--- a/src/wire/frame.cpp
+++ b/src/wire/frame.cpp
@@ -77,8 +77,7 @@
                         envelope.receiver(),
                         envelope.sequence()};
     pb::PeerMessage payload;
-    if (header.sender.name.empty()
-        || checksumOf(header, envelope.payload()) != envelope.checksum()
+    if (header.sender.name.empty() || checksumOf(header, envelope.payload()) != envelope.checksum()
         || !payload.ParseFromString(envelope.payload())) {
         return tl::unexpected(error_kind::frame_invalid);
     }
--- /dev/null
+++ b/tests/node_caller_server_test.cpp
@@ -0,0 +1,179 @@
+#include "fakes/raw_server.h"
+#include "node/caller_server.h"
+#include "node/error_reply.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <optional>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::raw_connection;
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+// A server that answers with the request's method, target and body, and keeps the last request.
+class node_caller_server : public testing::Test
+{
+protected:
+    node_caller_server()
+        : m_server(options(), [this](http_request request, const caller_connection &) {
+            ++m_handled;
+            if (request.target == "/throw")
+                throw std::runtime_error("fault");
+            const std::string text = request.method + ' ' + request.target + ' '
+                                     + std::string(bodyView(request.body));
+            m_last = std::move(request);
+            return http_answer{200,
+                               {{"Set-Cookie", "a"}, {"Set-Cookie", "b"}, {"Set-Cookie", "c"}},
+                               std::make_shared<const std::string>(text)};
+        })
+    { }
+
+    static caller_server_options options()
+    {
+        caller_server_options options;
+        options.address = "127.0.0.1";
+        options.maxBodyBytes = 100;
+        options.maxHeaderBytes = 2048;
+        return options;
+    }
+    // Sends bytes, closes the sending side and returns everything that comes back.
+    std::string exchange(const std::string &text) const
+    {
+        raw_connection connection(raw_connection::connectTo(m_server.port()));
+        connection.write(text);
+        connection.closeSendingSide();
+        return connection.readAll();
+    }
+
+    std::atomic<int> m_handled = 0;
+    http_request m_last;
+    caller_server m_server;
+};
+
+std::string postOf(std::size_t size)
+{
+    return "POST /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+           + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+}
+
+// Guards against a rewritten target, and against lost or merged headers in both directions.
+TEST_F(node_caller_server, passes_requests_and_answers_unchanged)
+{
+    const std::string answer =
+            exchange("PUT /a%20b/../c?q=%41&r HTTP/1.1\r\nHost: h\r\nX: \xff\r\n"
+                     "X: 2\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    EXPECT_TRUE(answer.ends_with("PUT /a%20b/../c?q=%41&r abc")) << answer;
+    std::vector<std::string> values;
+    for (const http_header &header : m_last.headers) {
+        if (header.name == "X")
+            values.push_back(header.value);
+    }
+    EXPECT_EQ(values, (std::vector<std::string>{"\xff", "2"}));
+    for (const char *const value : {": a\r\n", ": b\r\n", ": c\r\n"})
+        EXPECT_NE(answer.find(value), std::string::npos) << answer;
+}
+
+// Guards against a connection for each request.
+TEST_F(node_caller_server, keeps_connections)
+{
+    raw_connection connection(raw_connection::connectTo(m_server.port()));
+    for (int i = 0; i < 3; ++i) {
+        connection.write("GET /k HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_FALSE(connection.readUntil(headEnd).empty());
+        EXPECT_EQ(connection.readUntil("GET /k "), "GET /k ");
+    }
+    EXPECT_EQ(m_handled, 3);
+}
+
+struct faulty_request
+{
+    std::string name;
+    std::string text;
+    error_kind kind;
+};
+
+class node_caller_server_refuses
+    : public node_caller_server
+    , public testing::WithParamInterface<faulty_request>
+{ };
+
+// Guards against faulty requests reaching the decisions, and against answers without a run state.
+TEST_P(node_caller_server_refuses, faulty_requests_from_the_error_table)
+{
+    const std::string answer = exchange(GetParam().text);
+    const error_answer &expected = answerFor(GetParam().kind);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + std::to_string(expected.httpStatus))) << answer;
+    EXPECT_NE(answer.find("Tamarackridge-Error: " + std::string(expected.name)), std::string::npos)
+            << answer;
+    EXPECT_NE(answer.find("Tamarackridge-Run-State: not-run"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_EQ(m_handled, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        requests, node_caller_server_refuses,
+        testing::Values(
+                faulty_request{"body_too_large", postOf(101), error_kind::request_too_large},
+                faulty_request{"headers_too_large",
+                               "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2100, 'x')
+                                       + "\r\n\r\n",
+                               error_kind::headers_too_large},
+                faulty_request{"body_ends_early",
+                               "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\npart",
+                               error_kind::body_incomplete},
+                faulty_request{"no_body_at_all",
+                               "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n",
+                               error_kind::body_incomplete},
+                faulty_request{"chunk_ends_early",
+                               "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "9\r\npart",
+                               error_kind::body_incomplete},
+                faulty_request{"last_chunk_missing",
+                               "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "4\r\npart\r\n",
+                               error_kind::body_incomplete},
+                faulty_request{"headers_end_early", "GET / HTTP/1.1\r\nHost: h\r\nX",
+                               error_kind::bad_request},
+                faulty_request{"length_and_chunks",
+                               "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                               "Content-Length: 4\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+                               error_kind::bad_request},
+                faulty_request{"two_lengths",
+                               "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+                               "Content-Length: 4\r\n\r\npart",
+                               error_kind::bad_request}),
+        [](const testing::TestParamInfo<faulty_request> &info) { return info.param.name; });
+
+// Guards against an off-by-one in the body limit.
+TEST_F(node_caller_server, accepts_the_largest_body)
+{
+    EXPECT_TRUE(exchange(postOf(100)).starts_with("HTTP/1.1 200 "));
+    EXPECT_EQ(bodyView(m_last.body).size(), 100U);
+}
+
+// Guards against an exception passing through the C code of the server.
+TEST_F(node_caller_server, exceptions_become_internal_errors)
+{
+    EXPECT_TRUE(exchange("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 500 "));
+}
+
+// Guards against a shutdown that cuts connections while callers still send on them.
+TEST_F(node_caller_server, closes_connections_after_their_answer_while_leaving)
+{
+    raw_connection connection(raw_connection::connectTo(m_server.port()));
+    connection.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(connection.readUntil(headEnd).find("Connection: close"), std::string::npos);
+    m_server.closeAfterAnswers();
+    connection.write("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string rest = connection.readAll();
+    EXPECT_NE(rest.find("Connection: close"), std::string::npos) << rest;
+    EXPECT_TRUE(rest.ends_with("GET /2 ")) << rest;
+}
+
+} // namespace
+} // namespace tamarackridge
--- a/tests/node_replay_window_test.cpp
+++ b/tests/node_replay_window_test.cpp
@@ -40,7 +40,7 @@
         const auto sequence = static_cast<std::uint64_t>(
                 std::max<std::int64_t>(0, static_cast<std::int64_t>(highest) + step));
         const bool expected = !accepted.contains(sequence)
-                && (sequence > highest || highest - sequence < replay_window::width);
+                              && (sequence > highest || highest - sequence < replay_window::width);
         RC_ASSERT(window.accept(sequence) == expected);
         accepted.insert(sequence);
         highest = std::max(highest, sequence);
--- a/tests/process_http_client_test.cpp
+++ b/tests/process_http_client_test.cpp
@@ -57,8 +57,10 @@
     return {"POST", "/invoices", {}, std::make_shared<const std::string>(text)};
 }
 
-const http_request get{"GET", "/a/../b?q=%20", {{"X-Empty", ""}, {"Connection", "X-Hop"},
-                                                {"X-Hop", "1"}}, nullptr};
+const http_request get{"GET",
+                       "/a/../b?q=%20",
+                       {{"X-Empty", ""}, {"Connection", "X-Hop"}, {"X-Hop", "1"}},
+                       nullptr};
 
 // A server that reads one request and sends a fixed text, then closes.
 raw_server::script replyWith(std::string text)
@@ -150,13 +152,15 @@
                 refused_answer{"short_body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"},
                 refused_answer{"open_chunk",
                                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npa"},
-                refused_answer{"no_last_chunk",
-                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+                refused_answer{
+                        "no_last_chunk",
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
                 refused_answer{"not_delimited", "HTTP/1.1 200 OK\r\n\r\nuntil the end"},
                 refused_answer{"not_delimited_close",
                                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end"},
-                refused_answer{"two_lengths",
-                               "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\npart"},
+                refused_answer{
+                        "two_lengths",
+                        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\npart"},
                 refused_answer{"too_large",
                                "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n12345678901234567"},
                 refused_answer{"broken_headers", "HTTP/1.1 200 OK\r\nContent-Le"}),
--- a/tests/wire_frame_test.cpp
+++ b/tests/wire_frame_test.cpp
@@ -14,11 +14,12 @@
 }
 
 // Bytes that are not UTF-8 must pass as well.
-const http_request request{"POST", "/invoices?m=1", {{"A", "\xff"}, {"A", "2"}}, body({"in\0voice", 8})};
+const http_request request{
+        "POST", "/invoices?m=1", {{"A", "\xff"}, {"A", "2"}}, body({"in\0voice", 8})};
 const http_answer answer{201, {{"Set-Cookie", "x"}}, body("whole")};
 const trace_context trace{{1, 2, 3}, {4, 5}, true};
-const request_context context{"route", "service", "customer", 7,     true,
-                              duration(11), duration(12), 3, 4, trace};
+const request_context context{"route",      "service",    "customer", 7, true,
+                              duration(11), duration(12), 3,          4, trace};
 const executor_load load{5, 150, 40, 9};
 
 // One message of each kind, without any field at its default value.
@@ -64,9 +65,8 @@
     for (const google::protobuf::FieldDescriptor *field : set) {
         if (field->cpp_type() != google::protobuf::FieldDescriptor::CPPTYPE_MESSAGE)
             continue;
-        missing += field->is_repeated()
-                ? unsetFields(access.GetRepeatedMessage(message, field, 0))
-                : unsetFields(access.GetMessage(message, field));
+        missing += field->is_repeated() ? unsetFields(access.GetRepeatedMessage(message, field, 0))
+                                        : unsetFields(access.GetMessage(message, field));
     }
     return missing;
 }
