--- /dev/null
+++ b/src/scenario/client_load.cpp
@@ -0,0 +1,138 @@
+#include "scenario/client_load.h"
+
+#include <cmath>
+
+namespace tamarackridge::scenario {
+
+client_load::client_load(sample_fleet &sample, oracle &judge, std::uint64_t seed)
+    : m_sample(sample)
+    , m_oracle(judge)
+    , m_random(seed)
+{ }
+
+void client_load::start(const caller_group &group, duration length)
+{
+    arrive(std::make_shared<const caller_group>(group), m_sample.fleet.events().now() + length);
+}
+
+void client_load::arrive(std::shared_ptr<const caller_group> group, time_point end)
+{
+    event_queue &events = m_sample.fleet.events();
+    const double gap = -std::log(1.0 - m_random.unit()) / group->rate;
+    const time_point next =
+            events.now() + std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap));
+    if (next >= end)
+        return;
+    events.at(next, [this, group, end] {
+        const request_handle request = std::make_shared<pending>();
+        request->group = *group;
+        request->marker = group->customer + "-" + std::to_string(m_nextMarker++);
+        request->isWrite = m_random.unit() < group->writeShare;
+        request->second = static_cast<std::size_t>(m_sample.fleet.events().now().time_since_epoch()
+                                                   / std::chrono::seconds(1));
+        ++secondOf(*request).requests;
+        send(request);
+        arrive(group, end);
+    });
+}
+
+load_second &client_load::secondOf(const pending &request)
+{
+    std::vector<load_second> &seconds = m_seconds[request.group.customer];
+    if (seconds.size() <= request.second)
+        seconds.resize(request.second + 1);
+    return seconds[request.second];
+}
+
+std::string client_load::pickNode(const caller_group &group)
+{
+    std::vector<std::string> candidates;
+    for (const std::string &name : m_sample.fleet.names()) {
+        for (const std::string &zone : group.zones) {
+            if (name.starts_with(zone + "-"))
+                candidates.push_back(name);
+        }
+    }
+    return candidates.empty() ? std::string() : candidates[m_random.below(candidates.size())];
+}
+
+void client_load::send(const request_handle &request)
+{
+    const std::string node = pickNode(request->group);
+    request->node = node;
+    ++request->sends;
+    ++m_sends;
+    const int generation = ++request->generation;
+    event_queue &events = m_sample.fleet.events();
+    events.after(request->group.timeout, [this, request, generation] {
+        if (!request->done && request->generation == generation)
+            resendLater(request);
+    });
+    if (node.empty())
+        return;
+    http_request message;
+    if (request->isWrite && request->id.empty())
+        message = m_sample.request("POST", "/invoices", request->group.customer, request->marker);
+    else if (request->isWrite)
+        message = m_sample.write(request->group.customer, request->marker, request->id);
+    else
+        message = m_sample.request("GET", request->group.target, request->group.customer,
+                                   request->marker);
+    m_oracle.sent(request->marker, request->group.customer, request->isWrite, events.now());
+    m_sample.fleet.call(node, std::move(message),
+                        [this, request, generation](const http_answer &answer) {
+                            handle(request, generation, answer);
+                        });
+}
+
+void client_load::handle(const request_handle &request, int generation, const http_answer &answer)
+{
+    const time_point now = m_sample.fleet.events().now();
+    m_oracle.answered(request->marker, answer, now);
+    if (request->done || request->generation != generation)
+        return;
+    if (answer.status == 200) {
+        request->done = true;
+        ++secondOf(*request).whole;
+        return;
+    }
+    const std::string_view error = headerValue(answer.headers, "Tamarackridge-Error");
+    if (error == "request_id_required") {
+        request->id = std::string(headerValue(answer.headers, "Tamarackridge-Request-Id"));
+        send(request);
+        return;
+    }
+    load_second &second = secondOf(*request);
+    second.rateRefusals += error == "rate_exceeded" ? 1 : 0;
+    second.overloadRefusals += error == "overloaded" ? 1 : 0;
+    resendLater(request);
+}
+
+void client_load::resendLater(const request_handle &request)
+{
+    if (request->sends > request->group.resends) {
+        request->done = true;
+        return;
+    }
+    ++request->generation;
+    m_sample.fleet.events().after(request->group.resendDelay, [this, request] { send(request); });
+}
+
+const std::vector<load_second> &client_load::seconds(const std::string &customer) const
+{
+    return m_seconds.at(customer);
+}
+
+double client_load::goodput(const std::string &customer, std::size_t from, std::size_t to) const
+{
+    double requests = 0;
+    double whole = 0;
+    const std::vector<load_second> &all = seconds(customer);
+    for (std::size_t second = from; second < std::min(to, all.size()); ++second) {
+        requests += static_cast<double>(all[second].requests);
+        whole += static_cast<double>(all[second].whole);
+    }
+    return requests == 0 ? 1.0 : whole / requests;
+}
+
+} // namespace tamarackridge::scenario
--- /dev/null
+++ b/src/scenario/oracle.cpp
@@ -0,0 +1,141 @@
+#include "scenario/oracle.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tamarackridge::scenario {
+namespace {
+
+double seconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+std::string at(time_point when)
+{
+    return std::to_string(when.time_since_epoch() / std::chrono::microseconds(1)) + "us";
+}
+
+bool hasSendAfter(const std::vector<time_point> &sends, time_point from, time_point to)
+{
+    return std::any_of(sends.begin(), sends.end(),
+                       [from, to](time_point sent) { return sent >= from && sent <= to; });
+}
+
+} // namespace
+
+void oracle::expectCustomer(const std::string &customer, customer_bound bound)
+{
+    m_bounds[customer] = bound;
+}
+
+void oracle::sent(const std::string &marker, const std::string &customer, bool isWrite,
+                  time_point now)
+{
+    request_record &request = m_requests[marker];
+    request.customer = customer;
+    request.isWrite = isWrite;
+    request.sends.push_back(now);
+}
+
+void oracle::answered(const std::string &marker, const http_answer &answer, time_point now)
+{
+    const std::string state(headerValue(answer.headers, "Tamarackridge-Run-State"));
+    m_requests[marker].answers.push_back(
+            {now, state, answer.status, std::string(bodyView(answer.body))});
+    if (answer.status == 200)
+        ++m_wholeAnswers;
+}
+
+std::vector<std::string> oracle::violations(const std::vector<execution_record> &executions,
+                                            duration longestWait) const
+{
+    std::map<std::string, std::vector<const execution_record *>> runs;
+    std::vector<std::string> out;
+    for (const execution_record &record : executions) {
+        runs[record.marker].push_back(&record);
+        if (record.sawKey)
+            out.push_back(record.marker + ": a backend server saw a key");
+    }
+    for (const auto &[marker, request] : m_requests)
+        checkRequest(marker, request, runs[marker], out);
+    checkRates(executions, longestWait, out);
+    return out;
+}
+
+void oracle::checkRequest(const std::string &marker, const request_record &request,
+                          const std::vector<const execution_record *> &runs,
+                          std::vector<std::string> &out) const
+{
+    if (request.isWrite && runs.size() > 1)
+        out.push_back(marker + ": ran " + std::to_string(runs.size()) + " times");
+    for (const execution_record *run : runs) {
+        if (run->customer != request.customer)
+            out.push_back(marker + ": ran for customer '" + run->customer + "'");
+    }
+    for (const answer_record &answer : request.answers) {
+        if (answer.status == 200 && answer.body != "answer to " + marker)
+            out.push_back(marker + ": got '" + answer.body + "'");
+        if (answer.state == "ran" && answer.status == 200
+            && std::none_of(runs.begin(), runs.end(),
+                            [](const execution_record *run) { return run->finished; }))
+            out.push_back(marker + ": 'ran', but no backend server finished it");
+        // An idempotent request has no id, so a refusal speaks for its own send only.
+        if (answer.state != "not-run" || !request.isWrite)
+            continue;
+        for (const execution_record *run : runs) {
+            if (run->began <= answer.when || !hasSendAfter(request.sends, answer.when, run->began))
+                out.push_back(marker + ": 'not-run', but a backend server ran it; "
+                              + historyOf(request, runs));
+        }
+    }
+}
+
+std::string oracle::historyOf(const request_record &request,
+                              const std::vector<const execution_record *> &runs)
+{
+    std::string text;
+    for (const time_point sent : request.sends)
+        text += "sent " + at(sent) + ", ";
+    for (const answer_record &answer : request.answers)
+        text += "answered " + at(answer.when) + " " + answer.state + " "
+                + std::to_string(answer.status) + ", ";
+    for (const execution_record *run : runs)
+        text += "ran " + at(run->began) + " on " + run->node + ", ";
+    return text;
+}
+
+void oracle::checkRates(const std::vector<execution_record> &executions, duration longestWait,
+                        std::vector<std::string> &out) const
+{
+    std::map<std::string, std::vector<time_point>> admissions;
+    std::map<std::string, std::size_t> seen;
+    for (const execution_record &record : executions) {
+        const auto request = m_requests.find(record.marker);
+        if (request == m_requests.end())
+            continue;
+        // Retries by nodes belong to the send that was admitted.
+        if (seen[record.marker]++ < request->second.sends.size())
+            admissions[record.customer].push_back(record.began);
+    }
+    for (auto &[customer, times] : admissions) {
+        const auto bound = m_bounds.find(customer);
+        if (bound == m_bounds.end())
+            continue;
+        std::sort(times.begin(), times.end());
+        // The level of an ideal bucket that every execution fills and the rate drains.
+        double level = 0;
+        time_point last = times.front();
+        const double limit = bound->second.burst + bound->second.rate * seconds(longestWait) + 1e-6;
+        for (const time_point when : times) {
+            level = std::max(0.0, level - bound->second.rate * seconds(when - last)) + 1;
+            last = when;
+            if (level > limit) {
+                out.push_back(customer + ": got more than its rate and burst");
+                break;
+            }
+        }
+    }
+}
+
+} // namespace tamarackridge::scenario
--- a/src/scenario/sample_fleet.cpp
+++ b/src/scenario/sample_fleet.cpp
@@ -98,7 +98,7 @@
     fleet.call(node, std::move(ask), [&id](const http_answer &answer) {
         id = std::string(headerValue(answer.headers, "Tamarackridge-Request-Id"));
     });
-    fleet.run(std::chrono::milliseconds(1));
+    fleet.run(std::chrono::milliseconds(5));
     return id;
 }
 
--- /dev/null
+++ b/src/scenario/script.cpp
@@ -0,0 +1,116 @@
+#include "scenario/script.h"
+
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace tamarackridge::scenario {
+namespace {
+
+constexpr std::array<std::string_view, 7> setupVerbs{"seed", "zones",  "customer", "latency",
+                                                     "run",  "expect", "mode"};
+
+bool isSetupVerb(std::string_view verb)
+{
+    for (std::string_view known : setupVerbs) {
+        if (known == verb)
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::string> wordsOf(const std::string &text)
+{
+    std::istringstream stream(text.substr(0, text.find('#')));
+    std::vector<std::string> words;
+    std::string word;
+    while (stream >> word)
+        words.push_back(word);
+    return words;
+}
+
+tl::expected<script_line, script_fault> parseLine(std::vector<std::string> words,
+                                                  std::size_t number)
+{
+    script_line line;
+    line.number = number;
+    if (words.front() == "at") {
+        if (words.size() < 3)
+            return tl::unexpected(script_fault{number, "expected 'at TIME VERB …'"});
+        line.at = parseDuration(words[1]);
+        if (!line.at)
+            return tl::unexpected(script_fault{number, "'" + words[1] + "' is no duration"});
+        words.erase(words.begin(), words.begin() + 2);
+    }
+    line.verb = words.front();
+    line.words.assign(words.begin() + 1, words.end());
+    if (isSetupVerb(line.verb) == line.at.has_value())
+        return tl::unexpected(
+                script_fault{number, line.at ? "'" + line.verb + "' takes no time"
+                                             : "'" + line.verb + "' needs 'at TIME' before it"});
+    return line;
+}
+
+} // namespace
+
+std::optional<std::string> script_line::option(std::string_view name) const
+{
+    for (std::size_t index = 0; index + 1 < words.size(); ++index) {
+        if (words[index] == name)
+            return words[index + 1];
+    }
+    return std::nullopt;
+}
+
+tl::expected<std::vector<script_line>, script_fault> parseScript(std::istream &in)
+{
+    std::vector<script_line> lines;
+    std::string text;
+    for (std::size_t number = 1; std::getline(in, text); ++number) {
+        std::vector<std::string> words = wordsOf(text);
+        if (words.empty())
+            continue;
+        tl::expected<script_line, script_fault> line = parseLine(std::move(words), number);
+        if (!line)
+            return tl::unexpected(line.error());
+        lines.push_back(std::move(*line));
+    }
+    return lines;
+}
+
+std::optional<double> parseNumber(std::string_view text)
+{
+    double value = 0;
+    const std::from_chars_result end =
+            std::from_chars(text.data(), text.data() + text.size(), value);
+    if (end.ec != std::errc() || end.ptr != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return value;
+}
+
+std::optional<duration> parseDuration(std::string_view text)
+{
+    const std::size_t unitBegin = text.find_first_not_of("0123456789.");
+    if (unitBegin == std::string_view::npos)
+        return std::nullopt;
+    const std::optional<double> value = parseNumber(text.substr(0, unitBegin));
+    const std::string_view unit = text.substr(unitBegin);
+    const double factor = unit == "ms" ? 1e-3 : unit == "s" ? 1.0 : unit == "m" ? 60.0 : 0.0;
+    if (!value || factor == 0.0)
+        return std::nullopt;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(*value * factor));
+}
+
+std::vector<std::string> splitAtCommas(std::string_view text)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    while (begin <= text.size()) {
+        const std::size_t comma = std::min(text.find(',', begin), text.size());
+        parts.emplace_back(text.substr(begin, comma - begin));
+        begin = comma + 1;
+    }
+    return parts;
+}
+
+} // namespace tamarackridge::scenario
--- /dev/null
+++ b/src/scenario/script_steps.cpp
@@ -0,0 +1,125 @@
+#include "scenario/script_runner.h"
+
+#include <algorithm>
+#include <array>
+
+namespace tamarackridge::scenario {
+
+namespace {
+
+using fleet_step = void (virtual_fleet::*)(const std::string &);
+
+struct fleet_verb
+{
+    std::string_view verb;
+    fleet_step run;
+};
+
+constexpr std::array zoneVerbs{fleet_verb{"cut", &virtual_fleet::cutZone},
+                               fleet_verb{"heal", &virtual_fleet::healZone},
+                               fleet_verb{"cut-log", &virtual_fleet::cutLog},
+                               fleet_verb{"heal-log", &virtual_fleet::healLog}};
+
+constexpr std::array nodeVerbs{fleet_verb{"kill", &virtual_fleet::kill},
+                               fleet_verb{"stop", &virtual_fleet::stop},
+                               fleet_verb{"replace", &virtual_fleet::replace},
+                               fleet_verb{"pause", &virtual_fleet::pause},
+                               fleet_verb{"resume", &virtual_fleet::resume},
+                               fleet_verb{"crash", &virtual_fleet::crashBackend},
+                               fleet_verb{"restart", &virtual_fleet::restartBackend},
+                               fleet_verb{"freeze", &virtual_fleet::freezeBackend}};
+
+template <typename Table>
+fleet_step findVerb(const Table &table, std::string_view verb)
+{
+    for (const fleet_verb &entry : table) {
+        if (entry.verb == verb)
+            return entry.run;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+bool script_runner::runStep(const script_line &line)
+{
+    if (line.verb == "load")
+        return load(line);
+    if (line.verb == "log")
+        return log(line);
+    if (line.verb == "slow")
+        return slow(line);
+    if (line.words.size() != 1)
+        return false;
+    const std::string &name = line.words.front();
+    const fleet_step zoneStep = findVerb(zoneVerbs, line.verb);
+    const fleet_step nodeStep = findVerb(nodeVerbs, line.verb);
+    if (!(zoneStep != nullptr && isZone(name)) && !(nodeStep != nullptr && isNode(name)))
+        return false;
+    (m_sample->fleet.*(zoneStep != nullptr ? zoneStep : nodeStep))(name);
+    return true;
+}
+
+bool script_runner::isNode(const std::string &name) const
+{
+    const std::size_t dash = name.find('-');
+    return dash != std::string::npos && isZone(name.substr(0, dash));
+}
+
+bool script_runner::isZone(const std::string &name) const
+{
+    return std::find(m_sample->zones.begin(), m_sample->zones.end(), name) != m_sample->zones.end();
+}
+
+bool script_runner::load(const script_line &line)
+{
+    if (line.words.empty() || !m_sample->configuration.keys.contains(line.words.front()))
+        return false;
+    caller_group group;
+    group.customer = line.words.front();
+    group.zones = m_sample->zones;
+    if (const std::optional<std::string> zones = line.option("zones"))
+        group.zones = splitAtCommas(*zones);
+    if (const std::optional<std::string> target = line.option("target"))
+        group.target = *target;
+    const std::optional<std::string> rate = line.option("rate");
+    const std::optional<std::string> length = line.option("for");
+    const std::optional<double> perSecond = rate ? parseNumber(*rate) : std::nullopt;
+    const std::optional<duration> time = length ? parseDuration(*length) : std::nullopt;
+    if (!perSecond || *perSecond <= 0 || !time)
+        return false;
+    group.rate = *perSecond;
+    group.writeShare = parseNumber(line.option("writes").value_or("0")).value_or(0);
+    group.resends = static_cast<int>(parseNumber(line.option("resends").value_or("0")).value_or(0));
+    m_load->start(group, *time);
+    return true;
+}
+
+bool script_runner::log(const script_line &line)
+{
+    const std::string state = line.words.empty() ? std::string() : line.words.front();
+    if (state == "lose-answers" && line.words.size() == 2) {
+        m_sample->fleet.log().loseAnswers(static_cast<int>(parseNumber(line.words[1]).value_or(0)));
+        return true;
+    }
+    m_sample->fleet.log().setAvailable(state == "up");
+    return state == "up" || state == "down";
+}
+
+bool script_runner::slow(const script_line &line)
+{
+    const std::optional<duration> time =
+            line.words.size() == 2 ? parseDuration(line.words[1]) : std::nullopt;
+    if (!time)
+        return false;
+    bool found = false;
+    for (const std::string &name : m_sample->fleet.names()) {
+        if (!name.ends_with("-" + line.words.front()))
+            continue;
+        m_sample->fleet.backend(name).setServiceTime(*time);
+        found = true;
+    }
+    return found;
+}
+
+} // namespace tamarackridge::scenario
--- a/src/scenario/virtual_actions.cpp
+++ b/src/scenario/virtual_actions.cpp
@@ -18,9 +18,9 @@
     const auto found = member.calls.find(step.call);
     if (found == member.calls.end())
         return;
-    const answer_sink sink = std::move(found->second);
+    const open_call open = std::move(found->second);
     member.calls.erase(found);
-    m_events.after(duration::zero(), [sink, answer = std::move(step.answer)] { sink(answer); });
+    m_events.after(open.delay, [open, answer = std::move(step.answer)] { open.sink(answer); });
 }
 
 void virtual_fleet::act(live_member &member, run_backend &step)
--- a/src/scenario/virtual_fleet.cpp
+++ b/src/scenario/virtual_fleet.cpp
@@ -56,7 +56,7 @@
             },
             [this, name](const http_request &request,
                          std::function<void(const http_answer &)> done) {
-                call(name, request, std::move(done));
+                callAfter(name, request, std::move(done), duration::zero());
             },
             [this, name, life] {
                 deliver(name, life, [this](live_member &self) {
@@ -166,22 +166,49 @@
     start(fleet_member(m_settings.at(node)));
 }
 
+void virtual_fleet::crashBackend(const std::string &node)
+{
+    if (alive(node))
+        backend(node).crash();
+}
+
+void virtual_fleet::restartBackend(const std::string &node)
+{
+    if (alive(node) && !backend(node).up())
+        backend(node).restart();
+}
+
+void virtual_fleet::freezeBackend(const std::string &node)
+{
+    if (alive(node))
+        backend(node).setFrozen(true);
+}
+
 bool virtual_fleet::reaches(const std::string &fromZone, const std::string &toZone) const
 {
     return fromZone == toZone || (!m_cutZones.contains(fromZone) && !m_cutZones.contains(toZone));
 }
 
 void virtual_fleet::call(const std::string &node, http_request request, answer_sink sink)
+{
+    callAfter(node, std::move(request), std::move(sink), m_options.callerDelay);
+}
+
+void virtual_fleet::callAfter(const std::string &node, http_request request, answer_sink sink,
+                              duration delay)
 {
     const auto found = m_members.find(node);
     if (found == m_members.end())
         return;
     const call_id call = m_nextCall++;
-    found->second->calls.emplace(call, std::move(sink));
-    deliver(node, found->second->self.life, [this, call, request](live_member &self) {
-        action_list out;
-        self.core->callerRequest(call, request, m_events.now(), out);
-        perform(self, std::move(out));
+    const incarnation life = found->second->self.life;
+    found->second->calls.emplace(call, open_call{std::move(sink), delay});
+    m_events.after(delay, [this, node, life, call, request = std::move(request)] {
+        deliver(node, life, [this, call, request](live_member &self) {
+            action_list out;
+            self.core->callerRequest(call, request, m_events.now(), out);
+            perform(self, std::move(out));
+        });
     });
 }
 
--- a/src/scenario/virtual_fleet.h
+++ b/src/scenario/virtual_fleet.h
@@ -43,6 +43,7 @@
     std::uint64_t seed = 1;
     duration sameZoneDelay = std::chrono::microseconds(100);
     duration otherZoneDelay = std::chrono::microseconds(1500);
+    duration callerDelay = std::chrono::milliseconds(1);
     duration logDelay = std::chrono::milliseconds(5);
     duration logRetention = std::chrono::hours(24);
     duration quotaClaimDelay = std::chrono::seconds(1);
@@ -77,6 +78,11 @@
     void cutLog(const std::string &zone) { m_cutLogs.insert(zone); }
     void healLog(const std::string &zone) { m_cutLogs.erase(zone); }
 
+    void crashBackend(const std::string &node);
+    void restartBackend(const std::string &node);
+    /// \brief The backend server of \a node takes requests and never answers them.
+    void freezeBackend(const std::string &node);
+
     /// \brief Sends a caller's request to a node. No answer comes when the node dies.
     void call(const std::string &node, http_request request, answer_sink sink);
     /// \brief Appends a publication of a whole set to the log, from the empty set.
@@ -94,6 +100,11 @@
     const std::map<std::string, std::uint64_t> &messagesSent() const { return m_messagesSent; }
 
 private:
+    struct open_call
+    {
+        answer_sink sink;
+        duration delay; ///< One way between caller and node.
+    };
     struct reading
     {
         std::int64_t next = 0;
@@ -106,11 +117,12 @@
         std::unique_ptr<scenario_random> random;
         std::unique_ptr<node_core> core;
         std::unique_ptr<virtual_backend> backend;
-        std::map<call_id, answer_sink> calls;
+        std::map<call_id, open_call> calls;
         std::map<std::string, reading> readings;
         std::vector<std::function<void(live_member &)>> heldBack; ///< While paused.
     };
 
+    void callAfter(const std::string &node, http_request request, answer_sink sink, duration delay);
     /// \brief Runs \a event at a node, or keeps it until the node is resumed.
     void deliver(const std::string &node, incarnation life,
                  std::function<void(live_member &)> event);
