Make the concurrency limit steady for servers of few slots

Cause: integer limits rounded down lost up to a third of 4 slots in every check, windows of 10 runs were too noisy for the elasticity, and the minimum kept during the ramp followed that noise (an unused limit fell from 8 to 4). The limit is rounded, windows hold 20 runs, the baseline follows down as an average in the ramp too, and full checks are at least 30 windows apart.

--- a/include/tamarackridge/src/overload/concurrency_limit.h
+++ b/include/tamarackridge/src/overload/concurrency_limit.h
@@ -69,6 +69,7 @@
     void onRampWindow(const latency_point &point, time_point now);
     void onSteadyWindow(const latency_point &point, time_point now);
     void onCheckWindow(const latency_point &point, time_point now);
+    void followDown(const latency_point &point);
     void beginCheck(const latency_point &point, time_point now);
     void stepDown(const latency_point &point, time_point now);
     void endCheck(time_point now);
--- a/src/core/overload/concurrency_limit.cpp
+++ b/src/core/overload/concurrency_limit.cpp
@@ -18,7 +18,9 @@
 // Latency in proportion to concurrency has elasticity 1, latency independent of it 0.
 constexpr double queueingElasticity = 0.5;
 constexpr double comparableInFlight = 0.9;
-constexpr std::uint32_t minSamples = 10;
+// A window at a reduced limit costs throughput; this keeps the loss to about one percent.
+constexpr int windowsPerCheck = 30;
+constexpr std::uint32_t minSamples = 20;
 constexpr std::uint32_t maxSamples = 100;
 } // namespace
 
@@ -64,7 +66,8 @@
 
 std::uint32_t concurrency_limit::limit() const
 {
-    const std::uint32_t learned = static_cast<std::uint32_t>(m_limit);
+    // Rounding down would cost a server of few slots a large share of them in every check.
+    const std::uint32_t learned = static_cast<std::uint32_t>(std::lround(m_limit));
     return std::max(m_hint > 0 ? std::min(learned, m_hint) : learned, m_options.minLimit);
 }
 
@@ -96,8 +99,7 @@
 
 void concurrency_limit::onRampWindow(const latency_point &point, time_point now)
 {
-    // Caches warm up during the ramp, so the quickest window counts.
-    m_baseline = m_baseline > 0 ? std::min(m_baseline, point.latency) : point.latency;
+    followDown(point);
     if (point.latency > m_options.tolerance * m_baseline) {
         beginCheck(point, now);
     } else if (m_limit >= ceiling()) {
@@ -110,10 +112,7 @@
 
 void concurrency_limit::onSteadyWindow(const latency_point &point, time_point now)
 {
-    if (m_baseline <= 0)
-        m_baseline = point.latency;
-    if (point.latency < m_baseline)
-        m_baseline += baselineWeight * (point.latency - m_baseline);
+    followDown(point);
     const bool high = point.latency > m_options.tolerance * m_baseline;
     if (high || (m_used && now >= m_nextCheck))
         beginCheck(point, now);
@@ -146,6 +145,15 @@
         endCheck(now);
 }
 
+void concurrency_limit::followDown(const latency_point &point)
+{
+    // The minimum would follow the noise of small windows; an average also follows warming caches.
+    if (m_baseline <= 0)
+        m_baseline = point.latency;
+    else if (point.latency < m_baseline)
+        m_baseline += baselineWeight * (point.latency - m_baseline);
+}
+
 void concurrency_limit::beginCheck(const latency_point &point, time_point now)
 {
     m_phase = phase::check;
@@ -166,7 +174,8 @@
 {
     // A check that stopped early has not seen the latency without queueing.
     if (m_untilFlat)
-        m_nextCheck = now + m_options.checkPeriod;
+        m_nextCheck =
+                now + std::max(m_options.checkPeriod, windowsPerCheck * (now - m_window.start()));
     m_phase = phase::steady;
     m_learnFrom = now;
 }
