--- a/include/tamarackridge/src/routing/router.h
+++ b/include/tamarackridge/src/routing/router.h
@@ -35,8 +35,14 @@
 
 /// \brief Chooses the backend server for a request and learns from the answers.
 ///
+/// An executor that got no request for some seconds is tried again with one request, also in
+/// another zone while the own zone serves; otherwise its estimate would never be corrected.
+///
 /// \code
-/// router routes({ .node = "n1", .zone = "oviedo" });
+/// router_options options;
+/// options.node = "n1";
+/// options.zone = "oviedo";
+/// router routes(options);
 /// routes.upsertExecutor({ .node = "n2", .zone = "oviedo", .service = "booking" });
 /// tl::expected<std::string_view, error_kind> target
 ///         = routes.choose("booking", rank, {}, now, random);
--- /dev/null
+++ b/tests/routing_choice_test.cpp
@@ -0,0 +1,219 @@
+#include "tamarackridge/routing"
+
+#include "fakes/seeded_random.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+using namespace tamarackridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+router_options optionsFor(const std::string &node)
+{
+    router_options options;
+    options.node = node;
+    options.zone = "north";
+    return options;
+}
+
+class routing_fixture : public testing::Test
+{
+protected:
+    void add(const std::string &node, const std::string &zone, duration linkDelay = 0ms)
+    {
+        routes.upsertExecutor({node, zone, "booking", executor_state::serving, linkDelay});
+    }
+
+    std::string choose(std::uint8_t rank = 5, const std::vector<std::string> &excluded = {})
+    {
+        return std::string(
+                routes.choose("booking", rank, excluded, now, random).value_or(std::string_view()));
+    }
+
+    /// Dispatches one request and lets the named executor answer it at once.
+    void answer(const std::string &node, duration latency, run_outcome outcome, int times = 1)
+    {
+        for (int i = 0; i < times; ++i) {
+            routes.onDispatched(node, now);
+            now += latency;
+            routes.onAnswer(node, latency, outcome, nullptr, now);
+        }
+    }
+
+    std::map<std::string, int> countChoices(int requests, std::uint8_t rank = 5)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < requests; ++i)
+            ++counts[choose(rank)];
+        return counts;
+    }
+
+    void shedBelow(const std::string &node, std::uint8_t threshold)
+    {
+        routes.onHeartbeat(node, {threshold, 10, 10, 0});
+    }
+
+    time_point now{1h};
+    fakes::seeded_random random{20261204};
+    router routes{optionsFor("own")};
+};
+
+} // namespace
+
+// Guards against traffic between zones while the own zone serves, which would spread one zone's
+// trouble to all.
+TEST_F(routing_fixture, StaysInTheOwnZoneWhileItServes)
+{
+    add("n1", "north");
+    add("n2", "north");
+    add("s1", "south", 1ms);
+    for (const char *node : {"n1", "n2", "s1"})
+        answer(node, 20ms, run_outcome::success, 20);
+    EXPECT_EQ(countChoices(200).count("s1"), 0U);
+    answer("n1", 100ms, run_outcome::success, 50);
+    EXPECT_EQ(countChoices(200).count("s1"), 0U) << "one slow executor is no reason to spill over";
+}
+
+// Guards against a zone whose servers refuse, are ejected or are slow keeping its callers waiting.
+TEST_F(routing_fixture, SpillsOverWhenTheOwnZoneRefusesIsEjectedOrIsSlow)
+{
+    add("n1", "north");
+    add("s1", "south", 1ms);
+    answer("n1", 20ms, run_outcome::success, 20);
+    answer("s1", 20ms, run_outcome::success, 20);
+    shedBelow("n1", 6);
+    EXPECT_EQ(choose(5), "s1");
+    EXPECT_EQ(choose(6), "n1");
+    shedBelow("n1", 0);
+    answer("n1", 100ms, run_outcome::success, 50);
+    EXPECT_EQ(choose(), "s1");
+    answer("n1", 20ms, run_outcome::success, 50);
+    answer("s1", 20ms, run_outcome::success); // An old estimate would be tried again.
+    EXPECT_EQ(choose(), "n1");
+    answer("n1", 20ms, run_outcome::failed, 5);
+    EXPECT_EQ(choose(), "s1");
+}
+
+// Guards against work that is carried to a server only to be refused there, and against never
+// noticing that the threshold has fallen. The higher rank must get through all the while.
+TEST_F(routing_fixture, RefusesEarlyAndProbesWithOnePercent)
+{
+    add("n1", "north");
+    add("s1", "south", 1ms);
+    shedBelow("n1", 3);
+    shedBelow("s1", 4);
+    int sent = 0;
+    for (int i = 0; i < 10000; ++i) {
+        const tl::expected<std::string_view, error_kind> target =
+                routes.choose("booking", 2, {}, now, random);
+        if (target)
+            ++sent;
+        else
+            EXPECT_EQ(target.error(), error_kind::overloaded);
+    }
+    EXPECT_NEAR(sent, 100, 40);
+    EXPECT_EQ(countChoices(100, 3)["n1"], 100);
+}
+
+// Guards against a dead executor that keeps getting requests, and against one that is never used
+// again; the backoff doubles and each probe is a single request.
+TEST_F(routing_fixture, EjectsAfterAStreakAndProbesWithBackoff)
+{
+    add("n1", "north");
+    add("n2", "north");
+    answer("n1", 1ms, run_outcome::timeout, 5);
+    EXPECT_EQ(countChoices(50)["n2"], 50);
+    now += 1s;
+    EXPECT_EQ(choose(), "n1");
+    routes.onDispatched("n1", now);
+    EXPECT_EQ(countChoices(50)["n2"], 50) << "only one probe";
+    routes.onAnswer("n1", 1ms, run_outcome::timeout, nullptr, now);
+    now += 1500ms;
+    EXPECT_EQ(choose(), "n2") << "the second ejection lasts twice as long";
+    now += 500ms;
+    EXPECT_EQ(choose(), "n1");
+    answer("n1", 1ms, run_outcome::success);
+    EXPECT_FALSE(routes.isEjected("n1", now));
+}
+
+// Guards against an executor that sends heartbeats with low load and answers nothing.
+TEST_F(routing_fixture, HeartbeatsDoNotKeepAHalfDeadExecutorInUse)
+{
+    add("n1", "north");
+    add("n2", "north");
+    for (int i = 0; i < 5; ++i)
+        routes.onDispatched("n1", now);
+    now += 1500ms;
+    routes.onHeartbeat("n1", {0, 100, 0, 0});
+    EXPECT_EQ(countChoices(50)["n2"], 50);
+}
+
+// Guards against an outage of a whole backoff after all executors of a service failed together.
+TEST_F(routing_fixture, LastExecutorIsTriedOneRequestAtATime)
+{
+    add("n1", "north");
+    answer("n1", 1ms, run_outcome::failed, 5);
+    EXPECT_EQ(choose(), "n1");
+    routes.onDispatched("n1", now);
+    EXPECT_EQ(choose(), "");
+}
+
+// Guards against equal shares for servers of different speed, which the slowest cannot carry, and
+// against never asking a once slow server again.
+TEST_F(routing_fixture, SlowerServersGetLessAndAreTriedAgain)
+{
+    for (const char *node : {"n1", "n2", "n3", "n4"}) {
+        add(node, "north");
+        answer(node, node == std::string("n4") ? 60ms : 20ms, run_outcome::success, 20);
+    }
+    EXPECT_EQ(countChoices(1000).count("n4"), 0U);
+    now += 20s;
+    for (const char *node : {"n1", "n2", "n3"})
+        answer(node, 20ms, run_outcome::success);
+    EXPECT_GT(countChoices(1000)["n4"], 0);
+}
+
+// Guards against a retry on a node that already failed the request, and a wrong error kind.
+TEST_F(routing_fixture, ExcludedNodesAreNotChosen)
+{
+    add("n1", "north");
+    add("n2", "north");
+    EXPECT_EQ(choose(5, {"n1"}), "n2");
+    EXPECT_EQ(choose(5, {"n1", "n2"}), "");
+    EXPECT_EQ(routes.choose("unknown", 5, {}, now, random).error(), error_kind::no_backend_server);
+}
+
+// Guards against connections from every node to every server, and against a reshuffle of all
+// subsets when one server leaves.
+RC_GTEST_PROP(RouterSubset, IsBoundedStableAndSkipsLeavingExecutors, ())
+{
+    const int executors = *rc::gen::inRange(1, 40);
+    const std::string own = *rc::gen::arbitrary<std::string>();
+    fakes::seeded_random random(20261204);
+    const time_point now(1h);
+    router routes(optionsFor(own));
+    for (int i = 0; i < executors; ++i)
+        routes.upsertExecutor({"n" + std::to_string(i), "north", "booking"});
+    const auto used = [&] {
+        std::set<std::string, std::less<>> nodes;
+        for (int i = 0; i < 400; ++i)
+            nodes.emplace(*routes.choose("booking", 0, {}, now, random));
+        return nodes;
+    };
+    const std::set<std::string, std::less<>> before = used();
+    RC_ASSERT(before.size() == static_cast<std::size_t>(std::min(executors, 8)));
+    RC_PRE(executors > 1);
+    const std::string leaving = *before.begin();
+    routes.upsertExecutor({leaving, "north", "booking", executor_state::not_serving});
+    std::set<std::string, std::less<>> after = used();
+    RC_ASSERT(after.count(leaving) == 0);
+    for (const std::string &node : before)
+        after.erase(node);
+    RC_ASSERT(after.size() <= 1);
+}
