Make a refusal final for its request id

Ruled out: ordering the sends at the owner, since callers do not number them. Now a refused id is never run; the refusal carries a fresh id to try again with, and only the owner of an id says not-run about it. The test that a refused id may run again stated the fault and is replaced by one that forbids it. The oracle now judges a refusal by the id of the refused send: nothing may ever run under that id, before or after. Its earlier rule also blamed late answers to sends without an id, or under an id that the caller had already replaced; such sends can never run.

--- a/include/tamarackridge/src/base/error_kind.h
+++ b/include/tamarackridge/src/base/error_kind.h
@@ -26,6 +26,7 @@
     request_id_invalid,
     request_id_expired,
     request_id_reused,
+    request_id_refused,
     non_idempotent_under_idempotent,
     // Refusals under load and policy.
     rate_exceeded,
--- a/include/tamarackridge/src/ledger/ledger.h
+++ b/include/tamarackridge/src/ledger/ledger.h
@@ -37,7 +37,7 @@
 struct ledger_decision
 {
     enum class verdict : std::uint8_t {
-        run, ///< The first send, or the first one after a truthful `not-run`.
+        run, ///< The first send.
         wait, ///< Already running: the call gets the answer of the running one.
         replay, ///< Already answered: \a answer.
         refuse, ///< \a error.
@@ -47,6 +47,7 @@
     ledger_key key;
     http_answer answer;
     error_kind error = error_kind::request_id_invalid;
+    run_state state = run_state::unknown; ///< With \a refuse.
 };
 
 /// \brief Records of the request ids that this incarnation issued: the at-most-once decision.
@@ -83,6 +84,9 @@
     /// \brief A backend server answered; a late answer also replaces an unknown outcome.
     void answered(const ledger_key &key, const http_answer &answer);
     /// \brief The request was refused and no backend server has received it.
+    ///
+    /// The refusal is final for this id: an earlier send of it that was held up on its way would
+    /// otherwise run after the caller was told `not-run`. The caller gets a fresh id to try again.
     void refused(const ledger_key &key);
     /// \brief Whether the request ran will not become known.
     void outcomeUnknown(const ledger_key &key);
@@ -118,8 +122,8 @@
     };
 
     bool expired(time_point issued, time_point now) const;
-    ledger_decision decide(record &found, const ledger_key &key, std::string_view customer,
-                           std::uint64_t requestDigest) const;
+    static ledger_decision decide(const record &found, const ledger_key &key,
+                                  std::string_view customer, std::uint64_t requestDigest);
     ledger_decision beginAt(const ledger_key &key, time_point issued, std::string_view customer,
                             std::uint64_t requestDigest);
     void storeAnswer(const ledger_key &key, record &target, const http_answer &answer);
--- a/src/core/base/error_kind.cpp
+++ b/src/core/base/error_kind.cpp
@@ -26,6 +26,7 @@
     error_answer{request_id_invalid, "request_id_invalid", 400, not_run, final, "The request id was not issued by this fleet."},
     error_answer{request_id_expired, "request_id_expired", 409, unknown, final, "The request id has expired; whether the request ran is no longer known."},
     error_answer{request_id_reused, "request_id_reused", 422, not_run, final, "The request id already belongs to a different request."},
+    error_answer{request_id_refused, "request_id_refused", 409, not_run, resend, "The request was refused under this request id and will not run under it; send it with the request id of this answer."},
     error_answer{non_idempotent_under_idempotent, "non_idempotent_under_idempotent", 409, not_run, final, "A request on an idempotent route may be retried and so cannot call a non-idempotent route."},
     error_answer{rate_exceeded, "rate_exceeded", 429, not_run, resend, "The customer's rate and burst are used up."},
     error_answer{overloaded, "overloaded", 503, not_run, resend, "The service is overloaded and admits more important requests first."},
--- a/src/core/ledger/ledger.cpp
+++ b/src/core/ledger/ledger.cpp
@@ -7,7 +7,7 @@
 
 ledger_decision refusal(const ledger_key &key, error_kind error)
 {
-    return {verdict::refuse, key, {}, error};
+    return {verdict::refuse, key, {}, error, answerFor(error).state};
 }
 
 ledger_secret drawSecret(random_source &random)
@@ -89,29 +89,32 @@
     const auto found = m_records.find(key);
     if (found != m_records.end())
         return decide(found->second, key, customer, requestDigest);
-    if (m_records.size() >= m_options.maxRecords)
-        return refusal(key, error_kind::overloaded);
+    if (m_records.size() >= m_options.maxRecords) {
+        // Without a record another send of this id could still run, so `not-run` would be a guess.
+        ledger_decision full = refusal(key, error_kind::overloaded);
+        full.state = run_state::unknown;
+        return full;
+    }
     record fresh;
     fresh.digest = requestDigest;
     fresh.customer = std::string(customer);
     fresh.issued = issued;
     m_records.emplace(key, std::move(fresh));
-    return {verdict::run, key, {}, error_kind::internal_error};
+    return {verdict::run, key, {}, error_kind::internal_error, run_state::unknown};
 }
 
-ledger_decision ledger::decide(record &found, const ledger_key &key, std::string_view customer,
-                               std::uint64_t requestDigest) const
+ledger_decision ledger::decide(const record &found, const ledger_key &key,
+                               std::string_view customer, std::uint64_t requestDigest)
 {
     if (found.customer != customer || found.digest != requestDigest)
         return refusal(key, error_kind::request_id_reused);
     switch (found.state) {
     case ledger_state::running:
-        return {verdict::wait, key, {}, error_kind::internal_error};
+        return {verdict::wait, key, {}, error_kind::internal_error, run_state::unknown};
     case ledger_state::answered:
-        return {verdict::replay, key, found.answer, error_kind::internal_error};
+        return {verdict::replay, key, found.answer, error_kind::internal_error, run_state::unknown};
     case ledger_state::refused:
-        found.state = ledger_state::running;
-        return {verdict::run, key, {}, error_kind::internal_error};
+        return refusal(key, error_kind::request_id_refused);
     case ledger_state::unknown:
         break;
     }
--- a/src/core/node/entry.cpp
+++ b/src/core/node/entry.cpp
@@ -64,9 +64,13 @@
         serveRequestIds(call, request, now, out);
         return;
     }
+    // An earlier send of a request with an id may have run; only the id's owner knows.
+    const bool mayHaveRun = !headerValue(request.headers, header::requestId).empty()
+                            || !headerValue(request.headers, header::idempotencyKey).empty();
     tl::expected<admitted_call, error_kind> admitted = authorize(call, request, now);
     if (!admitted) {
-        reject({call, {}}, admitted.error(), now, out);
+        const run_state state = mayHaveRun ? run_state::unknown : answerFor(admitted.error()).state;
+        answerWaiter({call, {}}, {state, admitted.error(), {}, 0}, out);
         return;
     }
     admit(std::move(*admitted), now, out);
@@ -152,10 +156,8 @@
     }
     const std::string_view text = headerValue(call.request.headers, header::requestId);
     if (text.empty()) {
-        http_answer answer = errorAnswer(error_kind::request_id_required);
-        answer.headers.push_back({std::string(header::requestId), m_ids.issue(now)});
-        m_counters.add(node_counter::calls_refused);
-        out.push_back(answer_caller{call.from.call, std::move(answer)});
+        answerWaiter(call.from, refusalOf(error_kind::request_id_required, run_state::not_run, now),
+                     out);
         return;
     }
     const std::optional<request_id> id = request_id::parse(text);
@@ -224,7 +226,7 @@
         answerWaiter(call.from, {run_state::ran, std::nullopt, decision.answer, 0}, out);
         return;
     case ledger_decision::verdict::refuse:
-        reject(call.from, decision.error, now, out);
+        answerWaiter(call.from, refusalOf(decision.error, decision.state, now), out);
         return;
     }
 }
--- a/src/core/node/entry.h
+++ b/src/core/node/entry.h
@@ -106,6 +106,9 @@
     bool openOnward(admitted_call &call, entry_request &target);
     void start(entry_id id, time_point now, action_list &out);
     void proceed(entry_id id, time_point now, action_list &out);
+    /// \returns a refusal of a request with an id; after `not-run` it carries a fresh id, since the
+    /// refused one is never run.
+    request_outcome refusalOf(error_kind kind, run_state state, time_point now);
     void reject(const waiter &to, error_kind kind, time_point now, action_list &out);
     void finish(entry_id id, request_outcome result, time_point now, action_list &out);
     void recordOutcome(const entry_request &ended, const request_outcome &result);
--- a/src/core/node/entry_outcome.cpp
+++ b/src/core/node/entry_outcome.cpp
@@ -85,6 +85,14 @@
         finish(found->second, std::move(result), now, out);
 }
 
+request_outcome entry::refusalOf(error_kind kind, run_state state, time_point now)
+{
+    request_outcome result{state, kind, {}, 0};
+    if (state == run_state::not_run)
+        result.answer.headers.push_back({std::string(header::requestId), m_ids.issue(now)});
+    return result;
+}
+
 void entry::recordOutcome(const entry_request &ended, const request_outcome &result)
 {
     if (!ended.key)
@@ -107,6 +115,8 @@
     if (!result.error)
         result.answer.headers = answerHeaders(result.answer.headers);
     recordOutcome(ended, result);
+    if (ended.key && result.error)
+        result.answer = refusalOf(*result.error, result.state, now).answer;
     if (ended.parent) {
         if (running_request *parent = m_handles.findRun(*ended.parent))
             parent->attempts.close(ended.part, result.attemptsUnused);
@@ -127,9 +137,7 @@
                           out);
         return;
     }
-    http_answer answer = result.error ? errorAnswer(*result.error, result.state)
-                                      : withRunState(result.answer, result.state);
-    out.push_back(answer_caller{to.call, std::move(answer)});
+    out.push_back(answer_caller{to.call, callerAnswer(result.error, result.state, result.answer)});
 }
 
 void entry::reject(const waiter &to, error_kind kind, time_point, action_list &out)
--- a/src/core/node/error_answer.cpp
+++ b/src/core/node/error_answer.cpp
@@ -37,10 +37,15 @@
     return errorAnswer(kind, answerFor(kind).state);
 }
 
-http_answer withRunState(http_answer answer, run_state state)
+http_answer callerAnswer(std::optional<error_kind> error, run_state state,
+                         const http_answer &answer)
 {
-    answer.headers.push_back({"Tamarackridge-Run-State", std::string(toString(state))});
-    return answer;
+    http_answer result = error ? errorAnswer(*error, state) : answer;
+    if (error)
+        result.headers.insert(result.headers.end(), answer.headers.begin(), answer.headers.end());
+    else
+        result.headers.push_back({"Tamarackridge-Run-State", std::string(toString(state))});
+    return result;
 }
 
 } // namespace tamarackridge::internal
--- a/src/core/node/owner_calls.cpp
+++ b/src/core/node/owner_calls.cpp
@@ -50,9 +50,8 @@
         m_counters.add(node_counter::unmatched_answers);
         return;
     }
-    http_answer answer = message.error ? errorAnswer(*message.error, message.state)
-                                       : withRunState(message.answer, message.state);
-    out.push_back(answer_caller{found->second.call, std::move(answer)});
+    out.push_back(answer_caller{found->second.call,
+                                callerAnswer(message.error, message.state, message.answer)});
     m_pending.erase(found);
 }
 
--- a/src/core/node/quota_service.cpp
+++ b/src/core/node/quota_service.cpp
@@ -12,7 +12,7 @@
     std::vector<customer_rate> rates;
     for (const customer &entry : set.objects().customers)
         rates.push_back(
-                {entry.name, entry.rate * tokens_per_request, entry.burst * tokens_per_request});
+                {entry.name, entry.rate * tokensPerRequest, entry.burst * tokensPerRequest});
     return rates;
 }
 
--- a/src/scenario/client_load.cpp
+++ b/src/scenario/client_load.cpp
@@ -78,17 +78,18 @@
     else
         message = m_sample.request("GET", request->group.target, request->group.customer,
                                    request->marker);
-    m_oracle.sent(request->marker, request->group.customer, request->isWrite, events.now());
+    m_oracle.sent(request->marker, request->group.customer, request->isWrite, request->id,
+                  events.now());
     m_sample.fleet.call(node, std::move(message),
-                        [this, request, generation](const http_answer &answer) {
+                        [this, request, generation, id = request->id](const http_answer &answer) {
+                            m_oracle.answered(request->marker, answer, id,
+                                              m_sample.fleet.events().now());
                             handle(request, generation, answer);
                         });
 }
 
 void client_load::handle(const request_handle &request, int generation, const http_answer &answer)
 {
-    const time_point now = m_sample.fleet.events().now();
-    m_oracle.answered(request->marker, answer, now);
     if (request->done || request->generation != generation)
         return;
     if (answer.status == 200) {
@@ -97,8 +98,10 @@
         return;
     }
     const std::string_view error = headerValue(answer.headers, "Tamarackridge-Error");
+    const std::string_view freshId = headerValue(answer.headers, "Tamarackridge-Request-Id");
+    if (!freshId.empty())
+        request->id = std::string(freshId);
     if (error == "request_id_required") {
-        request->id = std::string(headerValue(answer.headers, "Tamarackridge-Request-Id"));
         send(request);
         return;
     }
--- a/src/scenario/oracle.h
+++ b/src/scenario/oracle.h
@@ -21,13 +21,17 @@
 
 /// \brief Checks the safety points from outside: it sees sends, answers and executions only.
 ///
-/// A marker names one request over all of its sends.
+/// A marker names one request over all of its sends. A refusal of a write is held to the request id
+/// of the refused send: nothing may ever run under that id, neither before nor after the refusal.
 class oracle
 {
 public:
     void expectCustomer(const std::string &customer, customer_bound bound);
-    void sent(const std::string &marker, const std::string &customer, bool isWrite, time_point now);
-    void answered(const std::string &marker, const http_answer &answer, time_point now);
+    /// \param id request id of the send; a write without one can never run.
+    void sent(const std::string &marker, const std::string &customer, bool isWrite,
+              const std::string &id, time_point now);
+    void answered(const std::string &marker, const http_answer &answer, const std::string &id,
+                  time_point now);
 
     /// \param executions of all backend servers; onward calls have markers with a slash.
     /// \param longestWait time between admission and execution that a request can spend waiting.
@@ -45,15 +49,23 @@
         std::string state;
         int status = 0;
         std::string body;
+        std::string id;
+    };
+    struct send_record
+    {
+        time_point when;
+        std::string id;
     };
     struct request_record
     {
         std::string customer;
         bool isWrite = false;
-        std::vector<time_point> sends;
+        std::vector<send_record> sends;
         std::vector<answer_record> answers;
     };
 
+    static bool ranUnderAnotherId(const request_record &request, const std::string &id,
+                                  time_point began);
     static std::string historyOf(const request_record &request,
                                  const std::vector<const execution_record *> &runs);
     void checkRequest(const std::string &marker, const request_record &request,
