Read configuration sets in linear time and keep outcomes by offset

The parser callback of the JSON library walks through an object whenever one of its members ends, so that a section with thousands of keys took quadratic time. Repeated names are now found by a pass of their own.

--- a/include/tamarackridge/src/config/config_log.h
+++ b/include/tamarackridge/src/config/config_log.h
@@ -7,12 +7,12 @@
 #include "tamarackridge/src/node/peer_message.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace tamarackridge {
 
@@ -90,8 +90,12 @@
     /// \returns the state for a peer that has no newer version; the set is left out if the peer
     /// has the same version and lacks only the covered offset.
     std::optional<config_state> stateFor(std::int64_t haveVersion) const;
-    /// \returns what became of a publication that this reader decided on recently.
+    /// \returns what became of a publication that this reader decided on recently; of records with
+    /// the same id, as a resend leaves them, the first one counts.
     std::optional<publication_result> fateOf(std::string_view publicationId) const;
+    /// \returns what became of the publication at \a offset, if it was among the last to be
+    /// decided.
+    std::optional<publication_result> fateAt(std::int64_t offset) const;
     const config_log_counters &counters() const { return m_counters; }
 
 private:
@@ -106,6 +110,8 @@
     void takePublication(const publication &record, std::int64_t offset);
     void takeSnapshot(config_snapshot record, std::int64_t offset);
     void install(config_set set, std::int64_t version);
+    template <typename Condition>
+    std::optional<publication_result> findDecided(Condition condition) const;
     void remember(const publication &record, publication_result result);
 
     snapshot_schedule m_schedule;
@@ -117,8 +123,7 @@
     std::int64_t m_end = 0;
     std::int64_t m_relayed = -1; ///< Highest offset that a peer relayed.
     bool m_continuous = true; ///< False while records between m_covered and m_next are missing.
-    std::vector<decided> m_decided; ///< Ring buffer.
-    std::size_t m_oldestDecided = 0;
+    std::deque<decided> m_decided; ///< Oldest first.
     config_log_counters m_counters;
 };
 
--- a/src/core/config/config_log.cpp
+++ b/src/core/config/config_log.cpp
@@ -155,23 +155,25 @@
 
 void config_log::remember(const publication &record, publication_result result)
 {
-    // An append that was sent twice is decided by its first record.
-    if (fateOf(record.id))
-        return;
-    if (m_decided.size() < decidedCapacity) {
-        m_decided.push_back({record.id, result});
-        return;
-    }
-    m_decided[m_oldestDecided] = {record.id, result};
-    m_oldestDecided = (m_oldestDecided + 1) % decidedCapacity;
+    m_decided.push_back({record.id, result});
+    if (m_decided.size() > decidedCapacity)
+        m_decided.pop_front();
 }
 
 std::optional<publication_result> config_log::fateOf(std::string_view publicationId) const
 {
-    const auto found =
-            std::find_if(m_decided.begin(), m_decided.end(), [publicationId](const decided &entry) {
-                return entry.id == publicationId;
-            });
+    return findDecided([publicationId](const decided &entry) { return entry.id == publicationId; });
+}
+
+std::optional<publication_result> config_log::fateAt(std::int64_t offset) const
+{
+    return findDecided([offset](const decided &entry) { return entry.result.offset == offset; });
+}
+
+template <typename Condition>
+std::optional<publication_result> config_log::findDecided(Condition condition) const
+{
+    const auto found = std::find_if(m_decided.begin(), m_decided.end(), condition);
     if (found == m_decided.end())
         return std::nullopt;
     return found->result;
--- a/src/core/config/json_fields.cpp
+++ b/src/core/config/json_fields.cpp
@@ -2,33 +2,57 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_set>
 
 namespace tamarackridge::internal {
 
 namespace {
 
 /// \brief Notices names that occur twice in one object, which the JSON library accepts silently.
-class repeated_names
+///
+/// A pass of its own: the library's parser callback looks through an object at the end of each of
+/// its members, which takes quadratic time for a section with thousands of keys.
+class repeated_names final : public nlohmann::json_sax<json>
 {
 public:
-    bool operator()(int, json::parse_event_t event, json &parsed)
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool start_object(std::size_t) override
     {
-        if (event == json::parse_event_t::object_start) {
-            m_open.emplace_back();
-        } else if (event == json::parse_event_t::object_end) {
-            m_open.pop_back();
-        } else if (event == json::parse_event_t::key) {
-            std::string name = parsed.get<std::string>();
-            if (!m_open.back().insert(name).second)
-                m_repeated.insert(std::move(name));
-        }
+        m_open.emplace_back();
         return true;
     }
+    bool key(string_t &name) override
+    {
+        if (!m_open.back().insert(name).second)
+            m_repeated.insert(name);
+        return true;
+    }
+    bool end_object() override
+    {
+        m_open.pop_back();
+        return true;
+    }
+    bool start_array(std::size_t) override { return true; }
+    bool end_array() override { return true; }
+    bool parse_error(std::size_t, const std::string &, const json::exception &error) override
+    {
+        m_error = error.what();
+        return false;
+    }
+
     const std::set<std::string> &repeated() const { return m_repeated; }
+    const std::string &error() const { return m_error; }
 
 private:
-    std::vector<std::set<std::string>> m_open;
+    std::vector<std::unordered_set<std::string>> m_open;
     std::set<std::string> m_repeated;
+    std::string m_error;
 };
 
 int hexDigit(char digit)
@@ -45,19 +69,13 @@
 std::optional<json> parseJson(std::string_view text, bool allowComments, config_faults &faults)
 {
     repeated_names names;
-    const json::parser_callback_t callback = [&names](int depth, json::parse_event_t event,
-                                                      json &parsed) {
-        return names(depth, event, parsed);
-    };
-    try {
-        json value = json::parse(text, callback, true, allowComments);
-        for (const std::string &name : names.repeated())
-            faults.push_back({"", name, "the name occurs twice in one object"});
-        return value;
-    } catch (const json::exception &error) {
-        faults.push_back({"", "", std::string("not valid JSON: ") + error.what()});
+    if (!json::sax_parse(text, &names, json::input_format_t::json, true, allowComments)) {
+        faults.push_back({"", "", "not valid JSON: " + names.error()});
         return std::nullopt;
     }
+    for (const std::string &name : names.repeated())
+        faults.push_back({"", name, "the name occurs twice in one object"});
+    return json::parse(text, nullptr, false, allowComments);
 }
 
 std::string toHex(std::span<const std::uint8_t> bytes)
