Add tamarackridge-log and tamarackridge-ctl

Its pages carry "end" beside "next": a reader of a full page would otherwise take the position to read on from for the log's end and report a confirmation it does not have.

tamarackridge-ctl publishes deltas with compare-and-set on the version. An append whose answer was lost is looked up by its publication id and sent again if it is not there; readers decide by the first of two such records.

Ruled out: withdrawing the keys that a file does not list (one publication from a file without keys would lock every customer out) and taking a file's keys without a base (an older file would bring back withdrawn keys).

--- /dev/null
+++ b/src/ctl/change_text.cpp
@@ -0,0 +1,62 @@
+#include "ctl/commands.h"
+#include "ctl/text_output.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace tamarackridge {
+namespace {
+
+struct outcome_text
+{
+    std::string_view name;
+    exit_code code;
+    std::string_view message;
+};
+
+/// Indexed by change_outcome.
+constexpr std::array<outcome_text, 8> outcomes = {{
+        {"published", exit_code::success, "published"},
+        {"unchanged", exit_code::success, "the version in force already has this content"},
+        {"invalid", exit_code::invalid, "the configuration is not valid; nothing changed"},
+        {"conflict", exit_code::conflict,
+         "conflict: another publication came first; look at the version in force ('diff') and "
+         "publish again"},
+        {"unavailable", exit_code::log_unavailable,
+         "the platform log is not available; nothing was published"},
+        {"undecided", exit_code::log_unavailable,
+         "the log does not answer; the publication may still take effect, look for its id in "
+         "'history'"},
+        {"rejected", exit_code::log_unavailable, "the platform log refuses the record"},
+        {"trimmed", exit_code::log_unavailable,
+         "the log does not tell the version in force; if 'status' shows that no node has a "
+         "configuration either, use 'publish --bootstrap'"},
+}};
+
+} // namespace
+
+exit_code commands::finish(const change_report &report)
+{
+    const outcome_text &text = outcomes[static_cast<std::size_t>(report.outcome)];
+    if (!report.faults.empty())
+        printFaults(report.faults);
+    if (m_options.json) {
+        m_out << nlohmann::json{{"outcome", text.name},
+                                {"version", report.version},
+                                {"publication_id", report.publicationId},
+                                {"detail", report.detail}}
+                         .dump()
+              << "\n";
+        return text.code;
+    }
+    std::ostream &target = text.code == exit_code::success ? m_out : m_errors;
+    target << text.message << "\nversion in force: " << report.version << "\n";
+    if (!report.publicationId.empty())
+        target << "publication id: " << report.publicationId << "\n";
+    if (!report.detail.empty())
+        target << report.detail << "\n";
+    return text.code;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "ctl/config_client.h"
+#include "ctl/exit_code.h"
+#include "ctl/fleet_status.h"
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief Options of tamarackridge-ctl.
+struct command_options
+{
+    std::vector<std::string> nodes; ///< Base URLs of nodes.
+    std::optional<std::int64_t> base; ///< Version that the operator started from.
+    bool bootstrap = false;
+    bool json = false;
+    std::size_t limit = 20; ///< Entries of `history`; 0 for all.
+};
+
+/// \brief The commands of tamarackridge-ctl.
+///
+/// \code
+/// commands session(client, transport, random, options, std::cout, std::cerr);
+/// exit_code code = session.run({"check", "config.jsonc"});
+/// \endcode
+class commands
+{
+public:
+    commands(config_client &client, http_transport &transport, random_source &random,
+             command_options options, std::ostream &out, std::ostream &errors);
+
+    exit_code run(const std::vector<std::string> &arguments);
+
+private:
+    struct command;
+    static const std::vector<command> &table();
+
+    exit_code check(const std::string &file);
+    exit_code publish(const std::string &file);
+    exit_code diff(const std::string &file);
+    exit_code history(const std::string &);
+    exit_code status(const std::string &);
+    exit_code version(const std::string &);
+    exit_code issueKey(const std::string &customer);
+    exit_code withdrawKey(const std::string &id);
+    exit_code drain(const std::string &url);
+
+    std::optional<config_set> load(const std::string &file, exit_code &failure);
+    exit_code finish(const change_report &report);
+    exit_code fail(exit_code code, const std::string &message);
+    void printFaults(const config_faults &faults);
+
+    config_client &m_client;
+    http_transport &m_transport;
+    random_source &m_random;
+    command_options m_options;
+    std::ostream &m_out;
+    std::ostream &m_errors;
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/ctl/config_client.cpp
@@ -0,0 +1,222 @@
+#include "ctl/config_client.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace tamarackridge {
+namespace {
+
+constexpr const char *stream = "config";
+constexpr int maxAttempts = 8;
+constexpr int maxEdits = 5;
+constexpr duration firstPause = std::chrono::milliseconds(100);
+constexpr duration longestPause = std::chrono::seconds(5);
+/// Ends reading if the log keeps growing faster than it is read.
+constexpr int maxPages = 100'000;
+
+duration pauseAfter(int attempt)
+{
+    return std::min(firstPause * (1 << attempt), longestPause);
+}
+
+std::string randomId(random_source &random)
+{
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "p%016llx%016llx",
+                  static_cast<unsigned long long>(random.next()),
+                  static_cast<unsigned long long>(random.next()));
+    return text.data();
+}
+
+change_outcome outcomeOf(publication_fate fate)
+{
+    switch (fate) {
+    case publication_fate::applied:
+        return change_outcome::published;
+    case publication_fate::conflict:
+        return change_outcome::conflict;
+    case publication_fate::invalid:
+        break;
+    }
+    return change_outcome::invalid;
+}
+
+} // namespace
+
+config_client::config_client(platform_log &log, random_source &random, pause_function pause)
+    : m_log(log)
+    , m_random(random)
+    , m_pause(std::move(pause))
+{ }
+
+change_report config_client::report(change_outcome outcome, std::string detail) const
+{
+    change_report result;
+    result.outcome = outcome;
+    result.version = version();
+    result.detail = std::move(detail);
+    return result;
+}
+
+const config_set &config_client::current() const
+{
+    static const config_set nothing;
+    const std::shared_ptr<const config_set> set = m_state.current();
+    return set == nullptr ? nothing : *set;
+}
+
+std::optional<change_report> config_client::catchUp()
+{
+    for (int pages = 0; pages < maxPages; ++pages) {
+        const tl::expected<log_page, std::string> page =
+                m_log.read(stream, m_state.nextReadOffset());
+        if (!page)
+            return report(change_outcome::unavailable, page.error());
+        m_state.logRecords(page->records, page->first, page->end, time_point{});
+        if (m_state.upToDate())
+            return std::nullopt;
+        if (m_state.nextReadOffset() >= page->end)
+            return report(change_outcome::trimmed,
+                          "the log's older records are gone and it holds no usable snapshot");
+    }
+    return report(change_outcome::unavailable, "the log's end was not reached");
+}
+
+change_report config_client::publish(const config_set &set, std::optional<std::int64_t> base)
+{
+    if (std::optional<change_report> failure = catchUp())
+        return *failure;
+    if (base && *base != version())
+        return report(change_outcome::conflict);
+    const tl::expected<config_set, config_faults> wanted = withKeysInForce(set);
+    return wanted ? publishDelta(difference(current(), *wanted)) : invalid(wanted.error());
+}
+
+tl::expected<config_set, config_faults> config_client::withKeysInForce(const config_set &set) const
+{
+    config_objects objects = set.objects();
+    if (objects.keys.empty())
+        objects.keys = current().objects().keys;
+    return config_set::create(std::move(objects));
+}
+
+change_report config_client::invalid(config_faults faults) const
+{
+    change_report result = report(change_outcome::invalid);
+    result.faults = std::move(faults);
+    return result;
+}
+
+change_report config_client::edit(const edit_function &makeDelta)
+{
+    change_report result;
+    for (int attempt = 0; attempt < maxEdits; ++attempt) {
+        if (std::optional<change_report> failure = catchUp())
+            return *failure;
+        const std::optional<config_delta> delta = makeDelta(current());
+        if (!delta)
+            return report(change_outcome::unchanged);
+        result = publishDelta(*delta);
+        if (result.outcome != change_outcome::conflict)
+            return result;
+    }
+    return result;
+}
+
+change_report config_client::publishDelta(const config_delta &delta)
+{
+    if (delta.empty())
+        return report(change_outcome::unchanged);
+    const tl::expected<config_set, config_faults> checked = apply(current(), delta);
+    if (!checked)
+        return invalid(checked.error());
+    const publication record{randomId(m_random), version(), delta};
+    change_report result = appendUntilDecided(record);
+    result.publicationId = record.id;
+    result.delta = delta;
+    return result;
+}
+
+change_report config_client::appendUntilDecided(const publication &record)
+{
+    const std::string data = encodePublication(record);
+    bool appended = false;
+    bool maybeAppended = false;
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        // Sending the record again is safe: readers decide by the first one, and a later one starts
+        // from a version that is no longer in force.
+        if (!appended) {
+            const tl::expected<std::int64_t, append_failure> offset = m_log.append(stream, data);
+            if (!offset && offset.error() == append_failure::rejected && !maybeAppended)
+                return report(change_outcome::rejected);
+            appended = offset.has_value();
+            maybeAppended = maybeAppended || appended || offset.error() == append_failure::unknown;
+        }
+        const std::optional<change_report> failure = catchUp();
+        if (std::optional<change_report> result = decided(record.id))
+            return *result;
+        if (failure && failure->outcome == change_outcome::trimmed)
+            return report(change_outcome::undecided, failure->detail);
+        m_pause(pauseAfter(attempt));
+    }
+    return report(maybeAppended ? change_outcome::undecided : change_outcome::unavailable);
+}
+
+std::optional<change_report> config_client::decided(const std::string &id) const
+{
+    const std::optional<publication_result> result = m_state.fateOf(id);
+    if (!result)
+        return std::nullopt;
+    return report(outcomeOf(result->fate));
+}
+
+change_report config_client::bootstrap(const config_set &set)
+{
+    const std::optional<change_report> failure = catchUp();
+    if (!failure)
+        return report(change_outcome::conflict, "the log tells the version in force");
+    if (failure->outcome != change_outcome::trimmed)
+        return *failure;
+    const std::int64_t covered = m_state.nextReadOffset() - 1;
+    const tl::expected<std::int64_t, append_failure> offset =
+            m_log.append(stream, encodeSnapshot(covered, covered, set));
+    if (!offset && offset.error() != append_failure::unknown)
+        return report(change_outcome::rejected);
+    if (catchUp())
+        return report(change_outcome::undecided);
+    return report(difference(current(), set).empty() ? change_outcome::published
+                                                     : change_outcome::conflict);
+}
+
+tl::expected<std::vector<history_entry>, std::string> config_client::history()
+{
+    std::vector<history_entry> entries;
+    log_page page;
+    do {
+        tl::expected<log_page, std::string> next = m_log.read(stream, page.next);
+        if (!next)
+            return tl::unexpected(next.error());
+        page = std::move(*next);
+        // Records that were trimmed between two pages leave a gap; the later part is shown.
+        if (!entries.empty() && !page.records.empty()
+            && page.records.front().offset != entries.back().record.offset + 1)
+            entries.clear();
+        for (log_record &record : page.records)
+            entries.push_back({std::move(record), std::nullopt});
+    } while (page.next < page.end);
+    if (entries.empty())
+        return entries;
+    const std::int64_t first = entries.front().record.offset;
+    config_log reader{snapshot_options{}};
+    reader.logRecords({}, first, page.end, time_point{});
+    // One record at a time: the reader remembers a limited number of outcomes.
+    while (reader.nextReadOffset() < page.end) {
+        history_entry &entry = entries[reader.nextReadOffset() - first];
+        reader.logRecords({&entry.record, 1}, first, page.end, time_point{});
+        entry.result = reader.fateAt(entry.record.offset);
+    }
+    return entries;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/ctl/curl_transport.cpp
@@ -0,0 +1,65 @@
+#include "ctl/curl_transport.h"
+
+#include <curl/curl.h>
+
+namespace tamarackridge {
+namespace {
+
+constexpr long connectTimeoutMs = 3000;
+constexpr long totalTimeoutMs = 15000;
+constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
+
+std::size_t collect(char *data, std::size_t size, std::size_t count, void *target)
+{
+    std::string &body = *static_cast<std::string *>(target);
+    if (body.size() + size * count > maxAnswerBytes)
+        return 0; // Makes libcurl give up.
+    body.append(data, size * count);
+    return size * count;
+}
+
+} // namespace
+
+struct curl_transport::handle
+{
+    CURL *curl = curl_easy_init();
+    handle() = default;
+    handle(const handle &) = delete;
+    handle &operator=(const handle &) = delete;
+    ~handle() { curl_easy_cleanup(curl); }
+};
+
+curl_transport::curl_transport()
+    : m_handle(std::make_unique<handle>())
+{ }
+
+curl_transport::~curl_transport() = default;
+
+tl::expected<http_answer, std::string>
+curl_transport::send(const std::string &method, const std::string &url, const std::string &body)
+{
+    CURL *const curl = m_handle->curl;
+    std::string received;
+    curl_easy_reset(curl); // Keeps open connections.
+    curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+    curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, totalTimeoutMs);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &collect);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &received);
+    if (method != "GET") {
+        curl_easy_setopt(curl, CURLOPT_POST, 1L);
+        curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method.c_str());
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body.data());
+        curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
+    }
+    const CURLcode result = curl_easy_perform(curl);
+    if (result != CURLE_OK)
+        return tl::unexpected(std::string(curl_easy_strerror(result)));
+    long status = 0;
+    curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+    return http_answer{static_cast<int>(status), {}, std::make_shared<const std::string>(received)};
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/ctl/fleet_status.cpp
@@ -0,0 +1,107 @@
+#include "ctl/fleet_status.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace tamarackridge {
+namespace {
+
+using json = nlohmann::json;
+
+node_report askNode(http_transport &transport, const std::string &url)
+{
+    node_report report;
+    report.url = url;
+    const tl::expected<http_answer, std::string> answer =
+            transport.send("GET", url + "/.tamarackridge/status", "");
+    if (!answer) {
+        report.failure = answer.error();
+        return report;
+    }
+    const json value = json::parse(bodyView(answer->body), nullptr, false);
+    try {
+        value.at("zone").get_to(report.zone);
+        value.at("node").get_to(report.node);
+        value.at("config_version").get_to(report.version);
+        const json &age = value.at("confirmation_age_ms");
+        if (!age.is_null())
+            report.confirmationAgeMs = age.get<std::int64_t>();
+    } catch (const json::exception &error) {
+        report.failure = "status " + std::to_string(answer->status) + ": " + error.what();
+    }
+    return report;
+}
+
+void addTo(zone_report &zone, const node_report &node, follow_state state)
+{
+    zone.lowestVersion =
+            zone.nodesHeard == 0 ? node.version : std::min(zone.lowestVersion, node.version);
+    // The enumerators are ordered by severity, and a zone is as good as its worst node.
+    zone.state = zone.nodesHeard == 0 ? state : std::max(zone.state, state);
+    ++zone.nodesHeard;
+}
+
+} // namespace
+
+std::string_view toString(follow_state state)
+{
+    constexpr std::array<std::string_view, 4> names = {"current", "behind", "unconfirmed",
+                                                       "not-heard"};
+    return names[static_cast<std::size_t>(state)];
+}
+
+bool fleet_report::allCurrent() const
+{
+    const auto isCurrent = [](const zone_report &zone) {
+        return zone.state == follow_state::current;
+    };
+    const auto answered = [](const node_report &node) { return node.failure.empty(); };
+    return std::all_of(zones.begin(), zones.end(), isCurrent)
+           && std::all_of(nodes.begin(), nodes.end(), answered);
+}
+
+std::vector<node_report> askNodes(http_transport &transport, const std::vector<std::string> &urls)
+{
+    std::vector<node_report> reports;
+    reports.reserve(urls.size());
+    for (const std::string &url : urls)
+        reports.push_back(askNode(transport, url));
+    return reports;
+}
+
+follow_state stateOf(const node_report &node, std::int64_t version, duration maxUnconfirmed)
+{
+    if (!node.failure.empty())
+        return follow_state::not_heard;
+    if (!node.confirmationAgeMs
+        || std::chrono::milliseconds(*node.confirmationAgeMs) > maxUnconfirmed)
+        return follow_state::unconfirmed;
+    return node.version < version ? follow_state::behind : follow_state::current;
+}
+
+fleet_report assessFleet(std::vector<node_report> nodes, const config_set &set,
+                         std::optional<std::int64_t> version)
+{
+    fleet_report report;
+    report.version = version.value_or(-1);
+    for (const node_report &node : nodes)
+        report.version = std::max(report.version, node.version);
+    std::map<std::string, zone_report> zones;
+    for (const zone &object : set.objects().zones)
+        zones[object.name].zone = object.name;
+    for (const node_report &node : nodes) {
+        if (!node.failure.empty())
+            continue;
+        zones[node.zone].zone = node.zone;
+        addTo(zones[node.zone], node, stateOf(node, report.version, set.settings().maxUnconfirmed));
+    }
+    for (auto &[name, zone] : zones)
+        report.zones.push_back(std::move(zone));
+    report.nodes = std::move(nodes);
+    return report;
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/ctl/platform_log.cpp
@@ -0,0 +1,65 @@
+#include "ctl/platform_log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tamarackridge {
+namespace {
+
+using json = nlohmann::json;
+
+log_page readPage(const json &value)
+{
+    log_page page;
+    value.at("first").get_to(page.first);
+    value.at("next").get_to(page.next);
+    value.at("end").get_to(page.end);
+    for (const json &record : value.at("records"))
+        page.records.push_back({record.at("offset").get<std::int64_t>(),
+                                std::chrono::milliseconds(record.at("age_ms").get<std::int64_t>()),
+                                record.at("data").get<std::string>()});
+    return page;
+}
+
+} // namespace
+
+platform_log::platform_log(http_transport &transport, std::string url)
+    : m_transport(transport)
+    , m_url(std::move(url))
+{
+    while (m_url.ends_with('/'))
+        m_url.pop_back();
+}
+
+tl::expected<std::int64_t, append_failure> platform_log::append(const std::string &stream,
+                                                                const std::string &data)
+{
+    const tl::expected<http_answer, std::string> answer =
+            m_transport.send("POST", m_url + "/streams/" + stream + "/records", data);
+    if (!answer || answer->status >= 500 || answer->status < 200)
+        return tl::unexpected(append_failure::unknown);
+    if (answer->status == 429)
+        return tl::unexpected(append_failure::busy);
+    if (answer->status != 200)
+        return tl::unexpected(append_failure::rejected);
+    const json value = json::parse(bodyView(answer->body), nullptr, false);
+    if (!value.is_object() || !value.contains("offset") || !value["offset"].is_number_integer())
+        return tl::unexpected(append_failure::unknown);
+    return value["offset"].get<std::int64_t>();
+}
+
+tl::expected<log_page, std::string> platform_log::read(const std::string &stream, std::int64_t from)
+{
+    const tl::expected<http_answer, std::string> answer = m_transport.send(
+            "GET", m_url + "/streams/" + stream + "/records?from=" + std::to_string(from), "");
+    if (!answer)
+        return tl::unexpected(answer.error());
+    if (answer->status != 200)
+        return tl::unexpected("the log answered with status " + std::to_string(answer->status));
+    try {
+        return readPage(json::parse(bodyView(answer->body)));
+    } catch (const json::exception &error) {
+        return tl::unexpected(std::string("the log's answer is malformed: ") + error.what());
+    }
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/log_store_test.cpp
@@ -0,0 +1,87 @@
+#include "log/log_store.h"
+
+#include <gtest/gtest.h>
+
+using namespace tamarackridge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{1h};
+
+} // namespace
+
+// Guards against offsets that are reused or skipped after records were dropped.
+TEST(LogStore, RetentionByTimeAndCountKeepsOffsets)
+{
+    log_store store({.retention = 10s, .recordsPerStream = 3});
+    for (std::int64_t offset = 0; offset < 5; ++offset)
+        EXPECT_EQ(store.append("s", "r" + std::to_string(offset), start + offset * 1s), offset);
+    log_page page = store.read("s", 0, 10, start + 5s);
+    EXPECT_EQ(page.first, 2);
+    EXPECT_EQ(page.records.front().data, "r2");
+    EXPECT_EQ(page.records.front().age, 3s);
+    page = store.read("s", 0, 10, start + 13500ms);
+    EXPECT_EQ(page.first, 4);
+    page = store.read("s", 0, 10, start + 60s);
+    EXPECT_EQ(page.first, 5);
+    EXPECT_EQ(page.end, 5);
+    EXPECT_EQ(store.append("s", "r5", start + 61s), 5);
+}
+
+// Guards against a full page whose reader believes to have read the log's end.
+TEST(LogStore, PagesTellWhereToReadOnAndWhereTheEndIs)
+{
+    log_store store({.pageBytes = 10});
+    for (int count = 0; count < 4; ++count)
+        ASSERT_TRUE(store.append("s", "1234", start));
+    EXPECT_EQ(store.read("s", 0, 1, start).next, 1);
+    EXPECT_EQ(store.read("s", 0, 9, start).next, 2); // Bounded by bytes.
+    const log_page last = store.read("s", 3, 9, start);
+    EXPECT_EQ(last.next, 4);
+    EXPECT_EQ(last.end, 4);
+    EXPECT_EQ(store.read("s", 9, 9, start).next, 4);
+    EXPECT_EQ(store.read("none", 9, 9, start).end, 0);
+}
+
+// Guards against an unlimited append rate, which the platform does not offer.
+TEST(LogStore, AppendsPerSecondAreLimited)
+{
+    log_store store({.appendsPerSecond = 5});
+    const auto appendMany = [&store](time_point now) {
+        int accepted = 0;
+        for (int count = 0; count < 50; ++count)
+            accepted += store.append(count % 2 == 0 ? "a" : "b", "x", now) ? 1 : 0;
+        return accepted;
+    };
+    EXPECT_EQ(appendMany(start), 5);
+    EXPECT_EQ(appendMany(start + 400ms), 2);
+    EXPECT_EQ(store.append("a", "x", start + 400ms).error(), append_refusal::rate_limited);
+}
+
+// Guards against malformed or oversized input that is stored.
+TEST(LogStore, RefusesMalformedInput)
+{
+    log_store store({.recordBytes = 8, .streams = 1});
+    EXPECT_EQ(store.append("S", "x", start).error(), append_refusal::stream_name_invalid);
+    EXPECT_EQ(store.append("", "x", start).error(), append_refusal::stream_name_invalid);
+    EXPECT_EQ(store.append("s", "", start).error(), append_refusal::record_empty);
+    EXPECT_EQ(store.append("s", "123456789", start).error(), append_refusal::record_too_large);
+    for (const char *text :
+         {"\xff", "\xc3", "\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe0\x80\x80", "a\x80"})
+        EXPECT_EQ(store.append("s", text, start).error(), append_refusal::record_not_text);
+    EXPECT_TRUE(store.append("s", "\xc3\xb1\xe2\x82\xac", start));
+    EXPECT_EQ(store.append("t", "x", start).error(), append_refusal::too_many_streams);
+}
+
+// Guards against trimming that loses newer records.
+TEST(LogStore, TrimsBelowAnOffset)
+{
+    log_store store({});
+    for (int count = 0; count < 3; ++count)
+        ASSERT_TRUE(store.append("s", "x", start));
+    store.trimBelow("s", 2);
+    EXPECT_EQ(store.read("s", 0, 9, start).first, 2);
+    store.trimBelow("s", 99);
+    EXPECT_EQ(store.read("s", 0, 9, start).end, 3);
+}
