--- a/tests/overload_budget_test.cpp
+++ b/tests/overload_budget_test.cpp
@@ -15,8 +15,9 @@
 std::uint32_t runChain(attempt_budget &budget, int depth)
 {
     std::uint32_t retries = 0;
-    for (bool first = true; const std::uint32_t part = budget.divide(); first = false) {
-        retries += first ? 0 : 1;
+    std::uint32_t runs = 0;
+    for (std::uint32_t part = budget.divide(); part > 0; part = budget.divide()) {
+        retries += runs++ == 0 ? 0 : 1;
         onward_attempts onward(part - 1);
         for (std::uint64_t call = 0; depth > 0 && call < 2; ++call) {
             while (const std::optional<onward_part> opened = onward.open(call)) {
--- a/tests/overload_queue_test.cpp
+++ b/tests/overload_queue_test.cpp
@@ -129,9 +129,9 @@
     time_point now = start;
     shed.observeDelay(0ms, 0ms, now);
     for (int interval = 0; interval < 20; ++interval) {
-        for (std::uint8_t rank = 0; rank < perInterval.size(); ++rank) {
+        for (std::size_t rank = 0; rank < perInterval.size(); ++rank) {
             for (std::uint32_t i = 0; i < perInterval[rank]; ++i)
-                shed.onArrival(rank);
+                shed.onArrival(static_cast<std::uint8_t>(rank));
         }
         for (std::uint32_t i = 0; i < capacity; ++i)
             shed.onRun();
--- a/tests/routing_choice_test.cpp
+++ b/tests/routing_choice_test.cpp
@@ -27,22 +27,22 @@
 protected:
     void add(const std::string &node, const std::string &zone, duration linkDelay = 0ms)
     {
-        routes.upsertExecutor({node, zone, "booking", executor_state::serving, linkDelay});
+        m_routes.upsertExecutor({node, zone, "booking", executor_state::serving, linkDelay});
     }
 
     std::string choose(std::uint8_t rank = 5, const std::vector<std::string> &excluded = {})
     {
-        return std::string(
-                routes.choose("booking", rank, excluded, now, random).value_or(std::string_view()));
+        return std::string(m_routes.choose("booking", rank, excluded, m_now, m_random)
+                                   .value_or(std::string_view()));
     }
 
     /// Dispatches one request and lets the named executor answer it at once.
     void answer(const std::string &node, duration latency, run_outcome outcome, int times = 1)
     {
         for (int i = 0; i < times; ++i) {
-            routes.onDispatched(node, now);
-            now += latency;
-            routes.onAnswer(node, latency, outcome, nullptr, now);
+            m_routes.onDispatched(node, m_now);
+            m_now += latency;
+            m_routes.onAnswer(node, latency, outcome, nullptr, m_now);
         }
     }
 
@@ -56,12 +56,12 @@
 
     void shedBelow(const std::string &node, std::uint8_t threshold)
     {
-        routes.onHeartbeat(node, {threshold, 10, 10, 0});
+        m_routes.onHeartbeat(node, {threshold, 10, 10, 0});
     }
 
-    time_point now{1h};
-    fakes::seeded_random random{20261204};
-    router routes{optionsFor("own")};
+    time_point m_now{1h};
+    fakes::seeded_random m_random{20261204};
+    router m_routes{optionsFor("own")};
 };
 
 } // namespace
@@ -111,7 +111,7 @@
     int sent = 0;
     for (int i = 0; i < 10000; ++i) {
         const tl::expected<std::string_view, error_kind> target =
-                routes.choose("booking", 2, {}, now, random);
+                m_routes.choose("booking", 2, {}, m_now, m_random);
         if (target)
             ++sent;
         else
@@ -129,17 +129,17 @@
     add("n2", "north");
     answer("n1", 1ms, run_outcome::timeout, 5);
     EXPECT_EQ(countChoices(50)["n2"], 50);
-    now += 1s;
+    m_now += 1s;
     EXPECT_EQ(choose(), "n1");
-    routes.onDispatched("n1", now);
+    m_routes.onDispatched("n1", m_now);
     EXPECT_EQ(countChoices(50)["n2"], 50) << "only one probe";
-    routes.onAnswer("n1", 1ms, run_outcome::timeout, nullptr, now);
-    now += 1500ms;
+    m_routes.onAnswer("n1", 1ms, run_outcome::timeout, nullptr, m_now);
+    m_now += 1500ms;
     EXPECT_EQ(choose(), "n2") << "the second ejection lasts twice as long";
-    now += 500ms;
+    m_now += 500ms;
     EXPECT_EQ(choose(), "n1");
     answer("n1", 1ms, run_outcome::success);
-    EXPECT_FALSE(routes.isEjected("n1", now));
+    EXPECT_FALSE(m_routes.isEjected("n1", m_now));
 }
 
 // Guards against an executor that sends heartbeats with low load and answers nothing.
@@ -148,9 +148,9 @@
     add("n1", "north");
     add("n2", "north");
     for (int i = 0; i < 5; ++i)
-        routes.onDispatched("n1", now);
-    now += 1500ms;
-    routes.onHeartbeat("n1", {0, 100, 0, 0});
+        m_routes.onDispatched("n1", m_now);
+    m_now += 1500ms;
+    m_routes.onHeartbeat("n1", {0, 100, 0, 0});
     EXPECT_EQ(countChoices(50)["n2"], 50);
 }
 
@@ -160,7 +160,7 @@
     add("n1", "north");
     answer("n1", 1ms, run_outcome::failed, 5);
     EXPECT_EQ(choose(), "n1");
-    routes.onDispatched("n1", now);
+    m_routes.onDispatched("n1", m_now);
     EXPECT_EQ(choose(), "");
 }
 
@@ -173,7 +173,7 @@
         answer(node, node == std::string("n4") ? 60ms : 20ms, run_outcome::success, 20);
     }
     EXPECT_EQ(countChoices(1000).count("n4"), 0U);
-    now += 20s;
+    m_now += 20s;
     for (const char *node : {"n1", "n2", "n3"})
         answer(node, 20ms, run_outcome::success);
     EXPECT_GT(countChoices(1000)["n4"], 0);
@@ -186,7 +186,8 @@
     add("n2", "north");
     EXPECT_EQ(choose(5, {"n1"}), "n2");
     EXPECT_EQ(choose(5, {"n1", "n2"}), "");
-    EXPECT_EQ(routes.choose("unknown", 5, {}, now, random).error(), error_kind::no_backend_server);
+    EXPECT_EQ(m_routes.choose("unknown", 5, {}, m_now, m_random).error(),
+              error_kind::no_backend_server);
 }
 
 // Guards against connections from every node to every server, and against a reshuffle of all
