--- /dev/null
+++ b/tests/fakes/tenure_group.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "fakes/seeded_random.h"
+
+#include "tamarackridge/quota"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tamarackridge::fakes {
+
+/// \brief Nodes that read and append to one log without delay, in steps of virtual time.
+class tenure_group
+{
+public:
+    /// \brief One life of a node.
+    struct member
+    {
+        member(node_ref who, const tenure_options &options, std::uint64_t seed)
+            : self(std::move(who))
+            , random(seed)
+            , tenure(self, options, random)
+        { }
+        node_ref self;
+        seeded_random random;
+        slot_tenure tenure;
+        std::size_t nextOffset = 0;
+        bool appends = true; ///< False: its appends are lost.
+        bool runs = true; ///< False: paused or dead.
+    };
+
+    explicit tenure_group(tenure_options options = {})
+        : m_options(options)
+    { }
+
+    member &add(const std::string &zone, const std::string &name)
+    {
+        const std::uint64_t life = m_members.size() + 1;
+        m_members.push_back(std::make_unique<member>(node_ref{zone, name, life}, m_options, life));
+        member &added = *m_members.back();
+        added.nextOffset = firstReadable;
+        added.tenure.setZones(zones, now);
+        added.tenure.onReadingBegun(static_cast<std::int64_t>(firstReadable));
+        return added;
+    }
+
+    void setZones(std::vector<quota_zone> next)
+    {
+        zones = std::move(next);
+        for (const std::unique_ptr<member> &each : m_members)
+            each->tenure.setZones(zones, now);
+    }
+
+    void read(member &reader)
+    {
+        for (; reader.nextOffset < log.size(); ++reader.nextOffset) {
+            reader.tenure.onRecord(static_cast<std::int64_t>(reader.nextOffset), {},
+                                   log[reader.nextOffset], now);
+        }
+        reader.tenure.onCaughtUp(now);
+    }
+
+    void append(member &sender, const std::vector<tenure_append> &appends)
+    {
+        for (const tenure_append &each : appends) {
+            if (sender.appends)
+                log.push_back(each.text);
+            sender.tenure.onAppendDone(sender.appends);
+        }
+    }
+
+    void runFor(duration length, duration step = std::chrono::milliseconds(100))
+    {
+        for (const time_point end = now + length; now < end; now += step) {
+            for (const std::unique_ptr<member> &each : m_members) {
+                if (!each->runs)
+                    continue;
+                read(*each);
+                append(*each, each->tenure.tick(now));
+            }
+            mostShare = std::max(mostShare, share());
+        }
+    }
+
+    /// \returns the parts of the rate that all nodes mint together.
+    double share() const
+    {
+        double sum = 0;
+        for (const std::unique_ptr<member> &each : m_members) {
+            for (const held_slot &slot : each->tenure.held(now))
+                sum += 1.0 / slot.slotsInFleet;
+        }
+        return sum;
+    }
+
+    std::size_t held(const member &of) const { return of.tenure.held(now).size(); }
+
+    std::vector<std::string> log;
+    std::vector<quota_zone> zones{{"z", 4}};
+    std::size_t firstReadable = 0; ///< Retention dropped the records before.
+    time_point now = time_point(std::chrono::hours(1));
+    double mostShare = 0;
+
+private:
+    tenure_options m_options;
+    std::vector<std::unique_ptr<member>> m_members;
+};
+
+} // namespace tamarackridge::fakes
--- /dev/null
+++ b/tests/quota_tenure_test.cpp
@@ -0,0 +1,287 @@
+#include "fakes/tenure_group.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+using namespace tamarackridge;
+using namespace tamarackridge::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+const slot_id firstSlot{"z", 0};
+
+/// \brief Options under which one node claims a slot at once.
+tenure_options eager()
+{
+    return {.lease = 100s, .claimDelay = 0s};
+}
+
+std::string claimText(const node_ref &holder, std::int64_t previous, duration lease = 100s)
+{
+    tenure_record record;
+    record.slot = firstSlot;
+    record.holder = holder;
+    record.previous = previous;
+    record.slotsInFleet = 4;
+    record.lease = lease;
+    return encodeTenureRecord(record);
+}
+
+const node_ref other{"z", "other", 77};
+
+} // namespace
+
+// Guards against a slot that two nodes hold after racing for it, and against a node that keeps
+// slots of its zone from the others.
+TEST(QuotaTenure, NodesSpreadOverSlots)
+{
+    tenure_group group;
+    std::vector<tenure_group::member *> members;
+    for (const char *name : {"a", "b", "c", "d"})
+        members.push_back(&group.add("z", name));
+    group.runFor(60s);
+    std::set<slot_id> held;
+    for (const tenure_group::member *member : members) {
+        EXPECT_EQ(group.held(*member), 1U) << member->self.name;
+        for (const held_slot &slot : member->tenure.held(group.now))
+            EXPECT_TRUE(held.insert(slot.slot).second);
+    }
+    EXPECT_LE(group.log.size(), 6U);
+}
+
+// Guards against slots that nobody mints when a zone has fewer nodes than slots.
+TEST(QuotaTenure, OneNodeHoldsSeveralSlots)
+{
+    tenure_group group;
+    tenure_group::member &one = group.add("z", "a");
+    tenure_group::member &two = group.add("z", "b");
+    group.runFor(2min);
+    EXPECT_EQ(group.held(one) + group.held(two), 4U);
+    EXPECT_NEAR(group.share(), 1, 1e-9);
+}
+
+// Guards against claiming slots of another zone, whose nodes would be cut off from their share.
+TEST(QuotaTenure, OnlyTheOwnZoneIsClaimed)
+{
+    tenure_group group;
+    group.zones = {{"z", 2}, {"y", 2}};
+    tenure_group::member &member = group.add("z", "a");
+    group.runFor(2min);
+    EXPECT_EQ(group.held(member), 2U);
+}
+
+// Guards against a record that counts although another one counted in between.
+TEST(QuotaTenure, RecordMustFollowTheLastCountedOne)
+{
+    tenure_group group(eager());
+    tenure_group::member &reader = group.add("z", "a");
+    group.log = {claimText({"z", "x", 5}, -1), claimText({"z", "y", 6}, -1),
+                 claimText({"z", "w", 7}, 0), claimText({"z", "v", 8}, 0)};
+    group.read(reader);
+    ASSERT_EQ(reader.tenure.slots().size(), 1U);
+    EXPECT_EQ(reader.tenure.slots().front().holder.name, "w");
+    EXPECT_EQ(reader.tenure.outdated(), 2U);
+}
+
+// Guards against readers that disagree on a record they cannot decode.
+TEST(QuotaTenure, UndecodableRecordIsCountedAndIgnored)
+{
+    tenure_group group(eager());
+    tenure_group::member &reader = group.add("z", "a");
+    group.log = {"{", "[]", R"({"type":"claim"})", claimText(other, 9), claimText(other, -1, -1s)};
+    std::string huge = claimText(other, -1);
+    huge.replace(huge.find("100000"), 6, "99999999999999999999");
+    group.log.push_back(huge);
+    group.read(reader);
+    EXPECT_EQ(reader.tenure.undecodable(), 6U);
+    EXPECT_TRUE(reader.tenure.slots().empty());
+}
+
+// Guards against a claim that took effect but whose answer was lost.
+TEST(QuotaTenure, LostAnswerIsFoundByReading)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &member = group.add("z", "a");
+    group.read(member);
+    const std::vector<tenure_append> appends = member.tenure.tick(group.now);
+    ASSERT_EQ(appends.size(), 1U);
+    group.log.push_back(appends.front().text);
+    member.tenure.onAppendDone(false);
+    group.now += 3s;
+    EXPECT_FALSE(member.tenure.holds(firstSlot, group.now));
+    group.read(member);
+    EXPECT_TRUE(member.tenure.holds(firstSlot, group.now));
+    // The lease runs from the moment of sending, not of reading.
+    EXPECT_LE(member.tenure.heldUntil(firstSlot), group.now - 3s + 100s);
+}
+
+// Guards against a restarted node that takes its former life's lease as its own.
+TEST(QuotaTenure, FormerLifeIsAnotherHolder)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &first = group.add("z", "a");
+    group.runFor(1s);
+    first.runs = false;
+    tenure_group::member &second = group.add("z", "a");
+    group.runFor(99s);
+    EXPECT_EQ(group.held(second), 0U);
+    group.runFor(10s);
+    EXPECT_EQ(group.held(second), 1U);
+}
+
+// Guards against two holders at once: a paused holder's lease ends before another node claims.
+TEST(QuotaTenure, PausedHolderLosesTheSlotBeforeAnotherClaims)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &paused = group.add("z", "a");
+    group.runFor(1s);
+    ASSERT_EQ(group.held(paused), 1U);
+    paused.runs = false;
+    tenure_group::member &claimant = group.add("z", "b");
+    for (int step = 0; step < 1200; ++step) {
+        group.runFor(100ms);
+        ASSERT_LE(group.held(paused) + group.held(claimant), 1U);
+    }
+    EXPECT_EQ(group.held(claimant), 1U);
+}
+
+// Guards against a planned stop that keeps a slot's share from the fleet.
+TEST(QuotaTenure, ReleaseFreesTheSlotAtOnce)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &leaving = group.add("z", "a");
+    group.runFor(1s);
+    tenure_group::member &next = group.add("z", "b");
+    group.runFor(1s);
+    group.append(leaving, leaving.tenure.release(0s, group.now));
+    EXPECT_EQ(group.held(leaving), 0U);
+    group.runFor(1s);
+    EXPECT_EQ(group.held(next), 1U);
+    EXPECT_EQ(group.held(leaving), 0U);
+}
+
+// Guards against tokens of the former holder that are still spent while the next one mints.
+TEST(QuotaTenure, ReleaseWithOutstandingGrantsIsAwaited)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &leaving = group.add("z", "a");
+    group.runFor(1s);
+    tenure_group::member &next = group.add("z", "b");
+    group.append(leaving, leaving.tenure.release(2s, group.now));
+    group.runFor(2s);
+    EXPECT_EQ(group.held(next), 0U);
+    group.runFor(1s);
+    EXPECT_EQ(group.held(next), 1U);
+}
+
+// Guards against a lease that ends although the log works, and against more than a few appends.
+TEST(QuotaTenure, RenewsAtAQuarterOfTheLease)
+{
+    tenure_group group;
+    group.zones = {{"z", 1}};
+    tenure_group::member &member = group.add("z", "a");
+    group.runFor(48h, 1min);
+    EXPECT_EQ(group.held(member), 1U);
+    EXPECT_GE(group.log.size(), 15U);
+    EXPECT_LE(group.log.size(), 18U);
+}
+
+// Guards against appending at full pace while the log is down.
+TEST(QuotaTenure, FailedAppendsBackOff)
+{
+    tenure_group group;
+    group.zones = {{"z", 1}};
+    tenure_group::member &member = group.add("z", "a");
+    group.read(member);
+    std::size_t sent = 0;
+    for (int second = 0; second < 3600; ++second, group.now += 1s) {
+        for (std::size_t each = member.tenure.tick(group.now).size(); each > 0; --each, ++sent)
+            member.tenure.onAppendDone(false);
+    }
+    EXPECT_GE(sent, 5U);
+    EXPECT_LE(sent, 20U);
+}
+
+// Guards against a node that claims a held slot because retention dropped the holder's record.
+TEST(QuotaTenure, UnreadableHistoryIsAwaited)
+{
+    tenure_group group(eager());
+    group.zones = {{"z", 1}};
+    tenure_group::member &holder = group.add("z", "a");
+    group.runFor(1s);
+    holder.appends = false; // The log loses its renewals.
+    group.firstReadable = group.log.size();
+    tenure_group::member &late = group.add("z", "b");
+    for (int step = 0; step < 1100; ++step) {
+        group.runFor(100ms);
+        ASSERT_LE(group.held(holder) + group.held(late), 1U);
+    }
+    EXPECT_EQ(group.held(late), 1U);
+    // The former holder has read the whole log and counts the same record.
+    EXPECT_EQ(holder.tenure.slots().front().holder, late.self);
+}
+
+// Guards against two readers, of which one lacks the start of the log, that follow different
+// chains: a claim that lost its race must not hide the renewals of the one that won.
+TEST(QuotaTenure, ReaderWithoutTheStartFollowsTheSameChain)
+{
+    tenure_group group(eager());
+    group.log = {claimText({"z", "x", 5}, -1), claimText({"z", "x", 5}, 0),
+                 claimText({"z", "lost", 6}, 0), claimText({"z", "x", 5}, 1)};
+    tenure_group::member &whole = group.add("z", "a");
+    group.firstReadable = 2;
+    tenure_group::member &partial = group.add("z", "b");
+    group.read(whole);
+    group.read(partial);
+    EXPECT_EQ(partial.tenure.slots().front().holder, whole.tenure.slots().front().holder);
+}
+
+// Guards against minting above the rate while the number of slots changes: new zones wait until
+// the held slots have announced their smaller share, and shares grow only after slots ended.
+TEST(QuotaTenure, SharesNeverExceedTheWhole)
+{
+    tenure_group group({.lease = 100s, .claimDelay = 1s});
+    group.add("z", "a");
+    group.add("z", "b");
+    group.add("y", "c");
+    group.runFor(30s);
+    EXPECT_NEAR(group.share(), 1, 1e-9);
+    group.setZones({{"z", 4}, {"y", 6}});
+    group.runFor(60s);
+    EXPECT_NEAR(group.share(), 1, 1e-9);
+    group.setZones({{"z", 3}});
+    group.runFor(2min);
+    EXPECT_NEAR(group.share(), 1, 1e-9);
+    EXPECT_LE(group.mostShare, 1 + 1e-9);
+}
+
+// Guards against readers of the same log that disagree, whatever was appended.
+RC_GTEST_PROP(QuotaTenure, ReadersAgree, ())
+{
+    tenure_group group;
+    tenure_group::member &one = group.add("z", "a");
+    tenure_group::member &two = group.add("y", "b");
+    const int count = *rc::gen::inRange(1, 30);
+    for (std::int64_t offset = 0; offset < count; ++offset) {
+        const std::int64_t previous = *rc::gen::inRange<std::int64_t>(-1, offset + 1);
+        const std::uint64_t life = *rc::gen::inRange(1, 4);
+        group.log.push_back(claimText({"z", "n" + std::to_string(life), life}, previous));
+        if (*rc::gen::inRange(0, 3) == 0)
+            group.read(one);
+        group.now += std::chrono::seconds(*rc::gen::inRange(0, 1000));
+    }
+    group.read(one);
+    group.read(two);
+    RC_ASSERT(one.tenure.slots().size() == two.tenure.slots().size());
+    if (!one.tenure.slots().empty())
+        RC_ASSERT(one.tenure.slots().front().holder == two.tenure.slots().front().holder);
+    RC_ASSERT(one.tenure.outdated() == two.tenure.outdated());
+}
