Let grants lapse at their own time, and test the holder and the pool

Cause: a lapse was applied at the next event, so that the time between the lapse and that event minted into a bucket that was still counted as full. A bucket of 50 tokens was left at 20 after 10 s without events.

Ruled out: minting after the lapse for the whole time since the last event, which mints retroactively for the time in which the grant was outstanding and breaks the bound (quota_holder_test, LapsedGrantLeavesAnEmptyBucket).

After: each lapse is applied at its own time; the bucket fills to 50 (quota_holder_test, OutstandingGrantsCountAgainstTheBurst).

--- a/include/tamarackridge/src/quota/slot_holder.h
+++ b/include/tamarackridge/src/quota/slot_holder.h
@@ -90,7 +90,9 @@
     void freeUnused();
     void advance(time_point now);
     void mint(bucket &account);
-    void lapseGrants(time_point now);
+    void integrate(time_point now);
+    static bool settled(const outstanding_grant &record);
+    void lapse(const outstanding_grant &record);
     void settle(granted_amount &amount, micro_tokens spent, micro_tokens returned);
     bucket *find(std::string_view customer);
     micro_tokens cap(const bucket &account) const;
--- a/src/core/quota/slot_holder.cpp
+++ b/src/core/quota/slot_holder.cpp
@@ -88,6 +88,23 @@
 }
 
 void slot_holder::advance(time_point now)
+{
+    // Each lapse takes place at its own time: minting before it is limited by the lapsed grant,
+    // minting after it is not.
+    while (!m_grants.empty()) {
+        const outstanding_grant &first = m_grants.front();
+        if (!settled(first)) {
+            if (first.lapsesAt > now)
+                break;
+            integrate(first.lapsesAt);
+            lapse(first);
+        }
+        m_grants.pop_front();
+    }
+    integrate(now);
+}
+
+void slot_holder::integrate(time_point now)
 {
     if (now < m_now)
         return;
@@ -100,7 +117,22 @@
             m_share += slot.share;
     }
     m_now = now;
-    lapseGrants(now);
+}
+
+bool slot_holder::settled(const outstanding_grant &record)
+{
+    return std::ranges::all_of(record.amounts, [](const granted_amount &amount) {
+        return amount.spent + amount.returned == amount.granted;
+    });
+}
+
+void slot_holder::lapse(const outstanding_grant &record)
+{
+    for (const granted_amount &amount : record.amounts) {
+        bucket &account = m_buckets[amount.customer];
+        mint(account);
+        account.outstanding -= amount.granted - amount.spent - amount.returned;
+    }
 }
 
 micro_tokens slot_holder::cap(const bucket &account) const
@@ -131,25 +163,6 @@
     }
 }
 
-void slot_holder::lapseGrants(time_point now)
-{
-    while (!m_grants.empty()) {
-        outstanding_grant &first = m_grants.front();
-        const bool settled = std::ranges::all_of(first.amounts, [](const granted_amount &amount) {
-            return amount.spent + amount.returned == amount.granted;
-        });
-        if (!settled && first.lapsesAt > now)
-            return;
-        for (const granted_amount &amount : first.amounts) {
-            // Minting comes first: room that a lapse frees is not filled retroactively.
-            bucket &account = m_buckets[amount.customer];
-            mint(account);
-            account.outstanding -= amount.granted - amount.spent - amount.returned;
-        }
-        m_grants.pop_front();
-    }
-}
-
 slot_holder::bucket *slot_holder::find(std::string_view customer)
 {
     const auto found = m_index.find(customer);
--- /dev/null
+++ b/tests/quota_holder_test.cpp
@@ -0,0 +1,222 @@
+#include "fakes/rate_oracle.h"
+#include "fakes/seeded_random.h"
+
+#include "tamarackridge/quota"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace tamarackridge;
+using namespace tamarackridge::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr micro_tokens token = tokensPerRequest;
+const node_ref caller{"z", "caller", 9};
+
+/// \brief A holder of one of four slots: 25 tokens per second up to 50 for customer `a`.
+class QuotaHolder : public testing::Test // NOLINT(readability-identifier-naming)
+{
+protected:
+    QuotaHolder()
+    {
+        holder.setCustomers(customers, now);
+        holder.setSlots(slots, now);
+    }
+
+    token_grant ask(micro_tokens amount)
+    {
+        return holder.grant(caller, {++sequence, {{"a", amount}}}, now);
+    }
+    micro_tokens granted(const token_grant &grant)
+    {
+        return grant.granted.empty() ? 0 : grant.granted.front().amount;
+    }
+    void report(std::uint64_t grant, micro_tokens spent, micro_tokens returned)
+    {
+        holder.onReport(caller, {grant, {{"a", spent}}, {{"a", returned}}}, now);
+    }
+
+    seeded_random random{1};
+    slot_holder holder{random};
+    time_point now = time_point(1h);
+    std::uint64_t sequence = 0;
+    std::vector<customer_rate> customers{{"a", 100 * token, 200 * token}};
+    std::vector<held_slot> slots{{{"z", 0}, 4, now + 12h}};
+};
+
+} // namespace
+
+// Guards against a new holder that grants what its predecessor granted already.
+TEST_F(QuotaHolder, StartsEmpty)
+{
+    EXPECT_EQ(granted(ask(token)), 0);
+    now += 1s;
+    // A fast clock must not mint above the rate, hence half a percent less than 25.
+    EXPECT_EQ(holder.available("a", now), 24'875'000);
+}
+
+// Guards against a bucket above its part of the burst, and against tokens minted while it is full.
+TEST_F(QuotaHolder, OutstandingGrantsCountAgainstTheBurst)
+{
+    now += 10s;
+    const token_grant grant = ask(1000 * token);
+    EXPECT_EQ(granted(grant), 50 * token);
+    now += 1s;
+    EXPECT_EQ(holder.available("a", now), 0);
+    report(grant.grant, 20 * token, 0);
+    EXPECT_EQ(holder.available("a", now), 0);
+    now += 10s;
+    EXPECT_EQ(holder.available("a", now), 50 * token);
+}
+
+// Guards against minting retroactively for the time in which a grant that then lapsed filled the
+// bucket: its tokens may have been spent at the last moment.
+TEST_F(QuotaHolder, LapsedGrantLeavesAnEmptyBucket)
+{
+    now += 10s;
+    ask(50 * token);
+    now += 2020ms;
+    EXPECT_EQ(holder.available("a", now), 0);
+    now += 1s;
+    EXPECT_EQ(holder.available("a", now), 24'875'000);
+}
+
+// Guards against a bucket that stays low because nobody asked while a grant lapsed.
+TEST_F(QuotaHolder, MintingResumesAtTheLapse)
+{
+    now += 10s;
+    ask(50 * token);
+    now += 3020ms;
+    EXPECT_EQ(holder.available("a", now), 24'875'000);
+}
+
+// Guards against tokens that a repeated or late report puts back twice, and against reports of
+// others.
+TEST_F(QuotaHolder, ReportsAreIdempotent)
+{
+    now += 10s;
+    const token_grant grant = ask(50 * token);
+    holder.onReport({"z", "other", 1}, {grant.grant, {}, {{"a", 50 * token}}}, now);
+    EXPECT_EQ(holder.available("a", now), 0);
+    for (int copy = 0; copy < 3; ++copy)
+        report(grant.grant, 30 * token, 20 * token);
+    report(grant.grant, 10 * token, 50 * token);
+    EXPECT_EQ(holder.available("a", now), 20 * token);
+    report(grant.grant + 1, 0, 10 * token);
+    report(grant.grant - 1, 0, 10 * token);
+    EXPECT_EQ(holder.available("a", now), 20 * token);
+}
+
+// Guards against a report to the former life of a restarted holder.
+TEST_F(QuotaHolder, GrantNumbersDifferBetweenLives)
+{
+    now += 10s;
+    slot_holder second(random);
+    second.setCustomers(customers, now - 10s);
+    second.setSlots(slots, now - 10s);
+    const token_grant one = ask(token);
+    const token_grant two = second.grant(caller, {1, {{"a", token}}}, now);
+    EXPECT_NE(one.grant, two.grant);
+}
+
+// Guards against a lowered rate or burst that applies late, and a raised one that mints for the
+// past.
+TEST_F(QuotaHolder, NewRatesApplyFromNowOn)
+{
+    now += 10s;
+    const std::vector<customer_rate> lower{{"a", 10 * token, 40 * token}};
+    holder.setCustomers(lower, now);
+    EXPECT_EQ(holder.available("a", now), 10 * token);
+    now += 100s;
+    holder.setCustomers(customers, now);
+    EXPECT_EQ(holder.available("a", now), 10 * token);
+    holder.setCustomers({}, now);
+    EXPECT_EQ(holder.available("a", now), 0);
+    now += 10s;
+    holder.setCustomers(customers, now);
+    EXPECT_EQ(holder.available("a", now), 0);
+}
+
+// Guards against a holder that wakes after its lease and still mints or grants.
+TEST_F(QuotaHolder, StopsAtTheEndOfItsLease)
+{
+    now = slots.front().until + 1h;
+    EXPECT_EQ(granted(ask(token)), 0);
+    EXPECT_FALSE(holder.take("a", token, now));
+}
+
+// Guards against granted tokens that outlive the slot's lease, when another holder mints already.
+TEST_F(QuotaHolder, NoGrantOutlivesTheTenure)
+{
+    now = slots.front().until - 10s;
+    while (now < slots.front().until) {
+        const token_grant grant = ask(token);
+        if (granted(grant) > 0) {
+            EXPECT_LE(now + internal::othersLease(grant.lease), slots.front().until);
+        }
+        now += 10ms;
+    }
+}
+
+// Guards against a share that stays after a slot was lost.
+TEST_F(QuotaHolder, LostSlotTakesItsTokens)
+{
+    const std::vector<held_slot> two{slots.front(), {{"z", 1}, 4, now + 12h}};
+    holder.setSlots(two, now);
+    now += 10s;
+    EXPECT_EQ(holder.available("a", now), 100 * token);
+    holder.setSlots(slots, now);
+    EXPECT_EQ(holder.available("a", now), 50 * token);
+    holder.setSlots({}, now);
+    EXPECT_EQ(holder.available("a", now), 0);
+    holder.setSlots(slots, now);
+    EXPECT_EQ(holder.available("a", now), 0);
+}
+
+// Guards against a slow customer that never gets a token because of rounding.
+TEST_F(QuotaHolder, FractionsOfMicroTokensAreKept)
+{
+    const std::vector<customer_rate> slow{{"a", token / 60, token * 4}};
+    holder.setCustomers(slow, now);
+    for (int call = 0; call < 2'000'000; ++call, now += 10us)
+        holder.available("a", now);
+    const double expected = 20.0 * static_cast<double>(token / 60) / 4 * 0.995;
+    EXPECT_NEAR(static_cast<double>(holder.available("a", now)), expected, 2);
+}
+
+// Guards against any sequence of grants, reports, lapses and changes of rate that lets tokens
+// exceed the burst or minting exceed the rate.
+RC_GTEST_PROP(QuotaHolderProperty, NeverExceedsBurstOrRate, ())
+{
+    seeded_random random(*rc::gen::arbitrary<std::uint64_t>());
+    slot_holder holder(random);
+    time_point now(1h);
+    const std::vector<customer_rate> customers{{"a", 10 * token, 20 * token}};
+    const std::vector<held_slot> slots{{{"z", 0}, 1, now + 5min}};
+    holder.setCustomers(customers, now);
+    holder.setSlots(slots, now);
+    rate_oracle oracle(10, 20);
+    std::vector<std::pair<token_grant, time_point>> grants;
+    for (int step = 0; step < 300; ++step) {
+        now += std::chrono::milliseconds(random.below(1500));
+        if (random.below(2) == 0)
+            grants.emplace_back(holder.grant(caller, {1, {{"a", 3 * token}}}, now), now);
+        if (!grants.empty() && random.below(2) == 0) {
+            // The caller spends whole tokens within the lease, and may report or not.
+            const std::size_t index = random.below(grants.size());
+            const auto [grant, at] = grants[index];
+            grants.erase(grants.begin() + static_cast<std::ptrdiff_t>(index));
+            const micro_tokens amount = grant.granted.empty() ? 0 : grant.granted[0].amount;
+            const micro_tokens spent = now < at + 2s ? amount / token * token : 0;
+            for (micro_tokens each = 0; each < spent; each += token)
+                oracle.onAdmitted(now);
+            if (random.below(2) == 0)
+                holder.onReport(caller, {grant.grant, {{"a", spent}}, {{"a", amount - spent}}},
+                                now);
+        }
+        RC_ASSERT(holder.inExistence("a", now) <= 20 * token);
+        RC_ASSERT(oracle.excess() <= 1e-6);
+    }
+}
--- /dev/null
+++ b/tests/quota_pool_test.cpp
@@ -0,0 +1,230 @@
+#include "fakes/seeded_random.h"
+
+#include "tamarackridge/quota"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace tamarackridge;
+using namespace tamarackridge::fakes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr micro_tokens token = tokensPerRequest;
+
+class QuotaPool : public testing::Test // NOLINT(readability-identifier-naming)
+{
+protected:
+    QuotaPool()
+    {
+        pool.setCustomers(customers);
+        pool.setHolders(holders);
+    }
+
+    /// \brief Sends what is due and keeps the requests for tokens and the reports apart.
+    void exchange()
+    {
+        std::vector<send_peer> out;
+        pool.tick(now, out);
+        for (const send_peer &send : out) {
+            if (const token_request *request = std::get_if<token_request>(&send.message))
+                requests.emplace_back(send.node, *request);
+            else if (const token_report *report = std::get_if<token_report>(&send.message))
+                reports.push_back(*report);
+        }
+    }
+    node_ref holderOf(const std::string &name) const
+    {
+        return *std::ranges::find(holders, name, &node_ref::name);
+    }
+    void answer(std::size_t index, micro_tokens amount, std::uint64_t grant = 100)
+    {
+        const auto &[node, request] = requests[index];
+        pool.onGrant(holderOf(node), {request.sequence, grant, 2s, {{"a", amount}}}, now);
+    }
+    /// \brief One refused request makes the pool ask.
+    void demand()
+    {
+        EXPECT_FALSE(pool.trySpend("a", now));
+        EXPECT_TRUE(pool.expectsGrant("a", now));
+        exchange();
+        ASSERT_FALSE(requests.empty());
+    }
+
+    node_ref self{"z", "self", 1};
+    seeded_random random{1};
+    std::vector<customer_rate> customers{{"a", 100 * token, 200 * token},
+                                         {"b", 100 * token, 200 * token}};
+    std::vector<node_ref> holders{{"y", "far", 2}, {"z", "near", 3}, self, {"z", "close", 4}};
+    token_pool pool{self, {}, nullptr, random};
+    time_point now = time_point(1h);
+    std::vector<std::pair<std::string, token_request>> requests;
+    std::vector<token_report> reports;
+};
+
+} // namespace
+
+// Guards against control traffic of nodes without demand.
+TEST_F(QuotaPool, IdlePoolIsSilent)
+{
+    exchange();
+    EXPECT_TRUE(requests.empty());
+    EXPECT_EQ(pool.nextTick(), time_point::max());
+}
+
+// Guards against asking distant holders, or itself, while the own zone has tokens.
+TEST_F(QuotaPool, AsksOwnZoneFirst)
+{
+    demand();
+    EXPECT_EQ(requests.size(), 1U);
+    EXPECT_NE(requests.front().first, "far");
+    answer(0, token);
+    EXPECT_TRUE(pool.retrySpend("a", now));
+}
+
+// Guards against tokens that are spent after the holder took them for lapsed: the lease counts
+// from the request, not from the grant's arrival.
+TEST_F(QuotaPool, LeaseCountsFromTheRequest)
+{
+    demand();
+    const time_point sent = now;
+    now += 150ms;
+    answer(0, 5 * token);
+    EXPECT_TRUE(pool.retrySpend("a", now));
+    now = sent + 2s;
+    EXPECT_FALSE(pool.retrySpend("a", now));
+    EXPECT_EQ(pool.held("a", now), 0);
+}
+
+// Guards against a pause between the grant and its use.
+TEST_F(QuotaPool, GrantAfterItsLeaseIsWorthless)
+{
+    demand();
+    now += 3s;
+    answer(0, 5 * token);
+    EXPECT_FALSE(pool.retrySpend("a", now));
+}
+
+// Guards against tokens counted twice when a grant is repeated, or taken from a grant that was
+// never asked for.
+TEST_F(QuotaPool, RepeatedAndForeignGrantsAreDropped)
+{
+    demand();
+    answer(0, 2 * token);
+    answer(0, 2 * token);
+    EXPECT_EQ(pool.held("a", now), 2 * token);
+    pool.onGrant(holderOf("far"), {requests[0].second.sequence, 7, 2s, {{"a", token}}}, now);
+    pool.onGrant(holderOf("near"), {12345, 7, 2s, {{"a", token}}}, now);
+    EXPECT_EQ(pool.held("a", now), 2 * token);
+}
+
+// Guards against a grant to a node's former life, whose lease began before this life asked.
+TEST_F(QuotaPool, SequencesDifferBetweenLives)
+{
+    demand();
+    token_pool next{self, {}, nullptr, random};
+    next.setCustomers(customers);
+    next.setHolders(holders);
+    next.trySpend("a", now);
+    std::vector<send_peer> out;
+    next.tick(now, out);
+    answer(0, token);
+    next.onGrant(holderOf(requests[0].first),
+                 {requests[0].second.sequence, 100, 2s, {{"a", token}}}, now);
+    EXPECT_EQ(next.held("a", now), 0);
+}
+
+// Guards against a request that waits out a lost answer although other holders have tokens.
+TEST_F(QuotaPool, LostAnswerLeadsToTheNextHolder)
+{
+    demand();
+    now += 15ms;
+    EXPECT_TRUE(pool.expectsGrant("a", now));
+    EXPECT_FALSE(pool.trySpend("a", now));
+    exchange();
+    ASSERT_GE(requests.size(), 2U);
+    EXPECT_NE(requests[0].first, requests[1].first);
+}
+
+// Guards against waiting for a grant that nobody can give.
+TEST_F(QuotaPool, NothingIsExpectedFromDrainedHolders)
+{
+    EXPECT_FALSE(pool.expectsGrant("unknown", now));
+    pool.trySpend("a", now);
+    for (int round = 0; round < 4; ++round) {
+        exchange();
+        for (std::size_t index = 0; index < requests.size(); ++index)
+            answer(index, 0);
+        requests.clear();
+    }
+    EXPECT_FALSE(pool.trySpend("a", now));
+    EXPECT_FALSE(pool.expectsGrant("a", now));
+    EXPECT_TRUE(pool.expectsGrant("b", now));
+}
+
+// Guards against holders that count spent tokens as outstanding, and nodes that keep tokens which
+// they do not need.
+TEST_F(QuotaPool, ReportsSpentAndReturnsTheRest)
+{
+    demand();
+    answer(0, 3 * token);
+    EXPECT_TRUE(pool.retrySpend("a", now));
+    now += 2s;
+    now -= 400ms;
+    exchange();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports[0].grant, 100U);
+    EXPECT_EQ(reports[0].spent.front().amount, token);
+    EXPECT_EQ(reports[0].returned.front().amount, 2 * token);
+    EXPECT_EQ(pool.held("a", now), 0);
+}
+
+// Guards against a graceful shutdown that takes tokens with it.
+TEST_F(QuotaPool, ShutdownReturnsEverything)
+{
+    demand();
+    answer(0, 3 * token);
+    std::vector<send_peer> out;
+    pool.returnAll(now, out);
+    ASSERT_EQ(out.size(), 1U);
+    EXPECT_EQ(std::get<token_report>(out[0].message).returned.front().amount, 3 * token);
+    EXPECT_FALSE(pool.retrySpend("a", now));
+}
+
+// Guards against tokens that survive a change of customers under another customer's name.
+TEST_F(QuotaPool, CustomersKeepTheirTokens)
+{
+    demand();
+    answer(0, 3 * token);
+    const std::vector<customer_rate> next{{"c", token, token}, customers[0]};
+    pool.setCustomers(next);
+    EXPECT_EQ(pool.held("a", now), 3 * token);
+    EXPECT_EQ(pool.held("c", now), 0);
+    EXPECT_FALSE(pool.trySpend("b", now));
+}
+
+// Guards against messages between a node and itself.
+TEST_F(QuotaPool, OwnSlotsAreDrawnFromLocally)
+{
+    slot_holder local(random);
+    local.setCustomers(customers, now);
+    const std::vector<held_slot> slots{{{"z", 0}, 4, now + 12h}};
+    local.setSlots(slots, now);
+    token_pool drawing{self, {}, &local, random};
+    drawing.setCustomers(customers);
+    drawing.setHolders(holders);
+    for (int step = 0; step < 100; ++step) {
+        now += 50ms;
+        EXPECT_TRUE(drawing.trySpend("a", now));
+    }
+    EXPECT_EQ(drawing.bytesUsed(), 0);
+}
+
+// Guards against a fleet whose few holders drown in the requests of many nodes.
+TEST(QuotaPoolOptions, BudgetFollowsTheNumberOfNodesPerSlot)
+{
+    EXPECT_EQ(pool_options::forFleet(16, 16).bytesPerSecond, 5000);
+    EXPECT_EQ(pool_options::forFleet(5800, 580).bytesPerSecond, 800);
+}
