Refuse a log that lost its records and wait for zones after a change

upToDate() was true before anything had been read, and stayed true for a log that ends before the reader's position, as it does after the stand-in was restarted: a node would have confirmed its keys by a log whose publications it ignores. Both are false now, and tamarackridge-ctl says so.

--- a/include/tamarackridge/src/config/config_log.h
+++ b/include/tamarackridge/src/config/config_log.h
@@ -25,6 +25,7 @@
     std::uint64_t undecodable = 0;
     std::uint64_t unusableSnapshots = 0; ///< Seen while a snapshot was needed.
     std::uint64_t refusedStates = 0; ///< Undecodable or contradicting states from peers.
+    std::uint64_t shrunkenLogs = 0; ///< Reads of a log that ends before what was read already.
 };
 
 /// \brief What became of a publication.
@@ -82,9 +83,9 @@
     /// \returns the last offset that current() reflects, or -1.
     std::int64_t coveredOffset() const { return m_covered; }
     std::int64_t nextReadOffset() const { return m_next; }
-    /// \returns whether the log's end has been reached without a gap, so that version() is the
+    /// \returns whether the last read reached the log's end without a gap, so that version() is the
     /// version in force at that end.
-    bool upToDate() const { return m_continuous && m_next >= m_end; }
+    bool upToDate() const { return m_continuous && m_next == m_end; }
     /// \returns whether relayed records showed a gap that a peer's config_state can close.
     bool needsFetch() const { return m_relayed > m_covered; }
     /// \returns the state for a peer that has no newer version; the set is left out if the peer
@@ -120,7 +121,7 @@
     std::int64_t m_covered = -1;
     std::int64_t m_next = 0;
     std::int64_t m_first = 0;
-    std::int64_t m_end = 0;
+    std::int64_t m_end = -1; ///< By the last read; -1 before the first one.
     std::int64_t m_relayed = -1; ///< Highest offset that a peer relayed.
     bool m_continuous = true; ///< False while records between m_covered and m_next are missing.
     std::deque<decided> m_decided; ///< Oldest first.
--- a/src/core/config/config_log.cpp
+++ b/src/core/config/config_log.cpp
@@ -22,7 +22,11 @@
 {
     const std::int64_t before = m_version;
     noteFirst(first);
-    m_end = std::max(m_end, end);
+    m_end = end;
+    // A log that lost records hands out their offsets again. Its records are not taken, as that
+    // could revert the version, and upToDate() stays false, so nothing is confirmed by it.
+    if (end < m_next)
+        ++m_counters.shrunkenLogs;
     for (const log_record &record : records) {
         if (record.offset < m_next)
             continue;
--- a/src/ctl/change_text.cpp
+++ b/src/ctl/change_text.cpp
@@ -23,8 +23,7 @@
         {"conflict", exit_code::conflict,
          "conflict: another publication came first; look at the version in force ('diff') and "
          "publish again"},
-        {"unavailable", exit_code::log_unavailable,
-         "the platform log is not available; nothing was published"},
+        {"unavailable", exit_code::log_unavailable, "the platform log is not available"},
         {"undecided", exit_code::log_unavailable,
          "the log does not answer; the publication may still take effect, look for its id in "
          "'history'"},
@@ -34,6 +33,22 @@
          "configuration either, use 'publish --bootstrap'"},
 }};
 
+bool tellsVersion(change_outcome outcome)
+{
+    return outcome != change_outcome::unavailable && outcome != change_outcome::trimmed;
+}
+
+void printChange(const change_report &report, std::string_view message, std::ostream &target)
+{
+    target << message << "\n";
+    if (tellsVersion(report.outcome))
+        target << "version in force: " << report.version << "\n";
+    if (!report.publicationId.empty())
+        target << "publication id: " << report.publicationId << "\n";
+    if (!report.detail.empty())
+        target << report.detail << "\n";
+}
+
 } // namespace
 
 exit_code commands::finish(const change_report &report)
@@ -48,15 +63,11 @@
                                 {"detail", report.detail}}
                          .dump()
               << "\n";
-        return text.code;
+    } else {
+        printChange(report, text.message, text.code == exit_code::success ? m_out : m_errors);
     }
-    std::ostream &target = text.code == exit_code::success ? m_out : m_errors;
-    target << text.message << "\nversion in force: " << report.version << "\n";
-    if (!report.publicationId.empty())
-        target << "publication id: " << report.publicationId << "\n";
-    if (!report.detail.empty())
-        target << report.detail << "\n";
-    return text.code;
+    const bool await = report.outcome == change_outcome::published && !m_options.nodes.empty();
+    return await ? awaitFleet() : text.code;
 }
 
 } // namespace tamarackridge
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -149,15 +149,37 @@
     if (m_options.nodes.empty())
         return fail(exit_code::usage, "status needs --nodes=URL,...");
     const std::optional<change_report> failure = m_client.catchUp();
-    const duration maxUnconfirmed = m_client.current().settings().maxUnconfirmed;
     const fleet_report report =
-            assessFleet(askNodes(m_transport, m_options.nodes), m_client.current(),
-                        failure ? std::nullopt : std::optional(m_client.version()));
-    m_out << statusText(report, maxUnconfirmed, m_options.json);
+            askFleet(failure ? std::nullopt : std::optional(m_client.version()));
+    m_out << statusText(report, m_client.current().settings().maxUnconfirmed, m_options.json);
+    const bool logBehind = !failure && m_client.version() < report.version;
     if (failure)
         m_errors << "the log does not tell the version in force (" << failure->detail
                  << "); the highest version of a node is shown\n";
-    return report.allCurrent() && !failure ? exit_code::success : exit_code::fleet_behind;
+    if (logBehind)
+        m_errors << "nodes have a newer version than the log, which has lost records\n";
+    return report.allCurrent() && !failure && !logBehind ? exit_code::success
+                                                         : exit_code::fleet_behind;
+}
+
+fleet_report commands::askFleet(std::optional<std::int64_t> version)
+{
+    return assessFleet(askNodes(m_transport, m_options.nodes), m_client.current(), version);
+}
+
+exit_code commands::awaitFleet()
+{
+    constexpr int polls = 10; // A version is to be in force everywhere within 4 s.
+    fleet_report report;
+    for (int poll = 0; poll < polls; ++poll) {
+        report = askFleet(m_client.version());
+        if (report.allCurrent())
+            return exit_code::success;
+        m_client.pause(std::chrono::seconds(1));
+    }
+    m_errors << "published, but not in force everywhere:\n"
+             << statusText(report, m_client.current().settings().maxUnconfirmed, false);
+    return exit_code::fleet_behind;
 }
 
 exit_code commands::version(const std::string &)
@@ -196,7 +218,7 @@
               << "\n";
     else
         m_out << "key of '" << customer << "', shown only now:\n" << key.presented << "\n";
-    return exit_code::success;
+    return m_options.nodes.empty() ? exit_code::success : awaitFleet();
 }
 
 exit_code commands::withdrawKey(const std::string &id)
--- a/src/ctl/config_client.cpp
+++ b/src/ctl/config_client.cpp
@@ -76,7 +76,9 @@
         m_state.logRecords(page->records, page->first, page->end, time_point{});
         if (m_state.upToDate())
             return std::nullopt;
-        if (m_state.nextReadOffset() >= page->end)
+        if (m_state.nextReadOffset() > page->end)
+            return report(change_outcome::unavailable, "the log lost records that it had shown");
+        if (m_state.nextReadOffset() == page->end)
             return report(change_outcome::trimmed,
                           "the log's older records are gone and it holds no usable snapshot");
     }
--- a/src/ctl/config_client.h
+++ b/src/ctl/config_client.h
@@ -60,6 +60,7 @@
     /// \returns the set in force; the empty one before the first publication.
     const config_set &current() const;
     std::int64_t version() const { return m_state.version(); }
+    void pause(duration time) const { m_pause(time); }
 
     /// \returns \a set with the keys in force if it lists none.
     ///
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -11,7 +11,9 @@
 #include <thread>
 
 DEFINE_string(log, "http://127.0.0.1:7200", "base URL of the platform log");
-DEFINE_string(nodes, "", "base URLs of nodes, separated by commas; for 'status'");
+DEFINE_string(nodes, "",
+              "base URLs of nodes, separated by commas; changes then wait up to 10 s until "
+              "every zone follows");
 DEFINE_int64(base, -2, "version that FILE started from; publishing fails if another is in force");
 DEFINE_bool(bootstrap, false,
             "publish: start again when log and nodes have lost the configuration");
--- a/src/log/log_server.cpp
+++ b/src/log/log_server.cpp
@@ -111,9 +111,10 @@
 
 log_server::~log_server()
 {
-    m_instance->service->close();
-    if (m_instance->started)
+    if (m_instance->started) {
+        m_instance->service->close(); // Long polls would delay the end.
         ulfius_stop_framework(&m_instance->http);
+    }
     if (m_instance->initialised)
         ulfius_clean_instance(&m_instance->http);
 }
--- a/tests/config_log_test.cpp
+++ b/tests/config_log_test.cpp
@@ -215,6 +215,25 @@
     EXPECT_FALSE(reader.needsFetch());
 }
 
+// Guards against a node that takes a log which lost its records for a confirmation, or reverts to
+// what was published there since.
+TEST(ConfigLog, LogThatLostItsRecordsConfirmsNothing)
+{
+    config_log reader{snapshot_options{}};
+    EXPECT_FALSE(reader.upToDate()); // Nothing was read yet.
+    config_history history;
+    for (std::int64_t base = -1; base < 2; ++base)
+        history.publish(base, rateDelta("acme", 10 + base));
+    readToEnd(reader, history, 0);
+    ASSERT_TRUE(reader.upToDate());
+    config_history restarted;
+    restarted.publish(-1, rateDelta("acme", 1));
+    reader.logRecords(restarted.read(0, 5), 0, restarted.end(), time_point{});
+    EXPECT_EQ(reader.version(), 2);
+    EXPECT_FALSE(reader.upToDate());
+    EXPECT_EQ(reader.counters().shrunkenLogs, 1U);
+}
+
 // Guards against a peer state whose version lies after what it covers.
 TEST(ConfigLog, RefusesContradictingPeerState)
 {
--- a/tests/ctl_commands_test.cpp
+++ b/tests/ctl_commands_test.cpp
@@ -168,6 +168,16 @@
     EXPECT_EQ(run({"status"}), exit_code::success);
 }
 
+// Guards against a withdrawal that is reported as done while a zone does not follow.
+TEST_F(ctl_commands, ChangesWaitForTheFleetWhenNodesAreGiven)
+{
+    ASSERT_EQ(publish(fakes::sampleObjects(), -1), exit_code::success);
+    m_options.nodes = {"http://a"};
+    EXPECT_EQ(run({"keys", "issue", "acme"}), exit_code::fleet_behind);
+    EXPECT_NE(m_out.str().find("shown only now"), std::string::npos);
+    EXPECT_NE(m_errors.str().find("state=not-heard  zone=bilbao"), std::string::npos);
+}
+
 // Guards against a drain that is reported although no node took it.
 TEST_F(ctl_commands, DrainReachesTheNode)
 {
--- a/tests/log_server_test.cpp
+++ b/tests/log_server_test.cpp
@@ -28,6 +28,18 @@
     return ntohs(address.sin_port);
 }
 
+/// \brief Starts a server and sets \a url; another program may take a free port before it does.
+std::unique_ptr<log_server> startServer(log_service &service, std::string &url)
+{
+    std::unique_ptr<log_server> server;
+    for (int attempt = 0; attempt < 10 && (!server || !server->listening()); ++attempt) {
+        const std::uint16_t port = freePort();
+        server = std::make_unique<log_server>(service, "127.0.0.1", port);
+        url = "http://127.0.0.1:" + std::to_string(port);
+    }
+    return server;
+}
+
 class log_over_http : public ::testing::Test
 {
 protected:
@@ -45,10 +57,9 @@
                       : answer.error();
     }
 
-    std::uint16_t m_port = freePort();
-    std::string m_url = "http://127.0.0.1:" + std::to_string(m_port);
+    std::string m_url;
     log_service m_service{{.recordBytes = 1000}};
-    log_server m_server{m_service, "127.0.0.1", m_port};
+    std::unique_ptr<log_server> m_server = startServer(m_service, m_url);
     curl_transport m_transport;
     platform_log m_log{m_transport, m_url};
 };
@@ -58,7 +69,7 @@
 // Guards against bytes that change on the way through HTTP and JSON.
 TEST_F(log_over_http, RecordsComeBackUnchanged)
 {
-    ASSERT_TRUE(m_server.listening());
+    ASSERT_TRUE(m_server->listening());
     const std::string data = "a=1&b=%41 \"\\\n\t\xc3\xb1";
     EXPECT_EQ(m_log.append("config", data), 0);
     const log_page page = m_log.read("config", 0).value();
