--- a/src/node/backend_runner.h
+++ b/src/node/backend_runner.h
@@ -41,6 +41,7 @@
 
     /// \brief Exchanges requests and answers until a stop is requested.
     void runClient(child_context &context);
+    void wakeClient() const { m_client.wake(); }
     /// \brief Tries new connections after broken ones, until a stop is requested.
     void runProber(child_context &context);
     void wakeProber() { m_broken.notify_one(); }
--- a/src/node/node_app.cpp
+++ b/src/node/node_app.cpp
@@ -118,7 +118,9 @@
             "peers", [this](context &c) { m_peers.run(c); }, [this] { m_peers.wake(); });
     add(
             "appender", [this](context &c) { m_appender.run(c); }, [this] { m_appender.wake(); });
-    add("backend", [this](context &c) { m_backend.runClient(c); }, {});
+    add(
+            "backend", [this](context &c) { m_backend.runClient(c); },
+            [this] { m_backend.wakeClient(); });
     add(
             "prober", [this](context &c) { m_backend.runProber(c); },
             [this] { m_backend.wakeProber(); });
--- a/src/node/peer_link.h
+++ b/src/node/peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "process/wake_event.h"
 #include "process/metrics.h"
+#include "process/wake_event.h"
 #include "wire/frame.h"
 
 #include "tamarackridge/src/node/action.h"
--- a/src/process/http_client.cpp
+++ b/src/process/http_client.cpp
@@ -60,6 +60,8 @@
             m_loop.wake();
     }
 
+    void wake() const { m_loop.wake(); }
+
     void runOnce(std::chrono::milliseconds wait)
     {
         m_loop.wait(wait);
@@ -176,6 +178,11 @@
     m_implementation->push(cancellation{id});
 }
 
+void http_client::wake() const
+{
+    m_implementation->wake();
+}
+
 void http_client::runOnce(std::chrono::milliseconds wait)
 {
     m_implementation->runOnce(wait);
--- a/src/process/http_client.h
+++ b/src/process/http_client.h
@@ -70,6 +70,8 @@
 
     /// \brief Waits for up to \a wait and carries out what is due.
     void runOnce(std::chrono::milliseconds wait);
+    /// \brief Ends the present or next wait of runOnce(); may be called on any thread.
+    void wake() const;
 
 private:
     class implementation;
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -111,11 +111,13 @@
     raw_server &operator=(const raw_server &) = delete;
     ~raw_server()
     {
-        shutdown(m_socket, SHUT_RDWR); // Ends an accept() that still waits.
+        stopListening(); // Ends an accept() that still waits.
         m_thread.join();
         ::close(m_socket);
     }
 
+    /// \brief New connections are refused from now on.
+    void stopListening() { shutdown(m_socket, SHUT_RDWR); }
     std::uint16_t port() const { return m_port; }
     int connections() const { return m_connections; }
 
--- /dev/null
+++ b/tests/node_app_test.cpp
@@ -0,0 +1,100 @@
+#include "fakes/raw_server.h"
+#include "node/fleet_key.h"
+#include "node/node_app.h"
+
+#include <gtest/gtest.h>
+#include <zmq.h>
+
+#include <fstream>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::raw_connection;
+
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+std::string text(std::string_view path)
+{
+    return "GET " + std::string(path) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
+node_settings minimalSettings()
+{
+    node_settings settings;
+    settings.zone = "z";
+    settings.name = "n";
+    settings.callers.address = "127.0.0.1";
+    settings.peerBind = "ipc://@tamarackridge-app-" + std::to_string(getpid());
+    settings.peerEndpoint = settings.peerBind;
+    settings.fleetPublicKey.resize(41);
+    settings.fleetSecretKey.resize(41);
+    zmq_curve_keypair(settings.fleetPublicKey.data(), settings.fleetSecretKey.data());
+    settings.fleetPublicKey.pop_back();
+    settings.fleetSecretKey.pop_back();
+    return settings;
+}
+
+// Guards against threads that don't start, requests without an answer, and a shutdown that hangs.
+TEST(node_app, answers_requests_and_drains)
+{
+    const std::string recordName = testing::TempDir() + "requests-" + std::to_string(getpid());
+    node_settings settings = minimalSettings();
+    settings.requestFile = recordName;
+    {
+        node_app node(settings);
+        EXPECT_FALSE(node.supervise().has_value());
+        raw_connection caller(raw_connection::connectTo(node.callerPort()));
+        caller.write(text("/.tamarackridge/status"));
+        EXPECT_TRUE(caller.readUntil(headEnd).starts_with("HTTP/1.1 200 "));
+        caller.readUntil("]}");
+        caller.write(text("/no/such/route?key=secret"));
+        EXPECT_TRUE(caller.readUntil(headEnd).starts_with("HTTP/1.1 "));
+        node.drain();
+        while (!node.drained())
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    std::ifstream file(recordName);
+    std::string record;
+    std::getline(file, record);
+    EXPECT_NE(record.find(R"("path":"/no/such/route")"), std::string::npos) << record;
+    EXPECT_EQ(record.find("secret"), std::string::npos) << record;
+    std::remove(recordName.c_str());
+}
+
+// Guards against two nodes with one port, of which one serves nothing and looks healthy.
+TEST(node_app, occupied_port_is_an_error)
+{
+    node_settings settings = minimalSettings();
+    const node_app first(settings);
+    settings.callers.port = first.callerPort();
+    settings.peerBind += "-second";
+    EXPECT_THROW(const node_app second(settings), std::runtime_error);
+}
+
+// Guards against a node that starts with a key pair no peer accepts.
+TEST(node_settings, fleet_key_pair_is_checked)
+{
+    const node_settings settings = minimalSettings();
+    EXPECT_TRUE(isKeyPair(settings.fleetPublicKey, settings.fleetSecretKey));
+    EXPECT_FALSE(isKeyPair(settings.fleetSecretKey, settings.fleetPublicKey));
+    EXPECT_FALSE(isKeyPair(settings.fleetPublicKey, settings.fleetPublicKey));
+    EXPECT_FALSE(isKeyPair("", ""));
+}
+
+// Guards against a start with a settings file whose faults are not all named.
+TEST(node_settings, faults_are_named)
+{
+    const std::string name = testing::TempDir() + "settings-" + std::to_string(getpid());
+    std::ofstream(name) << R"({"node": {"zone": "z"}, "callers": {"port": 80},
+        "peers": {"bind": "b", "endpoint": "e", "public_key": "p", "secret_key": "s"}})";
+    node_settings settings;
+    std::vector<std::string> paths;
+    for (const settings_fault &fault : readNodeSettings(name, settings))
+        paths.push_back(fault.path);
+    EXPECT_EQ(paths, (std::vector<std::string>{"node.name", "peers.secret_key"}));
+    std::remove(name.c_str());
+}
+
+} // namespace
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/node_peer_link_test.cpp
@@ -0,0 +1,211 @@
+#include "node/fleet_key.h"
+#include "node/peer_link.h"
+#include "node/peer_session.h"
+#include "process/supervisor.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <deque>
+
+namespace tamarackridge {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct key_pair
+{
+    std::string publicKey = std::string(41, '\0');
+    std::string secretKey = std::string(41, '\0');
+
+    key_pair()
+    {
+        zmq_curve_keypair(publicKey.data(), secretKey.data());
+        publicKey.pop_back();
+        secretKey.pop_back();
+    }
+};
+
+// The messages that a link received, in order.
+class inbox
+{
+public:
+    struct item
+    {
+        node_ref from;
+        peer_message message;
+    };
+
+    peer_link::receiver receiver()
+    {
+        return [this](const node_ref &from, peer_message message) {
+            const std::lock_guard lock(m_mutex);
+            m_items.push_back({from, std::move(message)});
+            m_filled.notify_one();
+        };
+    }
+    item next()
+    {
+        std::unique_lock lock(m_mutex);
+        m_filled.wait(lock, [this] { return !m_items.empty(); });
+        item first = std::move(m_items.front());
+        m_items.pop_front();
+        return first;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_filled;
+    std::deque<item> m_items;
+};
+
+// A running link with its inbox and its metrics.
+struct running_link
+{
+    running_link(const std::string &name, incarnation life, const std::string &endpoint,
+                 const key_pair &keys)
+        : link({{"zone", name, life}, endpoint, keys.publicKey, keys.secretKey}, metrics,
+               received.receiver())
+    {
+        child_spec spec;
+        spec.name = name;
+        spec.run = [this](child_context &context) { link.run(context); };
+        spec.wake = [this] { link.wake(); };
+        threads.add(std::move(spec));
+        threads.step(supervisor::clock::now());
+    }
+    ~running_link() { threads.stop(); }
+    running_link(const running_link &) = delete;
+    running_link &operator=(const running_link &) = delete;
+
+    inbox received;
+    metrics_registry metrics;
+    peer_link link;
+    supervisor threads;
+};
+
+// Each test has endpoints of its own, since abstract socket names live as long as the process.
+std::string endpointOf(const std::string &name)
+{
+    const testing::TestInfo &test = *testing::UnitTest::GetInstance()->current_test_info();
+    return "ipc://@tamarackridge-" + std::to_string(getpid()) + test.name() + name;
+}
+
+class node_peer_link : public testing::Test
+{
+protected:
+    key_pair m_keys;
+    running_link m_a{"a", 0xa, endpointOf("a"), m_keys};
+    running_link m_b{"b", 0xb, endpointOf("b"), m_keys};
+};
+
+// Guards against messages that don't arrive, lose their order or name the wrong sender.
+TEST_F(node_peer_link, delivers_messages_in_order)
+{
+    m_a.link.connect({"b", endpointOf("b")});
+    for (std::uint64_t i = 0; i < 100; ++i)
+        m_a.link.send({"b", 0xb, dispatch_cancel{{0xa, i}}});
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const inbox::item item = m_b.received.next();
+        EXPECT_EQ(item.from, (node_ref{"zone", "a", 0xa}));
+        EXPECT_EQ(std::get<dispatch_cancel>(item.message).id.sequence, i);
+    }
+}
+
+// Guards against a fresh node getting no answer from a seed that doesn't know its endpoint yet.
+TEST_F(node_peer_link, answers_a_peer_without_a_link_of_its_own)
+{
+    m_a.link.connect({"b", endpointOf("b")});
+    m_a.link.send({"b", 0, config_fetch{1}});
+    m_b.received.next();
+    m_b.link.send({"a", 0xa, config_state{2, 3, "{}"}});
+    EXPECT_EQ(std::get<config_state>(m_a.received.next().message).version, 2);
+}
+
+// Guards against a dispatch that was meant for an earlier life of the receiver being run.
+TEST_F(node_peer_link, refuses_messages_for_another_incarnation)
+{
+    m_a.link.connect({"b", endpointOf("b")});
+    m_a.link.send({"b", 0xbb, dispatch_cancel{{1, 1}}});
+    m_a.link.send({"b", 0, dispatch_cancel{{1, 2}}}); // Needs the incarnation.
+    m_a.link.send({"b", 0, heartbeat{}}); // Doesn't.
+    EXPECT_TRUE(std::holds_alternative<heartbeat>(m_b.received.next().message));
+    EXPECT_NE(m_b.metrics.text().find(R"(reason="wrong_receiver"} 2)"), std::string::npos)
+            << m_b.metrics.text();
+}
+
+// Sends raw frames with the fleet's keys.
+class raw_peer
+{
+public:
+    raw_peer(const key_pair &keys, const std::string &serverKey, const std::string &endpoint)
+        : m_socket(m_context, zmq::socket_type::dealer)
+    {
+        m_socket.set(zmq::sockopt::curve_publickey, keys.publicKey);
+        m_socket.set(zmq::sockopt::curve_secretkey, keys.secretKey);
+        m_socket.set(zmq::sockopt::curve_serverkey, serverKey);
+        m_socket.set(zmq::sockopt::linger, 0);
+        m_socket.connect(endpoint);
+    }
+    void send(const std::string &bytes) { m_socket.send(zmq::buffer(bytes)); }
+    zmq::socket_t &socket() { return m_socket; }
+
+private:
+    zmq::context_t m_context;
+    zmq::socket_t m_socket;
+};
+
+// Guards against a frame that arrives twice being applied twice, and against one that is damaged.
+TEST_F(node_peer_link, refuses_repeated_and_damaged_frames)
+{
+    raw_peer peer(m_keys, m_keys.publicKey, endpointOf("b"));
+    const frame_header header{{"zone", "c", 0xc}, 0xb, 5};
+    const std::string frame = encodePeerMessage(header, config_fetch{1});
+    peer.send(frame);
+    peer.send(frame);
+    peer.send(frame.substr(0, frame.size() - 1));
+    peer.send(encodePeerMessage({header.sender, 0xb, 6}, config_fetch{2}));
+    EXPECT_EQ(std::get<config_fetch>(m_b.received.next().message).haveVersion, 1);
+    EXPECT_EQ(std::get<config_fetch>(m_b.received.next().message).haveVersion, 2);
+    const std::string text = m_b.metrics.text();
+    EXPECT_NE(text.find(R"(reason="repeated"} 1)"), std::string::npos) << text;
+    EXPECT_NE(text.find(R"(reason="frame_invalid"} 1)"), std::string::npos) << text;
+}
+
+// Notices when a server refuses the socket's key.
+class refusal_monitor : public zmq::monitor_t
+{
+public:
+    explicit refusal_monitor(zmq::socket_t &socket)
+    {
+        init(socket, "inproc://refusals", ZMQ_EVENT_HANDSHAKE_FAILED_AUTH);
+    }
+    void await()
+    {
+        while (!m_refused)
+            check_event(100);
+    }
+    void on_event_handshake_failed_auth(const zmq_event_t &, const char *) override
+    {
+        m_refused = true;
+    }
+
+private:
+    bool m_refused = false;
+};
+
+// Guards against a peer without the fleet's key pair being heard.
+TEST_F(node_peer_link, refuses_other_keys)
+{
+    const key_pair other;
+    raw_peer stranger(other, m_keys.publicKey, endpointOf("b"));
+    refusal_monitor monitor(stranger.socket());
+    stranger.send(encodePeerMessage({{"zone", "s", 0x5}, 0xb, 1}, config_fetch{1}));
+    monitor.await();
+    raw_peer peer(m_keys, m_keys.publicKey, endpointOf("b"));
+    peer.send(encodePeerMessage({{"zone", "c", 0xc}, 0xb, 1}, config_fetch{2}));
+    EXPECT_EQ(std::get<config_fetch>(m_b.received.next().message).haveVersion, 2);
+}
+
+} // namespace
+} // namespace tamarackridge
