Benchmark a node's whole request path and spare header copies

Cause: every forwarded header was lowered into a fresh string, and the executor copied headers that it does not need again.

--- /dev/null
+++ b/bench/node_bench.cpp
@@ -0,0 +1,110 @@
+#include "allocation_counter.h"
+#include "scenario/sample_fleet.h"
+
+#include <benchmark/benchmark.h>
+
+#include <atomic>
+
+using namespace tamarackridge;
+using namespace tamarackridge::scenario;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A fleet that has settled, and the requests that the benchmarks send through one of its nodes.
+struct settled_fleet
+{
+    settled_fleet()
+        : sample({.seed = 1}, {{"andes", 4'000'000, 4'000'000}})
+    {
+        sample.fleet.run(20s);
+        now = sample.fleet.events().now();
+    }
+
+    sample_fleet sample;
+    time_point now;
+};
+
+void reportAllocations(benchmark::State &state, std::uint64_t before)
+{
+    state.counters["allocations"] = benchmark::Counter(
+            static_cast<double>(bench::allocations - before), benchmark::Counter::kAvgIterations);
+}
+
+void BM_atomicIncrement(benchmark::State &state)
+{
+    std::atomic<std::uint64_t> counter = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(counter.fetch_add(1));
+}
+BENCHMARK(BM_atomicIncrement);
+
+/// All decisions for one request on one node: entry, route, key, rate, choice of the backend
+/// server, admission, answer. The HTTP request that the shell would have parsed is copied in the
+/// loop.
+void serveLocally(benchmark::State &state, const char *target, const char *customer)
+{
+    settled_fleet settled;
+    node_core &core = settled.sample.fleet.core("a-movements");
+    const http_request request = settled.sample.request("GET", target, customer, "bench");
+    const shared_body body = std::make_shared<const std::string>("answer");
+    action_list out;
+    call_id call = 1;
+    std::uint64_t served = 0;
+    std::uint64_t dispatched = 0;
+    const std::uint64_t before = bench::allocations;
+    for (auto _ : state) {
+        // The pace keeps to the customer's rate, so that no request waits for tokens.
+        settled.now += 50us;
+        out.clear();
+        core.callerRequest(call++, request, settled.now, out);
+        for (std::size_t index = 0; index < out.size(); ++index) {
+            if (const run_backend *run = std::get_if<run_backend>(&out[index])) {
+                backend_result result;
+                result.bytesSent = true;
+                result.answer = http_answer{200, {}, body};
+                core.backendAnswer(run->run, std::move(result), settled.now + 10us, out);
+                ++served;
+            } else if (std::holds_alternative<send_peer>(out[index])) {
+                ++dispatched;
+            }
+        }
+        if (call % 200 == 0) {
+            state.PauseTiming();
+            out.clear();
+            core.tick(settled.now, out);
+            state.ResumeTiming();
+        }
+    }
+    reportAllocations(state, before);
+    state.counters["served_share"] = static_cast<double>(served) / static_cast<double>(call);
+    state.counters["peer_messages"] = static_cast<double>(dispatched) / static_cast<double>(call);
+}
+
+void BM_openLookup(benchmark::State &state)
+{
+    serveLocally(state, "/status", "");
+}
+BENCHMARK(BM_openLookup);
+
+void BM_keyedLookup(benchmark::State &state)
+{
+    serveLocally(state, "/movements", "andes");
+}
+BENCHMARK(BM_keyedLookup);
+
+/// The work of one tick of an idle node.
+void BM_idleTick(benchmark::State &state)
+{
+    settled_fleet settled;
+    node_core &core = settled.sample.fleet.core("a-movements");
+    action_list out;
+    for (auto _ : state) {
+        settled.now += 10ms;
+        out.clear();
+        core.tick(settled.now, out);
+    }
+}
+BENCHMARK(BM_idleTick);
+
+} // namespace
--- a/include/tamarackridge/src/base/http_message.h
+++ b/include/tamarackridge/src/base/http_message.h
@@ -36,6 +36,9 @@
     shared_body body;
 };
 
+/// \returns whether two header names are equal, without regard to case.
+bool equalHeaderNames(std::string_view left, std::string_view right);
+
 /// \returns the value of the first header called \a name (case-insensitive), or an empty view.
 std::string_view headerValue(const std::vector<http_header> &headers, std::string_view name);
 
--- a/src/core/base/http_message.cpp
+++ b/src/core/base/http_message.cpp
@@ -11,18 +11,18 @@
                                                 : character;
 }
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
+} // namespace
+
+bool equalHeaderNames(std::string_view left, std::string_view right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                       [](char a, char b) { return lowerAscii(a) == lowerAscii(b); });
 }
 
-} // namespace
-
 std::string_view headerValue(const std::vector<http_header> &headers, std::string_view name)
 {
     for (const http_header &header : headers) {
-        if (equalsIgnoringCase(header.name, name))
+        if (equalHeaderNames(header.name, name))
             return header.value;
     }
     return {};
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -8,6 +8,7 @@
 namespace tamarackridge::internal {
 namespace {
 
+constexpr std::size_t ownHeaderCount = 4;
 constexpr int tooManyRequests = 429;
 constexpr int serviceUnavailable = 503;
 
@@ -117,7 +118,7 @@
     out.push_back(run_backend{run, backendRequest(run, work, now), work.deadline - now});
 }
 
-http_request executor::backendRequest(run_id run, const execution &work, time_point now)
+http_request executor::backendRequest(run_id run, execution &work, time_point now)
 {
     running_request running;
     running.run = run;
@@ -130,7 +131,9 @@
     request.method = work.request.method;
     request.target = work.request.target;
     request.body = work.request.body;
-    request.headers = work.request.headers;
+    // Only method, target and body are needed again, for a fingerprint after a crash.
+    request.headers = std::move(work.request.headers);
+    request.headers.reserve(request.headers.size() + ownHeaderCount);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(work.deadline - now);
     request.headers.push_back({std::string(header::handle), m_handles.open(std::move(running))});
     request.headers.push_back({std::string(header::deadline), std::to_string(left.count())});
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -73,7 +73,7 @@
     void finish(run_id run, dispatch_answer answer, time_point now, action_list &out);
     void startReady(time_point now, action_list &out);
     void start(run_id run, time_point now, action_list &out);
-    http_request backendRequest(run_id run, const execution &work, time_point now);
+    http_request backendRequest(run_id run, execution &work, time_point now);
     dispatch_answer outcomeOf(const backend_result &result) const;
     void emitSpan(const execution &work, const dispatch_answer &answer, time_point now,
                   action_list &out) const;
--- a/src/core/node/forwarded_headers.cpp
+++ b/src/core/node/forwarded_headers.cpp
@@ -14,20 +14,18 @@
 constexpr std::array<std::string_view, 2> callerOnly{"authorization", "traceparent"};
 constexpr std::string_view ownPrefix = "tamarackridge-";
 
-std::string lower(std::string_view text)
+template <typename Names>
+bool contains(const Names &names, std::string_view name)
 {
-    std::string result(text);
-    for (char &character : result) {
-        if (character >= 'A' && character <= 'Z')
-            character = static_cast<char>(character - 'A' + 'a');
-    }
-    return result;
+    return std::any_of(names.begin(), names.end(), [name](std::string_view candidate) {
+        return equalHeaderNames(candidate, name);
+    });
 }
 
-template <typename Names>
-bool contains(const Names &names, std::string_view name)
+bool isOwnHeader(std::string_view name)
 {
-    return std::find(names.begin(), names.end(), name) != names.end();
+    return name.size() >= ownPrefix.size()
+           && equalHeaderNames(name.substr(0, ownPrefix.size()), ownPrefix);
 }
 
 } // namespace
@@ -36,9 +34,8 @@
 {
     std::vector<http_header> result;
     for (const http_header &candidate : received) {
-        const std::string name = lower(candidate.name);
-        if (!contains(hopByHop, name) && !contains(callerOnly, name)
-            && !name.starts_with(ownPrefix))
+        const std::string_view name = candidate.name;
+        if (!contains(hopByHop, name) && !contains(callerOnly, name) && !isOwnHeader(name))
             result.push_back(candidate);
     }
     return result;
@@ -48,8 +45,7 @@
 {
     std::vector<http_header> result;
     for (const http_header &candidate : received) {
-        const std::string name = lower(candidate.name);
-        if (!contains(hopByHop, name) && !name.starts_with(ownPrefix))
+        if (!contains(hopByHop, candidate.name) && !isOwnHeader(candidate.name))
             result.push_back(candidate);
     }
     return result;
