Return part of the step after a check of the concurrency limit

Cause: the step of 0.7 that the elasticity needs leaves the limit below the slots, and it took several windows to grow back.

--- a/src/core/overload/concurrency_limit.cpp
+++ b/src/core/overload/concurrency_limit.cpp
@@ -139,10 +139,13 @@
     }
     m_baseline = std::min(m_baseline, point.latency);
     const bool stillHigh = point.latency > m_options.tolerance * m_baseline;
-    if (!lowest && (stillHigh || m_untilFlat))
+    if (!lowest && (stillHigh || m_untilFlat)) {
         stepDown(point, now);
-    else
-        endCheck(now);
+        return;
+    }
+    // The step was as large as the measurement needs, which is more than the queue needs.
+    setLimit(std::sqrt(m_limit * m_limitBefore));
+    endCheck(now);
 }
 
 void concurrency_limit::followDown(const latency_point &point)
