Check the baseline only when the limit is in use on average

Cause: a burst that touched the limit for a moment was enough for a full check, which lowers the limit below the demand for a few windows and delays requests.

--- a/src/core/overload/concurrency_limit.cpp
+++ b/src/core/overload/concurrency_limit.cpp
@@ -18,6 +18,7 @@
 // Latency in proportion to concurrency has elasticity 1, latency independent of it 0.
 constexpr double queueingElasticity = 0.5;
 constexpr double comparableInFlight = 0.9;
+constexpr double saturatedShare = 0.8;
 // A window at a reduced limit costs throughput; this keeps the loss to about one percent.
 constexpr int windowsPerCheck = 30;
 constexpr std::uint32_t minSamples = 20;
@@ -114,7 +115,9 @@
 {
     followDown(point);
     const bool high = point.latency > m_options.tolerance * m_baseline;
-    if (high || (m_used && now >= m_nextCheck))
+    // A burst that touches the limit is no queue; a check would only delay its requests.
+    const bool saturated = point.inFlight > saturatedShare * m_limit;
+    if (high || (saturated && now >= m_nextCheck))
         beginCheck(point, now);
     else if (m_used)
         grow(std::max(1.0, std::sqrt(m_limit) / 2));
