--- a/tests/fakes/surge_model.h
+++ b/tests/fakes/surge_model.h
@@ -15,12 +15,8 @@
 
 namespace tamarackridge::fakes {
 
-/// \brief One attempt of a client.
-struct attempt
-{
-    queue_entry entry;
-    std::function<void(bool served)> done; ///< Called at most once.
-};
+/// \brief Ends one attempt of a client; called at most once.
+using attempt_end = std::function<void(bool served)>;
 
 /// \brief What stands between the clients and the server.
 class admission_policy
@@ -30,7 +26,7 @@
     admission_policy(const admission_policy &) = delete;
     admission_policy &operator=(const admission_policy &) = delete;
     virtual ~admission_policy() = default;
-    virtual void offer(attempt offered) = 0;
+    virtual void offer(const queue_entry &entry, attempt_end done) = 0;
     /// The client no longer waits.
     virtual void gone(std::uint64_t) { }
 };
@@ -44,14 +40,14 @@
         , m_limit(limit)
     { }
 
-    void offer(attempt offered) override
+    void offer(const queue_entry &, attempt_end done) override
     {
         if (m_inFlight >= m_limit) {
-            offered.done(false);
+            done(false);
             return;
         }
         ++m_inFlight;
-        m_server.submit([this, done = std::move(offered.done)](duration) {
+        m_server.submit([this, done = std::move(done)](duration) {
             --m_inFlight;
             done(true);
         });
@@ -74,15 +70,12 @@
         m_limit.restart(loop.now(), 0);
     }
 
-    void offer(attempt offered) override
+    void offer(const queue_entry &entry, attempt_end done) override
     {
-        const std::uint64_t id = offered.entry.id;
-        const admission_result result = m_queue.enqueue(offered.entry, m_loop.now());
-        m_waiting[id] = std::move(offered.done);
-        if (result.kind == admission::admitted_evicting)
-            finish(result.evicted, false);
-        else if (result.kind != admission::admitted)
-            finish(id, false);
+        m_waiting[entry.id] = std::move(done);
+        const admission_result result = m_queue.enqueue(entry, m_loop.now());
+        if (result.kind != admission::admitted)
+            finish(result.kind == admission::admitted_evicting ? result.evicted : entry.id, false);
         runReady();
     }
 
@@ -124,7 +117,7 @@
     virtual_server &m_server;
     concurrency_limit m_limit;
     admission_queue m_queue;
-    std::unordered_map<std::uint64_t, std::function<void(bool)>> m_waiting;
+    std::unordered_map<std::uint64_t, attempt_end> m_waiting;
 };
 
 /// \brief Requests that began and were answered in time.
@@ -238,8 +231,8 @@
             m_policy->gone(id);
             onEnd(request, *open, false);
         });
-        m_policy->offer(
-                {entry, [this, request, open](bool served) { onEnd(request, *open, served); }});
+        m_policy->offer(entry,
+                        [this, request, open](bool served) { onEnd(request, *open, served); });
     }
 
     void onEnd(const std::shared_ptr<client_request> &request, bool &open, bool served)
--- a/tests/fakes/virtual_server.h
+++ b/tests/fakes/virtual_server.h
@@ -5,9 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <queue>
+#include <map>
 #include <utility>
-#include <vector>
 
 namespace tamarackridge::fakes {
 
@@ -19,35 +18,22 @@
 
     void after(duration delay, std::function<void()> run)
     {
-        m_events.push({m_now + delay, m_sequence++, std::move(run)});
+        m_events.emplace(m_now + delay, std::move(run));
     }
 
     void runUntil(time_point end)
     {
-        while (!m_events.empty() && m_events.top().at <= end) {
-            const event next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.run();
+        while (!m_events.empty() && m_events.begin()->first <= end) {
+            const auto next = m_events.extract(m_events.begin());
+            m_now = next.key();
+            next.mapped()();
         }
         m_now = end;
     }
 
 private:
-    struct event
-    {
-        time_point at;
-        std::uint64_t sequence;
-        std::function<void()> run;
-        bool operator<(const event &other) const
-        {
-            return std::pair(other.at, other.sequence) < std::pair(at, sequence);
-        }
-    };
-
     time_point m_now{std::chrono::hours(1)};
-    std::uint64_t m_sequence = 0;
-    std::priority_queue<event> m_events;
+    std::multimap<time_point, std::function<void()>> m_events; ///< Equal times in order of after().
 };
 
 /// \brief Backend server with a number of slots and an unbounded queue of its own.
--- a/tests/overload_queue_test.cpp
+++ b/tests/overload_queue_test.cpp
@@ -5,6 +5,8 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <tuple>
 
 using namespace tamarackridge;
@@ -19,40 +21,22 @@
     return {id, rank, start - chainAge, start + left};
 }
 
-bool runsBefore(const queue_entry &a, const queue_entry &b)
+/// \returns the id that an enqueue left outside of the queue, if any.
+std::optional<std::uint64_t> lostBy(const admission_result &result, std::uint64_t id)
 {
-    return std::make_tuple(-a.rank, a.chainStart, a.id)
-           < std::make_tuple(-b.rank, b.chainStart, b.id);
+    if (result.kind == admission::admitted)
+        return std::nullopt;
+    return result.kind == admission::admitted_evicting ? result.evicted : id;
 }
 
-/// The same queue as a sorted vector.
-struct sorted_queue
-{
-    std::vector<queue_entry> waiting;
-
-    void add(const queue_entry &entry, std::size_t capacity, std::optional<std::uint64_t> &lost)
-    {
-        waiting.insert(std::upper_bound(waiting.begin(), waiting.end(), entry, runsBefore), entry);
-        if (waiting.size() > capacity) {
-            lost = waiting.back().id;
-            waiting.pop_back();
-        }
-    }
-    std::optional<std::uint64_t> pop()
-    {
-        if (waiting.empty())
-            return std::nullopt;
-        const std::uint64_t id = waiting.front().id;
-        waiting.erase(waiting.begin());
-        return id;
-    }
-};
+/// The same queue as a sorted set, whose elements end with the id.
+using sorted_queue = std::set<std::tuple<int, time_point, std::uint64_t>>;
 
-std::optional<std::uint64_t> lostBy(const admission_result &result, std::uint64_t id)
+std::optional<std::uint64_t> takeOut(sorted_queue &queue, sorted_queue::iterator entry)
 {
-    if (result.kind == admission::admitted)
+    if (queue.empty())
         return std::nullopt;
-    return result.kind == admission::admitted_evicting ? result.evicted : id;
+    return std::get<2>(queue.extract(entry).value());
 }
 
 } // namespace
@@ -73,22 +57,24 @@
         case 0: {
             const queue_entry entry = entryOf(id, *rc::gen::inRange<std::uint8_t>(0, 4),
                                               *rc::gen::inRange(0, 5) * 1ms);
+            model.emplace(-entry.rank, entry.chainStart, id);
             std::optional<std::uint64_t> lost;
-            model.add(entry, capacity, lost);
+            if (model.size() > capacity)
+                lost = takeOut(model, std::prev(model.end()));
             RC_ASSERT(lostBy(queue.enqueue(entry, start), id) == lost);
             break;
         }
         case 1:
-            RC_ASSERT(queue.popReady(start) == model.pop());
+            RC_ASSERT(queue.popReady(start) == takeOut(model, model.begin()));
             break;
         default: {
             const std::uint64_t gone = *rc::gen::inRange<std::uint64_t>(1, id + 1);
             const std::size_t removed = std::erase_if(
-                    model.waiting, [gone](const queue_entry &entry) { return entry.id == gone; });
+                    model, [gone](const auto &entry) { return std::get<2>(entry) == gone; });
             RC_ASSERT(queue.remove(gone) == (removed == 1));
         }
         }
-        RC_ASSERT(queue.size() == model.waiting.size());
+        RC_ASSERT(queue.size() == model.size());
     }
 }
 
