Test the load generator and the backend server stand-in

Arrivals and request kinds are now drawn from a random source of their own: retry pauses drew from the same one, so the schedule changed with the completions.

--- a/src/backend/http_server.cpp
+++ b/src/backend/http_server.cpp
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <ulfius.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstring>
@@ -106,7 +107,9 @@
         m_address.sin_family = AF_INET;
         m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         m_address.sin_port = htons(port);
-        if (ulfius_init_instance(&m_instance, port, &m_address, nullptr) != U_OK)
+        // Ulfius refuses port 0; the port of MHD_OPTION_SOCK_ADDR below takes precedence anyway.
+        if (ulfius_init_instance(&m_instance, std::max<unsigned>(port, 1), &m_address, nullptr)
+            != U_OK)
             throw std::runtime_error("the HTTP server cannot be initialised");
         // Bodies are taken as they are; parsing form fields would only cost time.
         m_instance.allowed_post_processor = U_POST_PROCESS_NONE;
@@ -125,9 +128,15 @@
 
     std::uint16_t port() const
     {
+        // MHD_DAEMON_INFO_BIND_PORT gives the port asked for, which may be 0.
         const MHD_DaemonInfo *info =
-                MHD_get_daemon_info(m_instance.mhd_daemon, MHD_DAEMON_INFO_BIND_PORT);
-        return info == nullptr ? 0 : info->port;
+                MHD_get_daemon_info(m_instance.mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD);
+        sockaddr_storage address{};
+        socklen_t length = sizeof address;
+        sockaddr *generic = reinterpret_cast<sockaddr *>(&address);
+        if (info == nullptr || getsockname(info->listen_fd, generic, &length) != 0)
+            return 0;
+        return portOf(generic);
     }
 
 private:
--- a/src/load/field_reader.cpp
+++ b/src/load/field_reader.cpp
@@ -39,7 +39,7 @@
     return range.least;
 }
 
-std::string field_reader::text(const char *name, std::optional<std::string> fallback)
+std::string field_reader::text(const char *name, const std::optional<std::string> &fallback)
 {
     const nlohmann::json *value = required(name, fallback.has_value());
     if (value == nullptr)
--- a/src/load/field_reader.h
+++ b/src/load/field_reader.h
@@ -32,7 +32,7 @@
 
     /// \param fallback used when the field is absent; without one the field is required.
     double number(const char *name, number_range range, std::optional<double> fallback = {});
-    std::string text(const char *name, std::optional<std::string> fallback = {});
+    std::string text(const char *name, const std::optional<std::string> &fallback = {});
     bool boolean(const char *name, bool fallback);
     /// \returns the elements of a list, or none.
     const std::vector<nlohmann::json> &list(const char *name, bool required = true);
--- a/src/load/outcome_check.cpp
+++ b/src/load/outcome_check.cpp
@@ -59,6 +59,7 @@
                                        const result_json &report)
 {
     std::vector<bound_verdict> verdicts;
+    verdicts.reserve(bounds.size());
     for (const outcome_bound &bound : bounds)
         verdicts.push_back(checkBound(bound, report));
     return verdicts;
--- a/src/load/runner.cpp
+++ b/src/load/runner.cpp
@@ -37,6 +37,7 @@
         workers.push_back(std::make_unique<worker>(plan, index, runName));
     finished_run run{std::chrono::steady_clock::now() + startDelay, {}};
     std::vector<std::thread> threads;
+    threads.reserve(workers.size());
     for (const std::unique_ptr<worker> &each : workers)
         threads.emplace_back([&each, &run] { each->run(run.start); });
     for (std::thread &thread : threads)
--- a/src/load/worker.cpp
+++ b/src/load/worker.cpp
@@ -26,8 +26,10 @@
 
 } // namespace
 
-worker::customer_state::customer_state(const load_plan &plan, std::size_t customer)
-    : schedule(plan, customer, 1.0 / plan.threads)
+worker::customer_state::customer_state(const load_plan &plan, std::size_t customer,
+                                       std::uint64_t seed)
+    : random(seed)
+    , schedule(plan, customer, 1.0 / plan.threads)
 {
     const load_customer &settings = plan.customers[customer];
     for (std::size_t target = 0; target < settings.targets.size(); ++target)
@@ -42,7 +44,7 @@
     , m_loop(plan.maxOutstanding / plan.threads + 1)
 {
     for (std::size_t customer = 0; customer < plan.customers.size(); ++customer)
-        m_customers.emplace_back(plan, customer);
+        m_customers.emplace_back(plan, customer, m_random.next());
 }
 
 void worker::run(std::chrono::steady_clock::time_point start)
@@ -79,7 +81,8 @@
 
 void worker::scheduleArrival(std::size_t customer)
 {
-    const std::optional<duration> next = m_customers[customer].schedule.next(m_random);
+    customer_state &state = m_customers[customer];
+    const std::optional<duration> next = state.schedule.next(state.random);
     if (next)
         m_events.emplace(*next, [this, customer, at = *next] { arrive(customer, at); });
 }
@@ -122,7 +125,8 @@
     request_record record;
     record.customer = customer;
     record.intended = intended;
-    record.kind = chooseByWeight(m_plan.customers[customer].kindShares, m_random);
+    record.kind =
+            chooseByWeight(m_plan.customers[customer].kindShares, m_customers[customer].random);
     record.loadId = std::string(1, m_plan.kinds[record.kind].idempotent ? readMark : writeMark)
                     + m_runName + "-" + std::to_string(m_index) + "-" + std::to_string(m_nextId++);
     return std::make_shared<client_call>(m_plan.customers[customer], std::move(record));
--- a/src/load/worker.h
+++ b/src/load/worker.h
@@ -6,6 +6,7 @@
 #include "load/id_pool.h"
 #include "load/transfer_loop.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,8 +31,10 @@
 private:
     struct customer_state
     {
-        customer_state(const load_plan &plan, std::size_t customer);
+        customer_state(const load_plan &plan, std::size_t customer, std::uint64_t seed);
 
+        /// Draws arrivals and kinds only, so that they never depend on completions.
+        engine_random random;
         arrival_schedule schedule;
         id_pool ids;
         std::vector<double> targetWeights;
@@ -56,10 +59,10 @@
     const load_plan &m_plan;
     const std::size_t m_index;
     const std::string m_runName;
-    engine_random m_random;
+    engine_random m_random; ///< For targets and pauses.
     transfer_loop m_loop;
     std::chrono::steady_clock::time_point m_start;
-    std::vector<customer_state> m_customers;
+    std::deque<customer_state> m_customers;
     std::multimap<duration, std::function<void()>> m_events;
     std::map<client_call *, shared_call> m_open; ///< Requests begun and not ended.
     std::uint64_t m_nextId = 0;
--- /dev/null
+++ b/tests/backend_execution_test.cpp
@@ -0,0 +1,152 @@
+#include "backend/http_client.h"
+#include "backend/http_server.h"
+#include "load/echo_body.h"
+#include "load/execution_history.h"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <thread>
+
+using namespace tamarackridge;
+using namespace tamarackridge::backend;
+
+namespace {
+
+/// A server with a journal in the test's own directory.
+class BackendExecution : public ::testing::Test
+{
+protected:
+    server_options options() const
+    {
+        server_options options;
+        options.slots = 1;
+        options.queue = 0;
+        options.serviceTime = {.medianMs = 1.0, .sigma = 0.0};
+        options.journalPath = m_journal;
+        return options;
+    }
+
+    load::execution_history historyOf(const std::string &loadId) const
+    {
+        std::ifstream file(m_journal);
+        load::history_index index;
+        EXPECT_EQ(load::readJournal(file, index), 0U);
+        return index[loadId];
+    }
+
+    ~BackendExecution() override { std::remove(m_journal.c_str()); }
+
+    const std::string m_journal = ::testing::TempDir()
+                                  + ::testing::UnitTest::GetInstance()->current_test_info()->name()
+                                  + "-" + std::to_string(getpid()) + ".journal";
+};
+
+client_request requestTo(const http_server &server, const std::string &loadId, int timeoutMs = 2000)
+{
+    return {"POST",
+            "http://127.0.0.1:" + std::to_string(server.port()) + "/write",
+            {"X-Load-Id: " + loadId},
+            "body",
+            std::chrono::milliseconds(timeoutMs)};
+}
+
+/// Waits, for a bounded time, until \a wanted requests run.
+bool reachesRunning(const request_handler &handler, std::uint32_t wanted)
+{
+    for (int tries = 0; tries < 500; ++tries) {
+        if (handler.load().running == wanted)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against an answer that the load generator could not tie to its request.
+TEST_F(BackendExecution, AnswersWithAnEchoAndJournalsTheRun)
+{
+    request_handler handler(options());
+    const http_server server(0, 10, handler);
+    http_client client;
+    const std::optional<client_answer> answer = client.send(requestTo(server, "w1"));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_TRUE(load::isEchoOf(answer->body, "w1", "body"));
+    EXPECT_FALSE(load::isEchoOf(answer->body, "w2", "body"));
+    EXPECT_FALSE(load::isEchoOf(answer->body.substr(0, answer->body.size() - 1), "w1", "body"));
+    EXPECT_EQ(historyOf("w1").starts, 1U);
+    EXPECT_EQ(historyOf("w1").completed, 1U);
+}
+
+// Guards against a server that goes on working for a caller that has gone.
+TEST_F(BackendExecution, ClosedConnectionStopsTheWork)
+{
+    server_options slow = options();
+    slow.serviceTime.medianMs = 60'000.0;
+    request_handler handler(slow);
+    const http_server server(0, 10, handler);
+    http_client client;
+    EXPECT_FALSE(client.send(requestTo(server, "w1", 100)));
+    EXPECT_TRUE(reachesRunning(handler, 0));
+    EXPECT_EQ(historyOf("w1").starts, 1U);
+    EXPECT_EQ(historyOf("w1").completed, 0U);
+}
+
+// Guards against work that is finished after its deadline, when nobody waits for it.
+TEST_F(BackendExecution, DeadlineStopsTheWork)
+{
+    server_options slow = options();
+    slow.serviceTime.medianMs = 60'000.0;
+    request_handler handler(slow);
+    const http_server server(0, 10, handler);
+    http_client client;
+    client_request request = requestTo(server, "w1", 10'000);
+    request.headers.emplace_back("Tamarackridge-Deadline-Ms: 50");
+    const std::optional<client_answer> answer = client.send(request);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 504);
+    EXPECT_EQ(historyOf("w1").completed, 0U);
+}
+
+// Guards against a refusal above slots and queue that the journal shows as a run.
+TEST_F(BackendExecution, ShedRequestsAreNotJournalledAsRuns)
+{
+    server_options slow = options();
+    slow.serviceTime.medianMs = 60'000.0;
+    request_handler handler(slow);
+    const http_server server(0, 10, handler);
+    std::thread first([&] {
+        http_client client;
+        client.send(requestTo(server, "w1", 500));
+    });
+    EXPECT_TRUE(reachesRunning(handler, 1));
+    http_client client;
+    const std::optional<client_answer> answer = client.send(requestTo(server, "w2"));
+    first.join();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_EQ(historyOf("w2").starts, 0U);
+    EXPECT_EQ(historyOf("w2").shed, 1U);
+}
+
+// Guards against a frozen server that fails its health check or goes on serving.
+TEST_F(BackendExecution, FrozenServerAnswersPingsOnly)
+{
+    request_handler handler(options());
+    const http_server server(0, 10, handler);
+    http_client client;
+    client_request control = requestTo(server, "");
+    const std::string base = control.url.substr(0, control.url.rfind('/'));
+    control.url = base + "/control";
+    control.body = R"({"frozen": true})";
+    ASSERT_EQ(client.send(control)->status, 200);
+    const client_request ping{"GET", base + "/ping", {}, {}, std::chrono::milliseconds(2000)};
+    EXPECT_EQ(client.send(ping)->status, 200);
+    EXPECT_FALSE(client.send(requestTo(server, "w1", 100)));
+    EXPECT_EQ(historyOf("w1").starts, 0U);
+    control.body = R"({"frozen": false})";
+    ASSERT_EQ(client.send(control)->status, 200);
+    EXPECT_EQ(client.send(requestTo(server, "w2"))->status, 200);
+}
