Estimate demand over the time since the last estimate

Cause: a node that draws on its own slots makes no exchanges; at the first one, all its requests of the past seconds counted as demand of half a second. Nodes at 3 requests/s held 11 to 15 tokens each, all buckets were empty, and customers inside their rate were refused.

--- a/include/tamarackridge/src/quota/token_pool.h
+++ b/include/tamarackridge/src/quota/token_pool.h
@@ -111,7 +111,7 @@
         std::int64_t arrivals = 0; ///< Requests since the last estimate.
         micro_tokens unmet = 0; ///< Tokens missing since the last request for tokens.
         double demand = 0; ///< Requests per second.
-        std::uint32_t shortages = 0; ///< Grants below what was wanted, in a row.
+        micro_tokens unmetAsked = 0; ///< Part of the last want that was missing already.
         std::uint32_t asked = 0; ///< Unanswered requests that name this customer.
         time_point askedAt = time_point::min();
     };
--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace tamarackridge {
 namespace {
@@ -18,6 +19,9 @@
 // Below this demand a node holds no tokens ahead and asks for each request.
 constexpr double idleDemand = 1.0;
 constexpr duration demandWindow = std::chrono::milliseconds(500);
+// While a request waits there is time for few attempts, since the answer of another zone takes
+// most of its patience; asking several holders at once finds tokens more often.
+constexpr std::size_t holdersWhenUnmet = 3;
 // Tokens that lapse this soon are returned rather than spent.
 constexpr duration returnBeforeLapse = std::chrono::milliseconds(300);
 constexpr duration maxMissingPause = std::chrono::seconds(5);
@@ -86,18 +90,20 @@
 
 void token_pool::estimateDemand(time_point now)
 {
-    if (m_lastEstimate == time_point::min())
-        m_lastEstimate = now - m_options.exchangeInterval;
+    if (m_lastEstimate == time_point::min() || now <= m_lastEstimate)
+        return;
     const double elapsed = seconds(now - m_lastEstimate);
-    m_lastEstimate = now;
+    // A node that draws on its own slots makes no exchanges, so the time since the last estimate
+    // may be long; the arrivals are spread over it.
     const double keep = std::exp(-elapsed / seconds(demandWindow));
     for (account &customer : m_accounts) {
         customer.demand = customer.demand * keep
-                          + static_cast<double>(customer.arrivals) / seconds(demandWindow);
+                          + static_cast<double>(customer.arrivals) / elapsed * (1 - keep);
         customer.arrivals = 0;
         if (customer.demand < idleDemand / 100)
             customer.demand = 0;
     }
+    m_lastEstimate = now;
     refillBudget(elapsed);
 }
 
@@ -135,7 +141,7 @@
     for (std::uint32_t index = 0; index < m_accounts.size(); ++index) {
         account &customer = m_accounts[index];
         const micro_tokens want = wanted(customer, now);
-        customer.unmet = 0;
+        customer.unmetAsked = std::exchange(customer.unmet, 0);
         if (want > 0 && mayAsk(customer, now))
             spreadWant(index, want, now, perHolder);
     }
@@ -162,15 +168,14 @@
 void token_pool::spreadWant(std::uint32_t index, micro_tokens want, time_point now,
                             std::vector<want_list> &perHolder)
 {
-    // A holder has at most its part of the burst, so a larger want goes to several at once. After
-    // each shortage twice as many are asked.
+    // A holder has at most its part of the burst, so a larger want goes to several at once.
     const account &customer = m_accounts[index];
     const std::size_t holders = m_holders.size();
-    const std::size_t ask = std::size_t{1} << std::min(customer.shortages, 16U);
     const micro_tokens perSlot = std::max<micro_tokens>(
             customer.burst / static_cast<micro_tokens>(std::max<std::size_t>(holders, 1)), 1);
-    micro_tokens left = want;
+    const std::size_t ask = customer.unmetAsked > 0 ? holdersWhenUnmet : 1;
     std::size_t asked = 0;
+    micro_tokens left = want;
     for (std::size_t step = 0; step < holders && (left > 0 || asked < ask); ++step) {
         const std::size_t holder = holderAt(step);
         if (!canAsk(customer, holder, now))
--- a/src/core/quota/token_pool.cpp
+++ b/src/core/quota/token_pool.cpp
@@ -89,6 +89,8 @@
     if (found == nullptr)
         return false;
     ++found->arrivals;
+    if (m_lastEstimate == time_point::min())
+        m_lastEstimate = now;
     if (spend(*found, now))
         return true;
     noteUnmet(*found, now);
@@ -196,12 +198,12 @@
                             micro_tokens wanted, micro_tokens granted, time_point now)
 {
     if (granted >= wanted) {
-        customer.shortages = 0;
         if (holder)
             customer.pauses[*holder] = {};
         return;
     }
-    ++customer.shortages;
+    // The requests that wait are still short of what the holder lacked.
+    customer.unmet = std::max(customer.unmet, std::min(wanted - granted, customer.unmetAsked));
     if (holder) {
         holder_pause &state = customer.pauses[*holder];
         state.empty = granted < tokensPerRequest ? state.empty + 1 : 0;
