--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -177,6 +177,9 @@
     std::size_t asked = 0;
     micro_tokens left = want;
     for (std::size_t step = 0; step < holders && (left > 0 || asked < ask); ++step) {
+        // Other zones are asked for what the own zone cannot have.
+        if (step == m_holdersInZone && asked > 0 && left <= 0)
+            break;
         const std::size_t holder = holderAt(step);
         if (!canAsk(customer, holder, now))
             continue;
