--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -18,7 +18,7 @@
 {
     duration suspectFor = std::chrono::seconds(60);
     duration convictFor = std::chrono::minutes(10);
-    std::size_t maxEntries = 4096; ///< The entry that expires first is dropped beyond this.
+    std::size_t maxEntries = 4096; ///< Beyond this, the oldest suspect is dropped.
 };
 
 /// \brief Whether a request may run on the own backend server now.
@@ -63,7 +63,8 @@
     /// \returns entries to spread.
     std::vector<overlay_entry> onCrash(time_point now);
 
-    /// \brief Merges an entry of a peer.
+    /// \brief Merges an entry of a peer: the later generation wins, then a conviction, then the
+    /// higher number of crashes.
     /// \returns whether it changed what this node knows, so that it is to be spread further.
     bool onEntry(std::string_view key, std::string_view payload, time_point now);
     /// \returns an entry with the durations that are left now, for spreading it again.
@@ -86,6 +87,7 @@
     };
     struct running
     {
+        run_id run = 0;
         const fingerprint_source *source = nullptr;
         std::optional<fingerprint> print;
     };
@@ -101,7 +103,7 @@
 
     quarantine_options m_options;
     std::unordered_map<fingerprint, suspect, internal::fingerprint_hash> m_entries;
-    std::unordered_map<run_id, running> m_running;
+    std::vector<running> m_running;
     std::uint64_t m_computed = 0;
 };
 
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <set>
+#include <utility>
 
 namespace tamarackridge {
 namespace {
@@ -61,8 +62,8 @@
 std::size_t crash_tracker::suspectsRunning(time_point now)
 {
     std::size_t count = 0;
-    for (auto &[run, state] : m_running)
-        count += active(printOf(state), now) != nullptr ? 1 : 0;
+    for (running &run : m_running)
+        count += active(printOf(run), now) != nullptr ? 1 : 0;
     return count;
 }
 
@@ -94,17 +95,17 @@
 void crash_tracker::onRunStarted(run_id run, const fingerprint_source &source,
                                  const run_decision &decision)
 {
-    m_running[run] = {&source, decision.print};
+    m_running.push_back({run, &source, decision.print});
 }
 
 std::vector<overlay_entry> crash_tracker::onRunFinished(run_id run, bool success, time_point now)
 {
     std::vector<overlay_entry> spread;
-    const auto found = m_running.find(run);
+    const auto found = std::ranges::find(m_running, run, &running::run);
     if (found == m_running.end())
         return spread;
     if (success && !m_entries.empty()) {
-        const fingerprint print = printOf(found->second);
+        const fingerprint print = printOf(*found);
         const suspect *state = active(print, now);
         if (state != nullptr && !state->convicted) {
             suspect &entry = m_entries[print];
@@ -112,7 +113,8 @@
             spread.push_back(encode(print, entry, now));
         }
     }
-    m_running.erase(found);
+    *found = m_running.back();
+    m_running.pop_back();
     return spread;
 }
 
@@ -121,8 +123,8 @@
     std::vector<overlay_entry> spread;
     std::set<fingerprint> prints;
     std::set<fingerprint> suspects;
-    for (auto &[run, state] : m_running) {
-        const fingerprint &print = printOf(state);
+    for (running &run : m_running) {
+        const fingerprint &print = printOf(run);
         prints.insert(print);
         if (active(print, now) != nullptr)
             suspects.insert(print);
@@ -175,10 +177,15 @@
     const auto &[generation, crashes, convicted, leftMs] = *fields;
     const suspect peer{static_cast<std::uint32_t>(generation), static_cast<std::uint32_t>(crashes),
                        convicted != 0, now + std::chrono::milliseconds(leftMs)};
-    if (leftMs == 0)
-        return false;
     const auto found = m_entries.find(*print);
-    if (found != m_entries.end() && !newer(peer, found->second))
+    if (found != m_entries.end() && found->second.until > now && !newer(peer, found->second)) {
+        // The earlier end of equal entries holds: a copy that was kept for a while must not extend
+        // them.
+        if (!newer(found->second, peer))
+            found->second.until = std::min(found->second.until, peer.until);
+        return false;
+    }
+    if (leftMs == 0)
         return false;
     m_entries[*print] = peer;
     makeRoom();
@@ -213,8 +220,9 @@
 void crash_tracker::makeRoom()
 {
     while (m_entries.size() > m_options.maxEntries) {
-        m_entries.erase(std::ranges::min_element(
-                m_entries, {}, [](const auto &entry) { return entry.second.until; }));
+        m_entries.erase(std::ranges::min_element(m_entries, {}, [](const auto &entry) {
+            return std::pair(entry.second.convicted, entry.second.until);
+        }));
     }
 }
 
