Hold the byte budget, and visit holders for several customers together

Now a customer that was short and has used half of its part of the budget asks half a second ahead, in requests that are sent to a holder anyway, and the budget is 8 KB/s, half of a node's limit.

--- a/include/tamarackridge/src/quota/token_pool.h
+++ b/include/tamarackridge/src/quota/token_pool.h
@@ -21,7 +21,7 @@
 {
     duration exchangeInterval = std::chrono::milliseconds(100);
     /// Bytes of requests, grants and reports that this node may cause.
-    std::int64_t bytesPerSecond = 5000;
+    std::int64_t bytesPerSecond = 8000;
     duration answerTimeout = std::chrono::milliseconds(200);
     /// Longest pause before a holder that had too little is asked again.
     duration drainedMax = std::chrono::seconds(1);
@@ -112,6 +112,7 @@
         micro_tokens unmet = 0; ///< Tokens missing since the last request for tokens.
         double demand = 0; ///< Requests per second.
         micro_tokens unmetAsked = 0; ///< Part of the last want that was missing already.
+        bool isShort = false; ///< The last answer was less than wanted.
         std::uint32_t asked = 0; ///< Unanswered requests that name this customer.
         time_point askedAt = time_point::min();
     };
@@ -148,6 +149,7 @@
     micro_tokens wanted(const account &customer, time_point now) const;
     void lapseRequests(time_point now);
     void request(time_point now, std::vector<send_peer> &out);
+    void addShortCustomers(std::size_t holder, time_point now, want_list &wants) const;
     void spreadWant(std::uint32_t index, micro_tokens want, time_point now,
                     std::vector<want_list> &perHolder);
     void send(std::size_t holder, want_list wants, time_point now, std::vector<send_peer> &out);
@@ -172,6 +174,7 @@
     time_point m_nextExchange = time_point::min();
     time_point m_lastEstimate = time_point::min();
     double m_bytesUsed = 0;
+    double m_bytesPerCustomer = 0; ///< Budget of each active customer per second.
     double m_sharedBytes = 0; ///< Budget that customers left unused.
 };
 
--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -22,6 +22,8 @@
 // While a request waits there is time for few attempts, since the answer of another zone takes
 // most of its patience; asking several holders at once finds tokens more often.
 constexpr std::size_t holdersWhenUnmet = 3;
+// How far ahead of demand a customer asks after an answer that was too small.
+constexpr duration shortHorizon = std::chrono::milliseconds(500);
 // Tokens that lapse this soon are returned rather than spent.
 constexpr duration returnBeforeLapse = std::chrono::milliseconds(300);
 constexpr duration maxMissingPause = std::chrono::seconds(5);
@@ -66,7 +68,9 @@
 {
     const double bytes = messages * bytesPerMessage + amounts * bytesPerAmount;
     m_bytesUsed += bytes;
-    (customer.bytesLeft > 0 ? customer.bytesLeft : m_sharedBytes) -= bytes;
+    const double shared = std::min(std::max(m_sharedBytes, 0.0), bytes);
+    m_sharedBytes -= shared;
+    customer.bytesLeft -= bytes - shared;
 }
 
 void token_pool::refillBudget(double elapsed)
@@ -76,12 +80,13 @@
     const double perSecond = static_cast<double>(m_options.bytesPerSecond);
     const double active = static_cast<double>(std::ranges::count_if(
             m_accounts, [](const account &customer) { return customer.demand > 0; }));
-    const double part = perSecond / std::max(active, 1.0);
+    m_bytesPerCustomer = perSecond / std::max(active, 1.0);
     double refill = perSecond * elapsed;
     for (account &customer : m_accounts) {
         if (customer.demand <= 0)
             continue;
-        const double added = std::clamp(part - customer.bytesLeft, 0.0, part * elapsed);
+        const double added = std::clamp(m_bytesPerCustomer - customer.bytesLeft, 0.0,
+                                        m_bytesPerCustomer * elapsed);
         customer.bytesLeft += added;
         refill -= added;
     }
@@ -149,6 +154,7 @@
     for (std::size_t holder = 0; holder < perHolder.size(); ++holder) {
         if (perHolder[holder].empty())
             continue;
+        addShortCustomers(holder, now, perHolder[holder]);
         send(holder, std::move(perHolder[holder]), now, out);
         asked = true;
     }
@@ -165,6 +171,26 @@
     return m_holdersInZone + (m_nextHolder + step - m_holdersInZone) % others;
 }
 
+void token_pool::addShortCustomers(std::size_t holder, time_point now, want_list &wants) const
+{
+    // A name and amount in a message that is sent anyway cost little, so that customers that were
+    // short ask for more ahead, and visit the holders together.
+    for (std::uint32_t index = 0; index < m_accounts.size(); ++index) {
+        const account &customer = m_accounts[index];
+        const auto listed = std::ranges::find(wants, index, &want_list::value_type::first);
+        if (!customer.isShort || customer.bytesLeft > m_bytesPerCustomer / 2
+            || !canAsk(customer, holder, now))
+            continue;
+        const micro_tokens want = static_cast<micro_tokens>(customer.demand * seconds(shortHorizon)
+                                                            * tokensPerRequest)
+                                  - spendable(customer, now);
+        if (listed != wants.end())
+            listed->second = std::max(listed->second, want);
+        else if (want > 0)
+            wants.emplace_back(index, want);
+    }
+}
+
 void token_pool::spreadWant(std::uint32_t index, micro_tokens want, time_point now,
                             std::vector<want_list> &perHolder)
 {
--- a/src/core/quota/token_pool.cpp
+++ b/src/core/quota/token_pool.cpp
@@ -33,7 +33,8 @@
     for (const customer_rate &customer : customers) {
         account next;
         next.pauses.resize(m_holders.size());
-        next.bytesLeft = static_cast<double>(m_options.bytesPerSecond);
+        next.bytesLeft = static_cast<double>(m_options.bytesPerSecond)
+                         / static_cast<double>(customers.size());
         if (account *known = find(customer.name))
             next = std::move(*known);
         next.name = customer.name;
@@ -197,7 +198,8 @@
 void token_pool::noteAnswer(account &customer, std::optional<std::uint32_t> holder,
                             micro_tokens wanted, micro_tokens granted, time_point now)
 {
-    if (granted >= wanted) {
+    customer.isShort = granted < wanted;
+    if (!customer.isShort) {
         if (holder)
             customer.pauses[*holder] = {};
         return;
