--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace tamarackridge {
 namespace {
@@ -18,6 +19,11 @@
 // Below this demand a node holds no tokens ahead and asks for each request.
 constexpr double idleDemand = 1.0;
 constexpr duration demandWindow = std::chrono::milliseconds(500);
+// While a request waits there is time for few attempts, since the answer of another zone takes
+// most of its patience; asking several holders at once finds tokens more often.
+constexpr std::size_t holdersWhenUnmet = 3;
+// How far ahead of demand a customer asks after an answer that was too small.
+constexpr duration shortHorizon = std::chrono::milliseconds(500);
 // Tokens that lapse this soon are returned rather than spent.
 constexpr duration returnBeforeLapse = std::chrono::milliseconds(300);
 constexpr duration maxMissingPause = std::chrono::seconds(5);
@@ -62,7 +68,9 @@
 {
     const double bytes = messages * bytesPerMessage + amounts * bytesPerAmount;
     m_bytesUsed += bytes;
-    (customer.bytesLeft > 0 ? customer.bytesLeft : m_sharedBytes) -= bytes;
+    const double shared = std::min(std::max(m_sharedBytes, 0.0), bytes);
+    m_sharedBytes -= shared;
+    customer.bytesLeft -= bytes - shared;
 }
 
 void token_pool::refillBudget(double elapsed)
@@ -72,12 +80,13 @@
     const double perSecond = static_cast<double>(m_options.bytesPerSecond);
     const double active = static_cast<double>(std::ranges::count_if(
             m_accounts, [](const account &customer) { return customer.demand > 0; }));
-    const double part = perSecond / std::max(active, 1.0);
+    m_bytesPerCustomer = perSecond / std::max(active, 1.0);
     double refill = perSecond * elapsed;
     for (account &customer : m_accounts) {
         if (customer.demand <= 0)
             continue;
-        const double added = std::clamp(part - customer.bytesLeft, 0.0, part * elapsed);
+        const double added = std::clamp(m_bytesPerCustomer - customer.bytesLeft, 0.0,
+                                        m_bytesPerCustomer * elapsed);
         customer.bytesLeft += added;
         refill -= added;
     }
@@ -86,18 +95,20 @@
 
 void token_pool::estimateDemand(time_point now)
 {
-    if (m_lastEstimate == time_point::min())
-        m_lastEstimate = now - m_options.exchangeInterval;
+    if (m_lastEstimate == time_point::min() || now <= m_lastEstimate)
+        return;
     const double elapsed = seconds(now - m_lastEstimate);
-    m_lastEstimate = now;
+    // A node that draws on its own slots makes no exchanges, so the time since the last estimate
+    // may be long; the arrivals are spread over it.
     const double keep = std::exp(-elapsed / seconds(demandWindow));
     for (account &customer : m_accounts) {
         customer.demand = customer.demand * keep
-                          + static_cast<double>(customer.arrivals) / seconds(demandWindow);
+                          + static_cast<double>(customer.arrivals) / elapsed * (1 - keep);
         customer.arrivals = 0;
         if (customer.demand < idleDemand / 100)
             customer.demand = 0;
     }
+    m_lastEstimate = now;
     refillBudget(elapsed);
 }
 
@@ -135,7 +146,7 @@
     for (std::uint32_t index = 0; index < m_accounts.size(); ++index) {
         account &customer = m_accounts[index];
         const micro_tokens want = wanted(customer, now);
-        customer.unmet = 0;
+        customer.unmetAsked = std::exchange(customer.unmet, 0);
         if (want > 0 && mayAsk(customer, now))
             spreadWant(index, want, now, perHolder);
     }
@@ -143,6 +154,7 @@
     for (std::size_t holder = 0; holder < perHolder.size(); ++holder) {
         if (perHolder[holder].empty())
             continue;
+        addShortCustomers(holder, now, perHolder[holder]);
         send(holder, std::move(perHolder[holder]), now, out);
         asked = true;
     }
@@ -159,19 +171,41 @@
     return m_holdersInZone + (m_nextHolder + step - m_holdersInZone) % others;
 }
 
+void token_pool::addShortCustomers(std::size_t holder, time_point now, want_list &wants) const
+{
+    // A name and amount in a message that is sent anyway cost little, so that customers that were
+    // short ask for more ahead, and visit the holders together.
+    for (std::uint32_t index = 0; index < m_accounts.size(); ++index) {
+        const account &customer = m_accounts[index];
+        const auto listed = std::ranges::find(wants, index, &want_list::value_type::first);
+        if (!customer.isShort || customer.bytesLeft > m_bytesPerCustomer / 2
+            || !canAsk(customer, holder, now))
+            continue;
+        const micro_tokens want = static_cast<micro_tokens>(customer.demand * seconds(shortHorizon)
+                                                            * tokensPerRequest)
+                                  - spendable(customer, now);
+        if (listed != wants.end())
+            listed->second = std::max(listed->second, want);
+        else if (want > 0)
+            wants.emplace_back(index, want);
+    }
+}
+
 void token_pool::spreadWant(std::uint32_t index, micro_tokens want, time_point now,
                             std::vector<want_list> &perHolder)
 {
-    // A holder has at most its part of the burst, so a larger want goes to several at once. After
-    // each shortage twice as many are asked.
+    // A holder has at most its part of the burst, so a larger want goes to several at once.
     const account &customer = m_accounts[index];
     const std::size_t holders = m_holders.size();
-    const std::size_t ask = std::size_t{1} << std::min(customer.shortages, 16U);
     const micro_tokens perSlot = std::max<micro_tokens>(
             customer.burst / static_cast<micro_tokens>(std::max<std::size_t>(holders, 1)), 1);
-    micro_tokens left = want;
+    const std::size_t ask = customer.unmetAsked > 0 ? holdersWhenUnmet : 1;
     std::size_t asked = 0;
+    micro_tokens left = want;
     for (std::size_t step = 0; step < holders && (left > 0 || asked < ask); ++step) {
+        // Other zones are asked for what the own zone cannot have.
+        if (step == m_holdersInZone && asked > 0 && left <= 0)
+            break;
         const std::size_t holder = holderAt(step);
         if (!canAsk(customer, holder, now))
             continue;
--- a/src/core/quota/token_pool.cpp
+++ b/src/core/quota/token_pool.cpp
@@ -33,7 +33,8 @@
     for (const customer_rate &customer : customers) {
         account next;
         next.pauses.resize(m_holders.size());
-        next.bytesLeft = static_cast<double>(m_options.bytesPerSecond);
+        next.bytesLeft = static_cast<double>(m_options.bytesPerSecond)
+                         / static_cast<double>(customers.size());
         if (account *known = find(customer.name))
             next = std::move(*known);
         next.name = customer.name;
@@ -89,6 +90,8 @@
     if (found == nullptr)
         return false;
     ++found->arrivals;
+    if (m_lastEstimate == time_point::min())
+        m_lastEstimate = now;
     if (spend(*found, now))
         return true;
     noteUnmet(*found, now);
@@ -195,13 +198,14 @@
 void token_pool::noteAnswer(account &customer, std::optional<std::uint32_t> holder,
                             micro_tokens wanted, micro_tokens granted, time_point now)
 {
-    if (granted >= wanted) {
-        customer.shortages = 0;
+    customer.isShort = granted < wanted;
+    if (!customer.isShort) {
         if (holder)
             customer.pauses[*holder] = {};
         return;
     }
-    ++customer.shortages;
+    // The requests that wait are still short of what the holder lacked.
+    customer.unmet = std::max(customer.unmet, std::min(wanted - granted, customer.unmetAsked));
     if (holder) {
         holder_pause &state = customer.pauses[*holder];
         state.empty = granted < tokensPerRequest ? state.empty + 1 : 0;
