Close three gaps in the tests of the limit and the router

Mutations on a scratch copy (14 in all): eleven were found by the tests; growth of an unused limit after the ramp, ejection of a stalled executor, and spill-over after a slow pick were not. The tests now reach these paths and find the three mutations.

--- a/tests/overload_limit_test.cpp
+++ b/tests/overload_limit_test.cpp
@@ -103,6 +103,13 @@
     server.offered = 3;
     server.run(60s);
     EXPECT_EQ(server.limit.limit(), concurrency_limit_options().initialLimit);
+    server.offered = 100;
+    server.run(20s);
+    server.offered = 3;
+    server.run(1s); // The requests of the full load end.
+    const std::uint32_t before = server.limit.limit();
+    server.run(60s);
+    EXPECT_LE(server.limit.limit(), before) << "after the ramp";
 }
 
 // Guards against feeding a frozen server, and against a limit that stays down afterwards.
--- a/tests/routing_choice_test.cpp
+++ b/tests/routing_choice_test.cpp
@@ -76,8 +76,12 @@
     for (const char *node : {"n1", "n2", "s1"})
         answer(node, 20ms, run_outcome::success, 20);
     EXPECT_EQ(countChoices(200).count("s1"), 0U);
-    answer("n1", 100ms, run_outcome::success, 50);
-    EXPECT_EQ(countChoices(200).count("s1"), 0U) << "one slow executor is no reason to spill over";
+    add("n3", "north");
+    for (const char *node : {"n1", "n3"})
+        answer(node, 100ms, run_outcome::success, 50);
+    for (const char *node : {"n2", "s1"})
+        answer(node, 20ms, run_outcome::success, 20);
+    EXPECT_EQ(countChoices(200).count("s1"), 0U) << "n2 of the own zone is still quick";
 }
 
 // Guards against a zone whose servers refuse, are ejected or are slow keeping its callers waiting.
@@ -151,7 +155,9 @@
         m_routes.onDispatched("n1", m_now);
     m_now += 1500ms;
     m_routes.onHeartbeat("n1", {0, 100, 0, 0});
-    EXPECT_EQ(countChoices(50)["n2"], 50);
+    answer("n2", 10s, run_outcome::success, 5);
+    EXPECT_TRUE(m_routes.isEjected("n1", m_now));
+    EXPECT_EQ(countChoices(50)["n2"], 50) << "no probe while the dispatches are waiting";
 }
 
 // Guards against an outage of a whole backoff after all executors of a service failed together.
