Let the log's "next" be the offset that it assigns next

The readers of the nodes take "next" for the log's end and read on after the last record of a page. With "next" as the position to read on from, a full page would have counted as read to the end and confirmed the configuration too early.

The struct is called stream_page, since the nodes' client of the log has a log_page of its own with other members, and test programs link both.

--- a/src/ctl/config_client.cpp
+++ b/src/ctl/config_client.cpp
@@ -69,16 +69,16 @@
 std::optional<change_report> config_client::catchUp()
 {
     for (int pages = 0; pages < maxPages; ++pages) {
-        const tl::expected<log_page, std::string> page =
+        const tl::expected<stream_page, std::string> page =
                 m_log.read(stream, m_state.nextReadOffset());
         if (!page)
             return report(change_outcome::unavailable, page.error());
-        m_state.logRecords(page->records, page->first, page->end, time_point{});
+        m_state.logRecords(page->records, page->first, page->next, time_point{});
         if (m_state.upToDate())
             return std::nullopt;
-        if (m_state.nextReadOffset() > page->end)
+        if (m_state.nextReadOffset() > page->next)
             return report(change_outcome::unavailable, "the log lost records that it had shown");
-        if (m_state.nextReadOffset() == page->end)
+        if (m_state.nextReadOffset() == page->next)
             return report(change_outcome::trimmed,
                           "the log's older records are gone and it holds no usable snapshot");
     }
@@ -194,28 +194,30 @@
 tl::expected<std::vector<history_entry>, std::string> config_client::history()
 {
     std::vector<history_entry> entries;
-    log_page page;
+    std::int64_t from = 0;
+    stream_page page;
     do {
-        tl::expected<log_page, std::string> next = m_log.read(stream, page.next);
+        tl::expected<stream_page, std::string> next = m_log.read(stream, from);
         if (!next)
             return tl::unexpected(next.error());
         page = std::move(*next);
+        from = page.records.empty() ? page.next : page.records.back().offset + 1;
         // Records that were trimmed between two pages leave a gap; the later part is shown.
         if (!entries.empty() && !page.records.empty()
             && page.records.front().offset != entries.back().record.offset + 1)
             entries.clear();
         for (log_record &record : page.records)
             entries.push_back({std::move(record), std::nullopt});
-    } while (page.next < page.end);
+    } while (from < page.next);
     if (entries.empty())
         return entries;
     const std::int64_t first = entries.front().record.offset;
     config_log reader{snapshot_options{}};
-    reader.logRecords({}, first, page.end, time_point{});
+    reader.logRecords({}, first, page.next, time_point{});
     // One record at a time: the reader remembers a limited number of outcomes.
-    while (reader.nextReadOffset() < page.end) {
+    while (reader.nextReadOffset() < page.next) {
         history_entry &entry = entries[reader.nextReadOffset() - first];
-        reader.logRecords({&entry.record, 1}, first, page.end, time_point{});
+        reader.logRecords({&entry.record, 1}, first, page.next, time_point{});
         entry.result = reader.fateAt(entry.record.offset);
     }
     return entries;
--- a/src/ctl/platform_log.cpp
+++ b/src/ctl/platform_log.cpp
@@ -7,12 +7,11 @@
 
 using json = nlohmann::json;
 
-log_page readPage(const json &value)
+stream_page readPage(const json &value)
 {
-    log_page page;
+    stream_page page;
     value.at("first").get_to(page.first);
     value.at("next").get_to(page.next);
-    value.at("end").get_to(page.end);
     for (const json &record : value.at("records"))
         page.records.push_back({record.at("offset").get<std::int64_t>(),
                                 std::chrono::milliseconds(record.at("age_ms").get<std::int64_t>()),
@@ -47,7 +46,8 @@
     return value["offset"].get<std::int64_t>();
 }
 
-tl::expected<log_page, std::string> platform_log::read(const std::string &stream, std::int64_t from)
+tl::expected<stream_page, std::string> platform_log::read(const std::string &stream,
+                                                          std::int64_t from)
 {
     const tl::expected<http_answer, std::string> answer = m_transport.send(
             "GET", m_url + "/streams/" + stream + "/records?from=" + std::to_string(from), "");
--- a/src/ctl/platform_log.h
+++ b/src/ctl/platform_log.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ctl/http_transport.h"
-#include "log/log_page.h"
+#include "log/stream_page.h"
 
 #include <tl/expected.hpp>
 
@@ -27,7 +27,7 @@
     tl::expected<std::int64_t, append_failure> append(const std::string &stream,
                                                       const std::string &data);
     /// \returns a page from \a from on, or why there is none.
-    tl::expected<log_page, std::string> read(const std::string &stream, std::int64_t from);
+    tl::expected<stream_page, std::string> read(const std::string &stream, std::int64_t from);
 
 private:
     http_transport &m_transport;
--- a/src/log/log_service.cpp
+++ b/src/log/log_service.cpp
@@ -73,7 +73,7 @@
     return value;
 }
 
-json pageJson(const log_page &page)
+json pageJson(const stream_page &page)
 {
     json records = json::array();
     for (const log_record &record : page.records) {
@@ -81,10 +81,7 @@
                            {"age_ms", std::chrono::duration_cast<milliseconds>(record.age).count()},
                            {"data", record.data}});
     }
-    return {{"first", page.first},
-            {"next", page.next},
-            {"end", page.end},
-            {"records", std::move(records)}};
+    return {{"first", page.first}, {"next", page.next}, {"records", std::move(records)}};
 }
 
 json describe(time_point unavailableUntil, duration delay, std::uint32_t lostAnswers)
@@ -201,7 +198,7 @@
                        "Expected from >= 0, max from 1 to 1000 and wait_ms from 0 to 30000.");
     applyDelay();
     std::unique_lock lock(m_mutex);
-    log_page page;
+    stream_page page;
     m_changed.wait_for(lock, milliseconds(*wait), [&] {
         if (unavailable())
             return true;
--- a/src/log/log_store.cpp
+++ b/src/log/log_store.cpp
@@ -81,22 +81,23 @@
     return state.end() - 1;
 }
 
-log_page log_store::read(const std::string &stream, std::int64_t from, std::size_t maxRecords,
-                         time_point now)
+stream_page log_store::read(const std::string &stream, std::int64_t from, std::size_t maxRecords,
+                            time_point now)
 {
     const auto found = m_streams.find(stream);
     if (found == m_streams.end())
         return {};
     stream_state &state = found->second;
     expire(state, now);
-    log_page page{state.first, std::clamp(from, state.first, state.end()), state.end(), {}};
+    stream_page page{state.first, state.end(), {}};
     std::size_t bytes = 0;
-    while (page.next < page.end && page.records.size() < maxRecords) {
-        const stored_record &record = state.records[page.next - state.first];
+    for (std::int64_t offset = std::max(from, state.first);
+         offset < page.next && page.records.size() < maxRecords; ++offset) {
+        const stored_record &record = state.records[offset - state.first];
         bytes += record.data.size();
         if (!page.records.empty() && bytes > m_limits.pageBytes)
             break;
-        page.records.push_back({page.next++, now - record.acceptedAt, record.data});
+        page.records.push_back({offset, now - record.acceptedAt, record.data});
     }
     return page;
 }
--- a/src/log/log_store.h
+++ b/src/log/log_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "log/log_page.h"
+#include "log/stream_page.h"
 #include "tamarackridge/src/base/time.h"
 
 #include <tl/expected.hpp>
@@ -49,8 +49,8 @@
     tl::expected<std::int64_t, append_refusal> append(const std::string &stream, std::string data,
                                                       time_point now);
     /// \param from a lower offset than the oldest retained one counts as that one.
-    log_page read(const std::string &stream, std::int64_t from, std::size_t maxRecords,
-                  time_point now);
+    stream_page read(const std::string &stream, std::int64_t from, std::size_t maxRecords,
+                     time_point now);
     /// \brief Drops the records of \a stream below \a offset.
     void trimBelow(const std::string &stream, std::int64_t offset);
     const log_limits &limits() const { return m_limits; }
--- a/src/log/main.cpp
+++ b/src/log/main.cpp
@@ -23,8 +23,9 @@
 
   POST /streams/{name}/records                          appends the body; {"offset": n}
   GET  /streams/{name}/records?from=n&max=m&wait_ms=w   reads, waiting up to w ms for a record;
-       {"first": f, "next": n, "end": e, "records": [{"offset": n, "age_ms": a, "data": "..."}]}
-       "next" is the offset to read on from, "end" the offset after the newest record.
+       {"first": f, "next": n, "records": [{"offset": n, "age_ms": a, "data": "..."}]}
+       "first" is the oldest retained offset, "next" the one that the log assigns next. A page may
+       end before it: read on from the offset after its last record.
   POST /faults   {"unavailable_ms": n}      503 for n ms, nothing is appended
                  {"delay_ms": n}            every request waits n ms
                  {"applied_but_lost": n}    the next n appends take effect and answer 504
--- a/src/log/log_page.h
+++ b/src/log/stream_page.h
@@ -8,11 +8,10 @@
 namespace tamarackridge {
 
 /// \brief Part of a stream.
-struct log_page
+struct stream_page
 {
-    std::int64_t first = 0; ///< Oldest retained offset, or end if there is none.
-    std::int64_t next = 0; ///< Offset to read on from.
-    std::int64_t end = 0; ///< Offset after the newest record.
+    std::int64_t first = 0; ///< Oldest retained offset, or \a next if there is none.
+    std::int64_t next = 0; ///< Offset that the log assigns next; a full page may end before it.
     std::vector<log_record> records;
 };
 
