--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -7,7 +7,7 @@
 build_dir="${TAMARACKRIDGE_BUILD_DIR:-${root}/build}"
 
 packages=(
-    g++ cmake ninja-build ccache pkg-config
+    g++ cmake ninja-build ccache pkg-config curl
     clang-format clang-tidy
     libulfius-dev libmicrohttpd-dev libzmq3-dev cppzmq-dev libprotobuf-dev libgflags-dev libspdlog-dev
     libexpected-dev nlohmann-json3-dev libxxhash-dev libgnutls28-dev
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -22,12 +22,14 @@
         : phases(plan.phases.size())
         , kinds(plan.kinds.size())
         , customers(plan.customers.size())
+        , lastPhase(plan.customers.size())
     { }
 
     group_stats total;
     std::vector<group_stats> phases;
     std::vector<group_stats> kinds;
     std::vector<group_stats> customers;
+    std::vector<latency_histogram> lastPhase; ///< Latency by customer in the last phase.
     latency_histogram sendLag; ///< From the intended to the actual first send.
     std::map<std::string, std::size_t> failures;
 };
@@ -62,13 +64,16 @@
     grouped_stats stats(plan);
     for (const request_record &request : records.requests) {
         stats.total.add(request);
-        stats.phases[phaseAt(plan, request.intended)].add(request);
+        const std::size_t phase = phaseAt(plan, request.intended);
+        stats.phases[phase].add(request);
         stats.kinds[request.kind].add(request);
         stats.customers[request.customer].add(request);
         if (request.outcome != request_outcome::not_sent)
             stats.sendLag.add(request.firstSent - request.intended);
         if (request.outcome != request_outcome::whole)
             ++stats.failures[failureName(request)];
+        else if (phase + 1 == plan.phases.size())
+            stats.lastPhase[request.customer].add(request.finished - request.intended);
     }
     return stats;
 }
@@ -102,6 +107,7 @@
     std::size_t wrongful = 0;
     for (std::size_t index = 0; index < plan.customers.size(); ++index) {
         result_json entry = stats.customers[index].toJson(toSeconds(plan.length()));
+        entry["last_phase_latency_ms"] = latencyJson(stats.lastPhase[index]);
         entry["inside_rate"] = received[index].insideRate;
         entry["served_ratio"] = received[index].servedRatio();
         entry["wrongful_refusals"] = received[index].wrongfulRefusals;
@@ -113,6 +119,9 @@
     report["worst_customer"] = {{"name", plan.customers[worst].name},
                                 {"served_ratio", received[worst].servedRatio()}};
     report["wrongful_refusals"] = wrongful;
+    report["wrongful_refusal_ratio"] =
+            static_cast<double>(wrongful)
+            / static_cast<double>(std::max<std::size_t>(1, records.sends.size()));
 }
 
 void addSeconds(result_json &report, const std::vector<second_counts> &seconds)
@@ -159,9 +168,9 @@
 {
     if (!report["customers"].contains(baseline))
         return false;
-    const result_json base = report["customers"][baseline]["latency_ms"];
+    const result_json base = report["customers"][baseline]["last_phase_latency_ms"];
     for (const auto &[name, customer] : report["customers"].items()) {
-        result_json row = customer["latency_ms"];
+        result_json row = customer["last_phase_latency_ms"];
         for (const char *quantile : {"p50", "p99", "p99_9"})
             row[std::string("added_") + quantile] =
                     row[quantile].get<double>() - base[quantile].get<double>();
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -19,7 +19,8 @@
 result_json makeReport(const load_plan &plan, const run_records &records,
                        const std::optional<truth_report> &truth);
 
-/// \brief Adds the latency of every customer in comparison with the customer \a baseline.
+/// \brief Adds the latency of every customer in the last phase, compared with the customer
+/// \a baseline; earlier phases may warm up connections.
 /// \returns false when the report has no such customer.
 bool addLatencyComparison(result_json &report, const std::string &baseline);
 
--- a/src/load/time_series.cpp
+++ b/src/load/time_series.cpp
@@ -60,7 +60,8 @@
 {
     const second_counts level = sum(seconds, before);
     const std::size_t end = std::min(after.end, seconds.size());
-    if (level.offered == 0 || sum(seconds, after).offered == 0)
+    // Without goodput before the surge there is no level to return to.
+    if (level.whole == 0 || sum(seconds, after).offered == 0)
         return std::nullopt;
     const double wanted = recoveredShare * share(level);
     std::size_t recovered = end;
--- a/tests/backend_behaviour_test.cpp
+++ b/tests/backend_behaviour_test.cpp
@@ -17,6 +17,7 @@
     const service_time times{.medianMs = 10.0, .sigma = 0.5};
     fakes::seeded_random random(3);
     std::vector<double> samples;
+    samples.reserve(10'001);
     for (int index = 0; index < 10'001; ++index)
         samples.push_back(std::chrono::duration<double, std::milli>(
                                   times.sample(random, std::chrono::hours(1)))
--- a/tests/backend_execution_test.cpp
+++ b/tests/backend_execution_test.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// A server with a journal in the test's own directory.
-class BackendExecution : public ::testing::Test
+class backend_execution : public ::testing::Test
 {
 protected:
     server_options options() const
@@ -35,7 +35,7 @@
         return index[loadId];
     }
 
-    ~BackendExecution() override { std::remove(m_journal.c_str()); }
+    ~backend_execution() override { std::remove(m_journal.c_str()); }
 
     const std::string m_journal = ::testing::TempDir()
                                   + ::testing::UnitTest::GetInstance()->current_test_info()->name()
@@ -65,7 +65,7 @@
 } // namespace
 
 // Guards against an answer that the load generator could not tie to its request.
-TEST_F(BackendExecution, AnswersWithAnEchoAndJournalsTheRun)
+TEST_F(backend_execution, AnswersWithAnEchoAndJournalsTheRun)
 {
     request_handler handler(options());
     const http_server server(0, 10, handler);
@@ -81,7 +81,7 @@
 }
 
 // Guards against a server that goes on working for a caller that has gone.
-TEST_F(BackendExecution, ClosedConnectionStopsTheWork)
+TEST_F(backend_execution, ClosedConnectionStopsTheWork)
 {
     server_options slow = options();
     slow.serviceTime.medianMs = 60'000.0;
@@ -95,7 +95,7 @@
 }
 
 // Guards against work that is finished after its deadline, when nobody waits for it.
-TEST_F(BackendExecution, DeadlineStopsTheWork)
+TEST_F(backend_execution, DeadlineStopsTheWork)
 {
     server_options slow = options();
     slow.serviceTime.medianMs = 60'000.0;
@@ -111,7 +111,7 @@
 }
 
 // Guards against a refusal above slots and queue that the journal shows as a run.
-TEST_F(BackendExecution, ShedRequestsAreNotJournalledAsRuns)
+TEST_F(backend_execution, ShedRequestsAreNotJournalledAsRuns)
 {
     server_options slow = options();
     slow.serviceTime.medianMs = 60'000.0;
@@ -132,7 +132,7 @@
 }
 
 // Guards against a frozen server that fails its health check or goes on serving.
-TEST_F(BackendExecution, FrozenServerAnswersPingsOnly)
+TEST_F(backend_execution, FrozenServerAnswersPingsOnly)
 {
     request_handler handler(options());
     const http_server server(0, 10, handler);
--- a/tests/load_recovery_test.cpp
+++ b/tests/load_recovery_test.cpp
@@ -10,6 +10,7 @@
 std::vector<second_counts> fromShares(const std::vector<double> &shares)
 {
     std::vector<second_counts> seconds;
+    seconds.reserve(shares.size());
     for (const double share : shares)
         seconds.push_back({100, static_cast<std::size_t>(share * 100.0), 0});
     return seconds;
@@ -32,6 +33,12 @@
     EXPECT_EQ(recoverySeconds(fromShares({1.0, 0.2}), {0, 1}, {2, 4}), std::nullopt);
 }
 
+// Guards against a system that never served anything and is reported as recovered at once.
+TEST(LoadRecovery, WithoutALevelThereIsNoRecovery)
+{
+    EXPECT_EQ(recoverySeconds(fromShares({0.0, 0.0, 0.0}), {0, 1}, {2, 3}), std::nullopt);
+}
+
 // Guards against an imperfect level before the surge that no later second could reach.
 TEST(LoadRecovery, LevelIsTheShareBeforeTheSurge)
 {
