--- a/src/core/node/forwarded_headers.cpp
+++ b/src/core/node/forwarded_headers.cpp
@@ -6,12 +6,7 @@
 namespace tamarackridge::internal {
 namespace {
 
-constexpr std::array<std::string_view, 11> hopByHop{
-        "connection",          "keep-alive", "proxy-authenticate",
-        "proxy-authorization", "te",         "trailer",
-        "transfer-encoding",   "upgrade",    "host",
-        "content-length",      "expect"};
-constexpr std::array<std::string_view, 2> callerOnly{"authorization", "traceparent"};
+constexpr std::array<std::string_view, 3> callerOnly{"authorization", "traceparent", "host"};
 constexpr std::string_view ownPrefix = "tamarackridge-";
 
 template <typename Names>
@@ -35,7 +30,7 @@
     std::vector<http_header> result;
     for (const http_header &candidate : received) {
         const std::string_view name = candidate.name;
-        if (!contains(hopByHop, name) && !contains(callerOnly, name) && !isOwnHeader(name))
+        if (!contains(callerOnly, name) && !isOwnHeader(name))
             result.push_back(candidate);
     }
     return result;
@@ -45,7 +40,7 @@
 {
     std::vector<http_header> result;
     for (const http_header &candidate : received) {
-        if (!contains(hopByHop, candidate.name) && !isOwnHeader(candidate.name))
+        if (!isOwnHeader(candidate.name))
             result.push_back(candidate);
     }
     return result;
--- a/src/core/node/forwarded_headers.h
+++ b/src/core/node/forwarded_headers.h
@@ -21,7 +21,8 @@
 
 /// \returns the headers of a caller's request that may reach a backend server.
 ///
-/// Keys, hop-by-hop headers and every header that only nodes may set are left out.
+/// Keys and every header that only nodes may set are left out. Hop-by-hop headers belong to a
+/// connection, so the shell removes them.
 std::vector<http_header> requestHeaders(const std::vector<http_header> &received);
 
 /// \returns the headers of a backend server's answer that may reach a caller.
--- a/src/process/hop_headers.cpp
+++ b/src/process/hop_headers.cpp
@@ -49,12 +49,6 @@
 
 } // namespace
 
-bool equalHeaderNames(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](char a, char b) { return lower(a) == lower(b); });
-}
-
 bool isHopHeader(std::string_view name)
 {
     return std::any_of(hopHeaders.begin(), hopHeaders.end(),
--- a/src/process/hop_headers.h
+++ b/src/process/hop_headers.h
@@ -7,9 +7,6 @@
 
 namespace tamarackridge {
 
-/// \returns whether \a left and \a right are the same header name.
-bool equalHeaderNames(std::string_view left, std::string_view right);
-
 /// \returns whether a header is about one connection and so is never forwarded: `Connection`,
 /// `Transfer-Encoding`, `Content-Length` and the like.
 bool isHopHeader(std::string_view name);
