Cancel onward calls of the backend stand-in within 20 ms

curl_easy_perform() calls its progress function once a second while it waits, so a caller that went away held the slots downstream for up to a second. The client now polls a multi handle of its own, which also keeps the connections. Each session has one handle; sharing a multi handle between threads was ruled out, as libcurl does not allow it.

--- a/src/backend/http_client.cpp
+++ b/src/backend/http_client.cpp
@@ -3,21 +3,21 @@
 #include <curl/curl.h>
 
 #include <memory>
+#include <new>
 
 namespace tamarackridge::backend {
 namespace {
 
+/// Longest time in which a closed connection of the caller goes unnoticed; curl_easy_perform()
+/// would look for it once a second only.
+constexpr int goneCheckMs = 20;
+
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *body)
 {
     static_cast<std::string *>(body)->append(data, size * count);
     return size * count;
 }
 
-int abortWhenGone(void *isGone, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
-{
-    return (*static_cast<const std::function<bool()> *>(isGone))() ? 1 : 0;
-}
-
 using header_list = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
 header_list makeHeaders(const std::vector<std::string> &lines)
@@ -40,21 +40,61 @@
 
 } // namespace
 
+/// \brief A libcurl handle and the multi handle that keeps its connections.
+class http_client::session
+{
+public:
+    session()
+        : m_easy(curl_easy_init())
+        , m_multi(curl_multi_init())
+    {
+        if (m_easy == nullptr || m_multi == nullptr)
+            throw std::bad_alloc();
+    }
+    session(const session &) = delete;
+    session &operator=(const session &) = delete;
+    ~session()
+    {
+        curl_easy_cleanup(m_easy);
+        curl_multi_cleanup(m_multi);
+    }
+
+    CURL *handle() const { return m_easy; }
+
+    /// \returns whether a whole answer arrived before \a isGone returned true.
+    bool perform(const std::function<bool()> &isGone)
+    {
+        curl_multi_add_handle(m_multi, m_easy);
+        int running = 1;
+        while (curl_multi_perform(m_multi, &running) == CURLM_OK && running > 0) {
+            if (isGone && isGone())
+                break;
+            curl_multi_poll(m_multi, nullptr, 0, goneCheckMs, nullptr);
+        }
+        int left = 0;
+        const CURLMsg *message = running > 0 ? nullptr : curl_multi_info_read(m_multi, &left);
+        const bool whole = message != nullptr && message->data.result == CURLE_OK;
+        curl_multi_remove_handle(m_multi, m_easy);
+        return whole;
+    }
+
+private:
+    CURL *m_easy;
+    CURLM *m_multi;
+};
+
 http_client::http_client()
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
-http_client::~http_client()
-{
-    for (void *handle : m_idle)
-        curl_easy_cleanup(handle);
-}
+http_client::~http_client() = default;
 
 std::optional<client_answer> http_client::send(const client_request &request,
                                                const std::function<bool()> &isGone)
 {
-    CURL *handle = takeHandle();
+    std::unique_ptr<session> used = takeSession();
+    CURL *handle = used->handle();
     curl_easy_reset(handle);
     const header_list headers = makeHeaders(request.headers);
     client_answer answer;
@@ -65,31 +105,26 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &answer.body);
     setBody(handle, request);
-    if (isGone) {
-        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, abortWhenGone);
-        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &isGone);
-    }
-    const bool whole = curl_easy_perform(handle) == CURLE_OK;
+    const bool whole = used->perform(isGone);
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &answer.status);
-    returnHandle(handle);
+    returnSession(std::move(used));
     return whole ? std::optional(std::move(answer)) : std::nullopt;
 }
 
-void *http_client::takeHandle()
+std::unique_ptr<http_client::session> http_client::takeSession()
 {
     const std::lock_guard lock(m_mutex);
     if (m_idle.empty())
-        return curl_easy_init();
-    void *handle = m_idle.back();
+        return std::make_unique<session>();
+    std::unique_ptr<session> next = std::move(m_idle.back());
     m_idle.pop_back();
-    return handle;
+    return next;
 }
 
-void http_client::returnHandle(void *handle)
+void http_client::returnSession(std::unique_ptr<session> used)
 {
     const std::lock_guard lock(m_mutex);
-    m_idle.push_back(handle);
+    m_idle.push_back(std::move(used));
 }
 
 } // namespace tamarackridge::backend
--- a/src/backend/http_client.h
+++ b/src/backend/http_client.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -41,11 +42,12 @@
                                       const std::function<bool()> &isGone = {});
 
 private:
-    void *takeHandle();
-    void returnHandle(void *handle);
+    class session;
+    std::unique_ptr<session> takeSession();
+    void returnSession(std::unique_ptr<session> used);
 
     std::mutex m_mutex;
-    std::vector<void *> m_idle; ///< CURL easy handles, each with its own kept connections.
+    std::vector<std::unique_ptr<session>> m_idle; ///< Each has its own kept connections.
 };
 
 } // namespace tamarackridge::backend
--- a/tests/backend_execution_test.cpp
+++ b/tests/backend_execution_test.cpp
@@ -94,6 +94,25 @@
     EXPECT_EQ(historyOf("w1").completed, 0U);
 }
 
+// Guards against onward calls that keep a slot downstream after the caller has gone.
+TEST_F(backend_execution, ClosedConnectionCancelsOnwardCalls)
+{
+    server_options slow = options();
+    slow.serviceTime.medianMs = 60'000.0;
+    request_handler deepHandler(slow);
+    const http_server deep(0, 10, deepHandler);
+    server_options calling = options();
+    calling.onward = {"http://127.0.0.1:" + std::to_string(deep.port()), {{"POST", "/deep"}}, 3};
+    request_handler handler(calling);
+    const http_server server(0, 10, handler);
+    http_client client;
+    EXPECT_FALSE(client.send(requestTo(server, "w1", 200)));
+    EXPECT_TRUE(reachesRunning(deepHandler, 0));
+    EXPECT_TRUE(reachesRunning(handler, 0));
+    // Neither the call nor one of its three retries ran again.
+    EXPECT_EQ(historyOf("w1.0").starts, 1U);
+}
+
 // Guards against work that is finished after its deadline, when nobody waits for it.
 TEST_F(backend_execution, DeadlineStopsTheWork)
 {
