--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -91,16 +91,18 @@
     name="$(node_name "$1" "$2")"
     cat >"${work_dir}/${name}.json" <<SETTINGS
 {
-  "zone": "${zones[$1]}",
-  "name": "${name}",
-  "http_port": $(http_port "$1" "$2"),
-  "peer_endpoint": "tcp://127.0.0.1:$(peer_port "$1" "$2")",
-  "seeds": [$(print_seeds)],
-  "log_url": "${log_url}",
-  "curve_public_key": "${curve_public}",
-  "curve_secret_key": "${curve_secret}",
-  "log_level": "warn",
-  "trace_file": ""
+  "node": {"zone": "${zones[$1]}", "name": "${name}"},
+  "callers": {"address": "127.0.0.1", "port": $(http_port "$1" "$2")},
+  "peers": {
+    "bind": "tcp://127.0.0.1:$(peer_port "$1" "$2")",
+    "endpoint": "tcp://127.0.0.1:$(peer_port "$1" "$2")",
+    "public_key": "${curve_public}",
+    "secret_key": "${curve_secret}",
+    "seeds": [$(print_seeds)]
+  },
+  "log": {"address": "${log_url}"},
+  "quota": {"claim_delay_ms": 500},
+  "logging": {"level": "warning", "trace_file": "${work_dir}/${name}.trace"}
 }
 SETTINGS
 }
@@ -132,7 +134,7 @@
 
 # Issues a key for a customer and prints it.
 issue_key() {
-    "$(binary ctl)" keys issue --log_url="${log_url}" --customer="$1" --json \
+    "$(binary ctl)" --log="${log_url}" --json keys issue "$1" \
         | sed -n 's/.*"key": *"\([^"]*\)".*/\1/p'
 }
 
@@ -186,7 +188,7 @@
 echo "starting the log and publishing the configuration"
 start log "$(binary log)" --port="${log_port}"
 wait_for "${log_url}/streams/config/records?from=0&max=1&wait_ms=0"
-"$(binary ctl)" publish --log_url="${log_url}" "${root}/examples/demo/configuration.json"
+"$(binary ctl)" --log="${log_url}" --base=-1 publish "${root}/examples/demo/configuration.json"
 write_plan
 echo "starting 16 nodes and 16 backend servers"
 for_each_node start_node
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -13,6 +13,9 @@
 constexpr std::int64_t largestAnswerLimit = 256 << 20;
 constexpr std::int64_t mostConnections = 10'000;
 constexpr std::int64_t longestIdle = 3600;
+constexpr std::int64_t shortestLease = 60;
+constexpr std::int64_t longestLease = 86'400;
+constexpr std::int64_t longestClaimDelay = 60'000;
 
 std::vector<settings_field> seedFields(seed_peer &seed)
 {
@@ -49,6 +52,8 @@
             textField("log.address", out.logAddress, optional),
             textField("backend.address", out.backendAddress, optional),
             integerField("backend.max_answer_bytes", out.maxAnswerBytes, 1, largestAnswerLimit),
+            integerField("quota.lease_s", out.quotaLeaseSeconds, shortestLease, longestLease),
+            integerField("quota.claim_delay_ms", out.quotaClaimDelayMs, 0, longestClaimDelay),
             textField("admin.token", out.adminToken, optional),
             textListField("admin.own_addresses", out.ownAddresses),
             choiceField("logging.level", out.logLevel, {"debug", "info", "warning", "error"}),
@@ -87,6 +92,8 @@
     options.self = {settings.zone, settings.name, life};
     options.peerEndpoint = settings.peerEndpoint;
     options.seeds = settings.seeds;
+    options.quotaLease = std::chrono::seconds(settings.quotaLeaseSeconds);
+    options.quotaClaimDelay = std::chrono::milliseconds(settings.quotaClaimDelayMs);
     options.logConfigured = !settings.logAddress.empty();
     return options;
 }
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -29,6 +29,9 @@
     std::string backendAddress; ///< Empty: the address that the announcement came from.
     std::int64_t maxAnswerBytes = 8 << 20;
 
+    std::int64_t quotaLeaseSeconds = 12 * 3600; ///< A crashed holder's share returns after it.
+    std::int64_t quotaClaimDelayMs = 10'000; ///< Spreads the claims of free slots.
+
     std::string adminToken; ///< Empty: administration from the own VM only.
     std::vector<std::string> ownAddresses; ///< Empty: the addresses of the interfaces.
     std::string logLevel = "info";
