--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -23,6 +23,7 @@
 
 readonly service_median_ms=40
 readonly ready_seconds=20
+readonly quota_slots=16
 readonly stop_seconds=6
 
 binary() { echo "${build_dir}/src/$1/tamarackridge-$1"; }
@@ -129,6 +130,21 @@
 }
 
 wait_for_node() { wait_for "http://127.0.0.1:$(http_port "$1" "$2")/.tamarackridge/ready"; }
+# Waits until all quota slots are held: before that, nobody mints tokens for their share.
+wait_for_slots() {
+    local deadline=$((SECONDS + ready_seconds)) held
+    while ((SECONDS < deadline)); do
+        held="$(for_each_node print_slots | awk '{ sum += $1 } END { print sum }')"
+        ((held == quota_slots)) && return 0
+        sleep 0.2
+    done
+    echo "demo: only ${held} of ${quota_slots} quota slots are held" >&2
+    return 1
+}
+print_slots() {
+    curl --silent --max-time 1 "http://127.0.0.1:$(http_port "$1" "$2")/.tamarackridge/status" \
+        | grep -o '"quota_slots_held":[0-9]*' | cut -d: -f2
+}
 print_target() { printf '"http://127.0.0.1:%s", ' "$(http_port "$1" "$2")"; }
 print_journal() { printf '%s/%s.journal,' "${work_dir}" "$(node_name "$1" "$2")"; }
 
@@ -194,6 +210,7 @@
 for_each_node start_node
 for_each_node start_backend
 for_each_node wait_for_node
+wait_for_slots
 echo "sending traffic: 30 s with a surge to 6 times the normal rate from second 12 to 20"
 status=0
 run_load || status=$?
--- a/src/load/client_call.cpp
+++ b/src/load/client_call.cpp
@@ -48,11 +48,13 @@
     record.state = parseRunState(result.runState);
     if (record.state == run_state::not_run)
         record.lastNotRunAt = now;
-    // The 428 answer hands out an id; using it is the first real send, not a retry.
-    if (result.status == idRequired && requestId.empty() && !result.issuedId.empty()) {
+    const bool firstId = requestId.empty();
+    // A refused id is never run, so a refusal hands out a fresh one for the next send.
+    if (record.state == run_state::not_run && !result.issuedId.empty())
         requestId = result.issuedId;
+    // Using the id of the 428 answer is the first real send, not a retry.
+    if (result.status == idRequired && firstId && !requestId.empty())
         return duration::zero();
-    }
     if (!mayRetry(result))
         return std::nullopt;
     ++m_retries;
