--- a/bench/routing_comparison_bench.cpp
+++ b/bench/routing_comparison_bench.cpp
@@ -24,27 +24,20 @@
 constexpr std::size_t nodes = 4;
 constexpr std::array<duration, 4> serviceTimes{40ms, 20ms, 20ms, 10ms};
 
-/// One node's way to choose.
-class chooser
-{
-public:
-    chooser() = default;
-    chooser(const chooser &) = delete;
-    chooser &operator=(const chooser &) = delete;
-    virtual ~chooser() = default;
-    virtual std::size_t choose(time_point now, random_source &random) = 0;
-    virtual void answered(std::size_t, duration, const executor_load &, time_point) { }
-};
+// Each class is one node's way to choose.
 
-class random_chooser final : public chooser
+class random_chooser
 {
-    std::size_t choose(time_point, random_source &random) override { return random.below(servers); }
+public:
+    std::size_t choose(time_point, random_source &random) { return random.below(servers); }
+    void answered(std::size_t, duration, const executor_load &, time_point) { }
 };
 
 /// Power of two choices on the node's own requests in flight.
-class in_flight_chooser final : public chooser
+class in_flight_chooser
 {
-    std::size_t choose(time_point, random_source &random) override
+public:
+    std::size_t choose(time_point, random_source &random)
     {
         const std::size_t first = random.below(servers);
         const std::size_t second = (first + 1 + random.below(servers - 1)) % servers;
@@ -52,15 +45,16 @@
         ++m_inFlight.at(best);
         return best;
     }
-    void answered(std::size_t server, duration, const executor_load &, time_point) override
+    void answered(std::size_t server, duration, const executor_load &, time_point)
     {
         --m_inFlight.at(server);
     }
 
+private:
     std::array<std::uint32_t, servers> m_inFlight{};
 };
 
-class router_chooser final : public chooser
+class router_chooser
 {
 public:
     router_chooser()
@@ -70,19 +64,18 @@
             m_router.upsertExecutor({std::to_string(i), "north", "booking"});
     }
 
-private:
-    std::size_t choose(time_point now, random_source &random) override
+    std::size_t choose(time_point now, random_source &random)
     {
         const std::string_view node = *m_router.choose("booking", 0, {}, now, random);
         m_router.onDispatched(node, now);
         return static_cast<std::size_t>(node.front() - '0');
     }
-    void answered(std::size_t server, duration latency, const executor_load &load,
-                  time_point now) override
+    void answered(std::size_t server, duration latency, const executor_load &load, time_point now)
     {
         m_router.onAnswer(std::to_string(server), latency, run_outcome::success, &load, now);
     }
 
+private:
     router m_router;
 };
 
@@ -126,7 +119,7 @@
 
     void send(std::size_t node)
     {
-        chooser &choice = m_choosers.at(node);
+        chooser_type &choice = m_choosers.at(node);
         const std::size_t server = choice.choose(m_loop.now(), m_random);
         ++m_load.at(server);
         m_servers.at(server)->submit([this, &choice, server](duration latency) {
--- a/include/tamarackridge/src/overload/concurrency_limit.h
+++ b/include/tamarackridge/src/overload/concurrency_limit.h
@@ -49,6 +49,8 @@
     void release(time_point now, duration latency, run_outcome outcome);
 
     /// \brief Starts again with the cold-start ramp, for a new instance of the backend server.
+    ///
+    /// Runs of the earlier instance keep their places until they are released.
     /// \param slots upper bound that the backend server announced; 0 when not known.
     void restart(time_point now, std::uint32_t slots);
     /// \brief Lowers the limit to what a load endpoint reports; it never raises one.
