--- a/include/tamarackridge/src/overload/admission_queue.h
+++ b/include/tamarackridge/src/overload/admission_queue.h
@@ -38,8 +38,7 @@
 enum class admission : std::uint8_t {
     admitted,
     admitted_evicting, ///< Admitted; a less important entry is refused instead.
-    refused, ///< The rank is shed, or the queue is full of more important entries.
-    too_late, ///< The deadline cannot be met.
+    refused, ///< The entry is not in the queue.
 };
 
 /// \brief Answer of admission_queue::enqueue.
@@ -47,6 +46,9 @@
 {
     admission kind = admission::refused;
     std::uint64_t evicted = 0; ///< Set with `admitted_evicting`.
+    /// Set with `refused` when the deadline cannot be met; otherwise the rank is shed, or the queue
+    /// is full of more important entries.
+    bool tooLate = false;
 };
 
 /// \brief Bounded queue in front of the concurrency limit.
--- a/src/core/overload/admission_queue.cpp
+++ b/src/core/overload/admission_queue.cpp
@@ -22,12 +22,12 @@
     observeDelay(now);
     m_shed.onArrival(entry.rank);
     if (entry.deadline <= now + m_service.estimate(now))
-        return {admission::too_late, 0};
+        return {admission::refused, 0, true};
     if (entry.rank < m_shed.threshold() || m_waiting->contains(entry.id))
         return {};
     if (!m_waiting->full() && m_waiting->size() < allowedLength(now)) {
         m_waiting->insert(entry, now);
-        return {admission::admitted, 0};
+        return {admission::admitted};
     }
     const queue_entry worst = m_waiting->worst();
     if (!internal::moreImportant(entry, worst))
