--- a/include/tamarackridge/src/config/snapshot_schedule.h
+++ b/include/tamarackridge/src/config/snapshot_schedule.h
@@ -33,6 +33,8 @@
     void noteSnapshot(std::int64_t offset, std::int64_t covered);
     /// \brief The record at \a offset is a publication that took effect.
     void notePublication(std::int64_t offset);
+    /// \brief The log keeps no record below \a first.
+    void noteFirst(std::int64_t first) { m_first = first; }
     /// \brief The configuration came from a peer: the age of the last snapshot is not known.
     void noteUnknownBasis(std::int64_t covered, time_point now);
 
@@ -53,6 +55,7 @@
 
     snapshot_options m_options;
     std::optional<basis> m_basis;
+    std::int64_t m_first = 0;
     std::deque<std::pair<std::int64_t, time_point>> m_recent;
     std::optional<time_point> m_dueSince;
     std::optional<time_point> m_appendedAt;
--- a/src/core/config/config_delta.cpp
+++ b/src/core/config/config_delta.cpp
@@ -14,7 +14,7 @@
 using internal::listOf;
 using internal::section;
 
-/// \returns the names of one section in \a deletes, which is sorted.
+/// \returns the names of one section in \a deletes, sorted.
 template <typename Object>
 std::vector<std::string_view> deletedNames(const std::vector<object_name> &deletes)
 {
@@ -23,6 +23,7 @@
         if (entry.section == section<Object>::name)
             names.push_back(entry.name);
     }
+    std::sort(names.begin(), names.end());
     return names;
 }
 
@@ -85,9 +86,11 @@
     config_faults faults;
     config_objects objects;
     objects.settings = delta.settings.value_or(base.settings());
+    config_objects changed = delta.upserts;
+    internal::normalise(changed);
     internal::forEachSection([&]<typename Object>() {
         const std::vector<Object> &before = listOf<Object>(base.objects());
-        const std::vector<Object> &upserts = listOf<Object>(delta.upserts);
+        const std::vector<Object> &upserts = listOf<Object>(changed);
         const std::vector<std::string_view> deletes = deletedNames<Object>(delta.deletes);
         checkDeletes(before, upserts, deletes, faults);
         listOf<Object>(objects) = merge(before, upserts, deletes);
--- a/src/core/config/config_log.cpp
+++ b/src/core/config/config_log.cpp
@@ -44,6 +44,7 @@
 void config_log::noteFirst(std::int64_t first)
 {
     m_first = std::max(m_first, first);
+    m_schedule.noteFirst(m_first);
     if (first > m_next) {
         m_continuous = false;
         m_next = first;
--- a/src/core/config/snapshot_schedule.cpp
+++ b/src/core/config/snapshot_schedule.cpp
@@ -73,8 +73,10 @@
 
 bool snapshot_schedule::due(std::int64_t nextOffset, time_point now) const
 {
+    // A log that keeps records for less than the expected time has dropped what readers need.
     return m_basis
-           && (now - m_basis->acceptedAt >= dueTenths * m_options.retention / 10
+           && (m_basis->covered + 1 < m_first
+               || now - m_basis->acceptedAt >= dueTenths * m_options.retention / 10
                || nextOffset - 1 - m_basis->covered > m_options.recordsPerSnapshot);
 }
 
--- a/tests/config_log_test.cpp
+++ b/tests/config_log_test.cpp
@@ -215,6 +215,25 @@
     EXPECT_FALSE(reader.needsFetch());
 }
 
+// Guards against sending a whole set to a peer that lacks only records without effect.
+TEST(ConfigLog, GapWithoutANewVersionIsClosedWithoutTheSet)
+{
+    config_history history;
+    history.publish(-1, rateDelta("acme", 1));
+    history.append("garbage");
+    history.append("garbage");
+    config_log reader{snapshot_options{}};
+    reader.relayedRecords(history.read(0, 1), time_point{});
+    reader.relayedRecords(history.read(2, 1), time_point{});
+    ASSERT_TRUE(reader.needsFetch());
+    const std::optional<config_state> state = history.reader().stateFor(0);
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->set, "");
+    EXPECT_FALSE(reader.peerState(*state, time_point{}));
+    EXPECT_EQ(reader.coveredOffset(), 2);
+    EXPECT_FALSE(reader.needsFetch());
+}
+
 // Guards against a node that takes a log which lost its records for a confirmation, or reverts to
 // what was published there since.
 TEST(ConfigLog, LogThatLostItsRecordsConfirmsNothing)
--- a/tests/config_snapshot_test.cpp
+++ b/tests/config_snapshot_test.cpp
@@ -75,6 +75,17 @@
     EXPECT_FALSE(m_log.tick(0, m_now));
 }
 
+// Guards against a log whose retention is shorter than the nodes' settings say.
+TEST_F(config_snapshot_due, DueAtOnceWhenTheLogDroppedWhatReadersNeed)
+{
+    publish();
+    publish();
+    m_log.logRecords({}, 0, m_end, m_now);
+    EXPECT_FALSE(m_log.tick(0, m_now));
+    m_log.logRecords({}, 1, m_end, m_now);
+    EXPECT_TRUE(m_log.tick(0, m_now));
+}
+
 // Guards against nodes that start from a peer, do not know the last snapshot and never append one.
 TEST_F(config_snapshot_due, UnknownBasisIsDueAfterAnEighthOfTheRetention)
 {
