Keep exceptions in one event from reaching the next ones

An exception out of node_core's callerRequest left a pointer to the ended caller thread's slot, and one out of an action let the next event carry out the same actions again. Found by reading; the caller's registration is now removed and the list of actions is swapped out before it is carried out.

The headers of an answer are bounded by what fits into a connection's memory beside the request's, and the limit of open files is raised to what the system allows: 1,000 callers need 2,000 descriptors.

--- a/src/core/node/node_core.cpp
+++ b/src/core/node/node_core.cpp
@@ -56,7 +56,8 @@
 
 void node_core::peerMessage(const node_ref &, peer_message message, time_point, action_list &)
 {
-    if (std::holds_alternative<heartbeat>(message))
+    const peer_message taken = std::move(message);
+    if (std::holds_alternative<heartbeat>(taken))
         ++m_implementation->heartbeats;
 }
 
--- a/src/node/backend_runner.cpp
+++ b/src/node/backend_runner.cpp
@@ -132,6 +132,7 @@
                             [&](const suspect_run &item) { return item.target == present; });
         const bool crashed = concernsPresent && isConnectRefused(present, probeTimeout);
         std::vector<finished_run> runs;
+        runs.reserve(suspects.size());
         for (suspect_run &item : suspects)
             runs.push_back(std::move(item.finished));
         m_done(crashed, std::move(runs));
--- a/src/node/caller_server.cpp
+++ b/src/node/caller_server.cpp
@@ -18,8 +18,8 @@
 
 // Stack of a connection's thread; only the pages that are touched take memory.
 constexpr std::size_t connectionStackBytes = std::size_t{256} << 10U;
-// Memory of a connection in libmicrohttpd beyond the header limit; it also holds answer headers.
-constexpr std::size_t connectionSpareBytes = std::size_t{8} << 10U;
+// Memory of a connection in libmicrohttpd beyond both header limits, for its own bookkeeping.
+constexpr std::size_t connectionSpareBytes = std::size_t{4} << 10U;
 
 // State of the request that the present thread reads; each connection has a thread of its own.
 struct connection_state
@@ -185,7 +185,8 @@
                 option(MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleSeconds),
                 option(MHD_OPTION_THREAD_STACK_SIZE, connectionStackBytes),
                 option(MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                       static_cast<std::intptr_t>(m_options.maxHeaderBytes + connectionSpareBytes)),
+                       static_cast<std::intptr_t>(m_options.maxHeaderBytes + maxAnswerHeaderBytes
+                                                  + connectionSpareBytes)),
                 option(MHD_OPTION_END, 0)};
         constexpr unsigned flags =
                 MHD_USE_THREAD_PER_CONNECTION | MHD_USE_POLL_INTERNAL_THREAD | MHD_USE_ITC;
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -13,6 +13,10 @@
 
 namespace tamarackridge {
 
+/// \brief Upper bound of an answer's headers: they have to fit into a connection's memory beside
+/// those of the request.
+constexpr std::size_t maxAnswerHeaderBytes = std::size_t{12} << 10U;
+
 /// \brief Where callers connect, and the limits of what they send.
 struct caller_server_options
 {
--- a/src/node/line_writer.cpp
+++ b/src/node/line_writer.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void line_writer::write(std::string line)
+void line_writer::write(std::string_view line)
 {
     if (!enabled())
         return;
--- a/src/node/line_writer.h
+++ b/src/node/line_writer.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace tamarackridge {
 
@@ -22,7 +23,7 @@
     { }
 
     bool enabled() const { return !m_fileName.empty(); }
-    void write(std::string line);
+    void write(std::string_view line);
     std::uint64_t dropped() const { return m_dropped.load(std::memory_order_relaxed); }
 
     /// \brief Writes until a stop is requested and the queue is empty.
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <cstdio>
@@ -67,8 +68,19 @@
     logLine(log_level::info, "log level set", {{"to", settings.logLevel}});
 }
 
+// Each connection of a caller takes two descriptors, which soon passes the usual limit of 1,024.
+void raiseFileLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int serve(const node_settings &settings)
 {
+    raiseFileLimit();
     const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr); // Inherited by all threads of the node.
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/node/node_app.cpp
+++ b/src/node/node_app.cpp
@@ -17,6 +17,8 @@
 {
     http_client_options options;
     options.maxAnswerBytes = static_cast<std::size_t>(settings.maxAnswerBytes);
+    options.maxHeaderBytes = maxAnswerHeaderBytes;
+    options.keptConnectionIdle = std::chrono::seconds(settings.keptConnectionIdle);
     return options;
 }
 
@@ -199,12 +201,19 @@
     thread_local const wake_event wake;
     caller_slot slot(wake);
     const call_id call = m_lastCall.fetch_add(1, std::memory_order_relaxed) + 1;
-    m_runtime.post([&](node_core &core, time_point now, action_list &out) {
-        m_callers.insert(call, slot);
-        core.callerRequest(call, std::move(request), now, out);
-    });
-    if (slot.wait(connection.socket))
-        return std::move(slot.answer());
+    try {
+        m_runtime.post([&](node_core &core, time_point now, action_list &out) {
+            m_callers.insert(call, slot);
+            core.callerRequest(call, std::move(request), now, out);
+        });
+        if (slot.wait(connection.socket))
+            return std::move(slot.answer());
+    } catch (...) {
+        // A late answer must not reach the slot, which ends with this function.
+        m_runtime.post([&](node_core &, time_point, action_list &) { m_callers.erase(call); });
+        wake.consume();
+        throw;
+    }
     m_runtime.post([&](node_core &core, time_point now, action_list &out) {
         m_callers.erase(call);
         core.callerGone(call, now, out);
--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -24,9 +24,12 @@
 
 void node_runtime::finishEvent()
 {
-    for (action &item : m_actions)
+    // Swapped first, so that an exception in here can't make the next event repeat an action.
+    m_executing.clear();
+    m_executing.swap(m_actions);
+    for (action &item : m_executing)
         std::visit([this](auto &kind) { m_executor.execute(std::move(kind)); }, item);
-    m_actions.clear();
+    m_executing.clear();
     if (m_core.nextTick() < m_timerDue) {
         m_timerDue = m_core.nextTick();
         m_timerChanged.notify_one();
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -77,7 +77,8 @@
     bool m_timerWoken = false;
     action_executor &m_executor;
     node_core m_core;
-    action_list m_actions; // Kept for its storage.
+    action_list m_actions; // Both lists are kept for their storage.
+    action_list m_executing;
 };
 
 } // namespace tamarackridge
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -49,6 +49,7 @@
             textField("log.address", out.logAddress, optional),
             textField("backend.address", out.backendAddress, optional),
             integerField("backend.max_answer_bytes", out.maxAnswerBytes, 1, largestAnswerLimit),
+            integerField("backend.kept_connection_idle_s", out.keptConnectionIdle, 1, longestIdle),
             textField("admin.token", out.adminToken, optional),
             textListField("admin.own_addresses", out.ownAddresses),
             choiceField("logging.level", out.logLevel, {"debug", "info", "warning", "error"}),
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -28,6 +28,7 @@
     std::string logAddress; ///< Empty: configuration comes from peers only.
     std::string backendAddress; ///< Empty: the address that the announcement came from.
     std::int64_t maxAnswerBytes = 8 << 20;
+    std::int64_t keptConnectionIdle = 15; ///< Seconds; below the backend server's own limit.
 
     std::string adminToken; ///< Empty: administration from the own VM only.
     std::vector<std::string> ownAddresses; ///< Empty: the addresses of the interfaces.
--- a/src/node/zap_handler.cpp
+++ b/src/node/zap_handler.cpp
@@ -49,6 +49,7 @@
                                               allowed ? "fleet" : "",
                                               ""};
     std::vector<zmq::const_buffer> frames;
+    frames.reserve(reply.size());
     for (const std::string &frame : reply)
         frames.push_back(zmq::buffer(frame));
     zmq::send_multipart(*m_socket, frames);
--- a/src/process/supervisor.cpp
+++ b/src/process/supervisor.cpp
@@ -4,7 +4,14 @@
 
 #include <algorithm>
 
+#include <pthread.h>
+
 namespace tamarackridge {
+namespace {
+
+constexpr std::size_t threadNameLength = 15; // Limit of the kernel.
+
+} // namespace
 
 void child_context::waitFor(std::chrono::milliseconds time)
 {
@@ -43,7 +50,9 @@
     item.seenProgress = 0;
     item.progressAt = now;
     item.running = true;
-    item.thread = std::thread([context = item.context, run = item.spec.run] {
+    item.thread = std::thread([context = item.context, run = item.spec.run,
+                               name = item.spec.name.substr(0, threadNameLength)] {
+        pthread_setname_np(pthread_self(), name.c_str());
         try {
             run(*context);
             if (!context->stopRequested())
--- a/tests/node_caller_server_test.cpp
+++ b/tests/node_caller_server_test.cpp
@@ -23,6 +23,8 @@
             ++m_handled;
             if (request.target == "/throw")
                 throw std::runtime_error("fault");
+            if (request.target == "/large")
+                return http_answer{200, {{"X", std::string(maxAnswerHeaderBytes, 'x')}}, nullptr};
             const std::string text = request.method + ' ' + request.target + ' '
                                      + std::string(bodyView(request.body));
             m_last = std::move(request);
@@ -156,6 +158,15 @@
     EXPECT_EQ(bodyView(m_last.body).size(), 100U);
 }
 
+// Guards against an answer that doesn't fit into the connection's memory beside the request.
+TEST_F(node_caller_server, largest_headers_of_request_and_answer_fit_together)
+{
+    const std::string line = "GET /large HTTP/1.1\r\nHost: h\r\nX: ";
+    const std::string answer = exchange(line + std::string(2000, 'x') + "\r\n\r\n");
+    EXPECT_GT(answer.size(), maxAnswerHeaderBytes);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer.substr(0, 80);
+}
+
 // Guards against an exception passing through the C code of the server.
 TEST_F(node_caller_server, exceptions_become_internal_errors)
 {
