--- a/src/process/log_client.cpp
+++ b/src/process/log_client.cpp
@@ -1,6 +1,6 @@
 #include "process/log_client.h"
 
-#include "process/curl_support.h"
+#include "process/curl_loop.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr std::size_t maxAnswerBytes = std::size_t{64} << 20U;
+constexpr std::chrono::milliseconds longestWait{500};
 
 std::optional<std::int64_t> integerAt(const json &object, const char *name)
 {
@@ -58,11 +59,6 @@
     return size * count;
 }
 
-int checkInterrupt(void *flag, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
-{
-    return static_cast<const std::atomic<bool> *>(flag)->load(std::memory_order_acquire) ? 1 : 0;
-}
-
 } // namespace
 
 class log_client::implementation
@@ -72,7 +68,6 @@
         : m_address(std::move(address))
         , m_timeout(timeout)
     {
-        internal::initialiseCurl();
         m_handle.reset(curl_easy_init());
     }
 
@@ -88,7 +83,7 @@
         if (body != nullptr)
             guard.install(m_handle.get());
         long status = 0;
-        if (curl_easy_perform(m_handle.get()) == CURLE_OK)
+        if (perform())
             curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
         json parsed = json::parse(answer, nullptr, false);
         if (status < 200 || status > 299 || parsed.is_discarded())
@@ -96,9 +91,29 @@
         return parsed;
     }
 
-    void interrupt() { m_interrupted.store(true, std::memory_order_release); }
+    void interrupt()
+    {
+        m_interrupted.store(true, std::memory_order_release);
+        m_loop.wake();
+    }
 
 private:
+    // Returns whether the transfer succeeded; unlike curl_easy_perform() it can be interrupted.
+    bool perform()
+    {
+        curl_multi_add_handle(m_loop.handle(), m_handle.get());
+        const CURLMsg *message = nullptr;
+        int left = 0;
+        while (message == nullptr && !m_interrupted.load(std::memory_order_acquire)) {
+            m_loop.runTimers();
+            m_loop.wait(longestWait);
+            message = curl_multi_info_read(m_loop.handle(), &left);
+        }
+        const bool succeeded = message != nullptr && message->data.result == CURLE_OK;
+        curl_multi_remove_handle(m_loop.handle(), m_handle.get());
+        return succeeded;
+    }
+
     void prepare(const std::string &path, const std::string *body,
                  std::chrono::milliseconds extraTime, internal::curl_list &headers,
                  std::string &answer)
@@ -112,9 +127,6 @@
                          static_cast<long>((m_timeout + extraTime).count()));
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &collect);
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &answer);
-        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &checkInterrupt);
-        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &m_interrupted);
         if (body == nullptr)
             return;
         internal::appendLine(headers, "Content-Type: application/json");
@@ -127,6 +139,7 @@
 
     std::string m_address;
     std::chrono::milliseconds m_timeout;
+    internal::curl_loop m_loop{1};
     internal::curl_easy m_handle;
     std::atomic<bool> m_interrupted = false;
 };
