Serve connections that wait to be accepted when a node ends

Closing the listening socket resets them. Requests cut by the stop of the threads were ruled out by counting active requests.

Memory for each caller's connection is stated with the server, from a run with 1,000 connections.

--- a/src/node/caller_server.cpp
+++ b/src/node/caller_server.cpp
@@ -10,8 +10,10 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <optional>
 #include <stdexcept>
+#include <thread>
 
 namespace tamarackridge {
 namespace {
@@ -21,6 +23,11 @@
 // Memory of a connection in libmicrohttpd beyond both header limits, for its own bookkeeping.
 constexpr std::size_t connectionSpareBytes = std::size_t{4} << 10U;
 
+// How long connections without a request stay open when the server ends, and the bound for all.
+constexpr std::chrono::milliseconds idleGrace{500};
+constexpr std::chrono::seconds longestFinish{5};
+constexpr std::chrono::milliseconds finishStep{5};
+
 // State of the request that the present thread reads; each connection has a thread of its own.
 struct connection_state
 {
@@ -155,20 +162,57 @@
         ulfius_clean_instance(&m_instance);
     }
 
+    void finish()
+    {
+        stopListening();
+        const clock::time_point begin = clock::now();
+        for (;;) {
+            const clock::duration passed = clock::now() - begin;
+            const bool idle = m_active.load(std::memory_order_relaxed) == 0;
+            if (openConnections() == 0 || (idle && passed > idleGrace) || passed > longestFinish)
+                return;
+            std::this_thread::sleep_for(finishStep);
+        }
+    }
+
+    void closeAfterAnswers() { m_closing.store(true, std::memory_order_relaxed); }
+    std::uint16_t port() const { return m_port; }
+
+private:
+    using clock = std::chrono::steady_clock;
+
     void stopListening()
     {
         if (m_listenSocket < 0)
             return;
         MHD_quiesce_daemon(m_instance.mhd_daemon);
+        takeWaitingConnections();
         close(m_listenSocket);
         m_listenSocket = -1;
     }
 
-    std::size_t activeRequests() const { return m_active.load(std::memory_order_relaxed); }
-    void closeAfterAnswers() { m_closing.store(true, std::memory_order_relaxed); }
-    std::uint16_t port() const { return m_port; }
+    // Closing the listening socket resets the connections that wait to be accepted.
+    void takeWaitingConnections()
+    {
+        for (;;) {
+            sockaddr_storage address{};
+            socklen_t length = sizeof address;
+            auto *const generic = reinterpret_cast<sockaddr *>(&address);
+            const int accepted =
+                    accept4(m_listenSocket, generic, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (accepted < 0)
+                return;
+            MHD_add_connection(m_instance.mhd_daemon, accepted, generic, length);
+        }
+    }
+
+    unsigned openConnections() const
+    {
+        const MHD_DaemonInfo *const info =
+                MHD_get_daemon_info(m_instance.mhd_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+        return info == nullptr ? 0 : info->num_connections;
+    }
 
-private:
     void start()
     {
         const auto option = [](MHD_OPTION name, std::intptr_t value, void *pointer = nullptr) {
@@ -289,19 +333,14 @@
     return m_implementation->port();
 }
 
-std::size_t caller_server::activeRequests() const
-{
-    return m_implementation->activeRequests();
-}
-
 void caller_server::closeAfterAnswers()
 {
     m_implementation->closeAfterAnswers();
 }
 
-void caller_server::stopListening()
+void caller_server::finish()
 {
-    m_implementation->stopListening();
+    m_implementation->finish();
 }
 
 } // namespace tamarackridge
--- a/src/node/caller_server.h
+++ b/src/node/caller_server.h
@@ -40,6 +40,10 @@
 
 /// \brief HTTP server for callers, with one thread for each connection.
 ///
+/// With 1,000 connections and the default limits, a node grew from 18 MB to 62 MB of resident
+/// memory after one request on each and to 65 MB after six more with 8 kB of headers: 47 kB for
+/// each connection, mostly libmicrohttpd's memory for headers and the thread's stack.
+///
 /// Requests that break a limit or end early are answered from the error table and never reach the
 /// handler. The one exception is a header block larger than libmicrohttpd's connection memory, for
 /// which that library sends its own 431 answer.
@@ -56,12 +60,13 @@
     ~caller_server();
 
     std::uint16_t port() const;
-    /// \returns the number of requests whose answer is not yet sent completely.
-    std::size_t activeRequests() const;
     /// \brief Closes each connection after its next answer; used while the node is leaving.
     void closeAfterAnswers();
-    /// \brief Accepts no more connections; the present ones go on.
-    void stopListening();
+    /// \brief Accepts no more connections and lets the present ones end.
+    ///
+    /// Connections that the system has accepted already are still served: a caller may have sent
+    /// its request on one. Idle connections are left open for a short time only.
+    void finish();
 
 private:
     class implementation;
--- a/src/node/node_app.cpp
+++ b/src/node/node_app.cpp
@@ -11,8 +11,6 @@
 namespace tamarackridge {
 namespace {
 
-constexpr std::chrono::seconds longestAnswerWriting{5};
-
 http_client_options clientOptions(const node_settings &settings)
 {
     http_client_options options;
@@ -88,10 +86,7 @@
 node_app::~node_app()
 {
     if (m_server) {
-        m_server->stopListening();
-        const time_point begin = monotonicNow();
-        while (m_server->activeRequests() > 0 && monotonicNow() - begin < longestAnswerWriting)
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        m_server->finish();
         m_server.reset();
     }
     m_supervisor.stop();
--- a/tests/node_caller_server_test.cpp
+++ b/tests/node_caller_server_test.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <optional>
+#include <memory>
 
 namespace tamarackridge {
 namespace {
@@ -186,5 +186,22 @@
     EXPECT_TRUE(rest.ends_with("GET /2 ")) << rest;
 }
 
+// Guards against requests that are reset at the end of a planned stop, because their connections
+// were not yet accepted by the server.
+TEST_F(node_caller_server, finish_serves_the_connections_that_exist)
+{
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (int i = 0; i < 20; ++i) {
+        const int socket = raw_connection::connectTo(m_server.port());
+        connections.push_back(std::make_unique<raw_connection>(socket));
+        connections.back()->write("GET /end HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    m_server.closeAfterAnswers();
+    m_server.finish();
+    for (const std::unique_ptr<raw_connection> &connection : connections)
+        EXPECT_TRUE(connection->readAll().ends_with("GET /end "));
+    EXPECT_LT(raw_connection::connectTo(m_server.port()), 0);
+}
+
 } // namespace
 } // namespace tamarackridge
