Halve the peer links' pings and accept no other transfer encoding than chunked

Both ends of a link pinged each other every second; now the connecting side pings and the time to live tells the other side.

--- a/src/node/peer_session.cpp
+++ b/src/node/peer_session.cpp
@@ -37,8 +37,6 @@
     socket.set(zmq::sockopt::curve_publickey, m_publicKey);
     socket.set(zmq::sockopt::curve_secretkey, m_secretKey);
     socket.set(zmq::sockopt::maxmsgsize, maxFrameBytes);
-    socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(heartbeatEvery.count()));
-    socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(heartbeatTimeout.count()));
     socket.set(zmq::sockopt::linger, static_cast<int>(closeLinger.count()));
 }
 
@@ -52,6 +50,12 @@
     peer->socket = zmq::socket_t(m_context, zmq::socket_type::dealer);
     protect(peer->socket);
     peer->socket.set(zmq::sockopt::curve_serverkey, m_publicKey);
+    // Only the connecting side sends pings; the time to live in them lets the other side notice a
+    // dead link as well, for half the traffic.
+    peer->socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(heartbeatEvery.count()));
+    peer->socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(heartbeatTimeout.count()));
+    peer->socket.set(zmq::sockopt::heartbeat_ttl,
+                     static_cast<int>((heartbeatEvery + heartbeatTimeout).count()));
     peer->socket.set(zmq::sockopt::immediate, true); // Queue only for links that are open.
     peer->socket.set(zmq::sockopt::reconnect_ivl, static_cast<int>(reconnectFirst.count()));
     peer->socket.set(zmq::sockopt::reconnect_ivl_max, static_cast<int>(reconnectLongest.count()));
--- a/src/process/http_exchange.cpp
+++ b/src/process/http_exchange.cpp
@@ -20,13 +20,6 @@
     return line;
 }
 
-bool endsWithChunked(std::string_view value)
-{
-    constexpr std::string_view chunked = "chunked";
-    return value.size() >= chunked.size()
-           && equalHeaderNames(value.substr(value.size() - chunked.size()), chunked);
-}
-
 // Failures after which the connection is known to be broken, as opposed to a timeout.
 bool isBroken(CURLcode result)
 {
@@ -163,7 +156,7 @@
         m_lengthConflict |= !m_contentLength.empty() && m_contentLength != value;
         m_contentLength = value;
     } else if (equalHeaderNames(name, "transfer-encoding")) {
-        m_chunked = endsWithChunked(value);
+        m_chunked = equalHeaderNames(value, "chunked"); // Compared without case.
     }
     m_answer.headers.push_back({std::string(name), std::string(value)});
     return true;
--- a/tests/process_http_client_test.cpp
+++ b/tests/process_http_client_test.cpp
@@ -155,6 +155,8 @@
                 refused_answer{
                         "no_last_chunk",
                         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+                refused_answer{"other_encoding",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\npart"},
                 refused_answer{"not_delimited", "HTTP/1.1 200 OK\r\n\r\nuntil the end"},
                 refused_answer{"not_delimited_close",
                                "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end"},
