--- a/src/node/fleet_key.cpp
+++ b/src/node/fleet_key.cpp
@@ -3,6 +3,7 @@
 #include <zmq.h>
 
 #include <array>
+#include <stdexcept>
 
 namespace tamarackridge {
 namespace {
@@ -11,6 +12,15 @@
 
 } // namespace
 
+key_pair newKeyPair()
+{
+    std::array<char, encodedKeySize + 1> publicKey{};
+    std::array<char, encodedKeySize + 1> secretKey{};
+    if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0)
+        throw std::runtime_error("ZeroMQ was built without CURVE");
+    return {publicKey.data(), secretKey.data()};
+}
+
 bool isKeyPair(const std::string &publicKey, const std::string &secretKey)
 {
     if (publicKey.size() != encodedKeySize || secretKey.size() != encodedKeySize)
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,5 +1,7 @@
+#include "node/fleet_key.h"
 #include "node/node_app.h"
 #include "node/trace_lines.h"
+#include "process/json_line.h"
 
 #include <gflags/gflags.h>
 
@@ -14,6 +16,7 @@
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(new_fleet_key, false, "print a new key pair for the field peers and exit");
 DEFINE_string(print_trace, "", "print the spans of this trace id in order and exit");
 DEFINE_string(trace_file, "",
               "trace file for --print_trace; further files may follow as arguments");
@@ -48,6 +51,17 @@
     return EXIT_SUCCESS;
 }
 
+int printNewFleetKey()
+{
+    const key_pair keys = newKeyPair();
+    std::cout << json_line()
+                         .add("public_key", keys.publicKey)
+                         .add("secret_key", keys.secretKey)
+                         .finish()
+              << '\n';
+    return EXIT_SUCCESS;
+}
+
 sigset_t handledSignals()
 {
     sigset_t signals;
@@ -132,5 +146,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (!FLAGS_print_trace.empty())
         return tamarackridge::printTraceFiles(argc, argv);
+    if (FLAGS_new_fleet_key)
+        return tamarackridge::printNewFleetKey();
     return tamarackridge::runNode();
 }
--- a/tests/node_app_test.cpp
+++ b/tests/node_app_test.cpp
@@ -3,7 +3,6 @@
 #include "node/node_app.h"
 
 #include <gtest/gtest.h>
-#include <zmq.h>
 
 #include <fstream>
 
@@ -27,11 +26,9 @@
     settings.callers.address = "127.0.0.1";
     settings.peerBind = "ipc://@tamarackridge-app-" + std::to_string(getpid());
     settings.peerEndpoint = settings.peerBind;
-    settings.fleetPublicKey.resize(41);
-    settings.fleetSecretKey.resize(41);
-    zmq_curve_keypair(settings.fleetPublicKey.data(), settings.fleetSecretKey.data());
-    settings.fleetPublicKey.pop_back();
-    settings.fleetSecretKey.pop_back();
+    const key_pair keys = newKeyPair();
+    settings.fleetPublicKey = keys.publicKey;
+    settings.fleetSecretKey = keys.secretKey;
     return settings;
 }
 
--- a/tests/node_peer_link_test.cpp
+++ b/tests/node_peer_link_test.cpp
@@ -13,19 +13,6 @@
 
 using std::chrono::milliseconds;
 
-struct key_pair
-{
-    std::string publicKey = std::string(41, '\0');
-    std::string secretKey = std::string(41, '\0');
-
-    key_pair()
-    {
-        zmq_curve_keypair(publicKey.data(), secretKey.data());
-        publicKey.pop_back();
-        secretKey.pop_back();
-    }
-};
-
 // The messages that a link received, in order.
 class inbox
 {
@@ -94,7 +81,7 @@
 class node_peer_link : public testing::Test
 {
 protected:
-    key_pair m_keys;
+    key_pair m_keys = newKeyPair();
     running_link m_a{"a", 0xa, endpointOf("a"), m_keys};
     running_link m_b{"b", 0xb, endpointOf("b"), m_keys};
 };
@@ -197,7 +184,7 @@
 // Guards against a peer without the fleet's key pair being heard.
 TEST_F(node_peer_link, refuses_other_keys)
 {
-    const key_pair other;
+    const key_pair other = newKeyPair();
     raw_peer stranger(other, m_keys.publicKey, endpointOf("b"));
     refusal_monitor monitor(stranger.socket());
     stranger.send(encodePeerMessage({{"zone", "s", 0x5}, 0xb, 1}, config_fetch{1}));
