--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,9 +1,12 @@
+#include "node/fleet_key.h"
 #include "node/node_app.h"
 #include "node/trace_lines.h"
+#include "process/json_line.h"
 
 #include <gflags/gflags.h>
 
 #include <malloc.h>
+#include <sys/resource.h>
 
 #include <csignal>
 #include <cstdio>
@@ -13,6 +16,7 @@
 
 DEFINE_string(settings, "", "settings file (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(new_fleet_key, false, "print a new key pair for the field peers and exit");
 DEFINE_string(print_trace, "", "print the spans of this trace id in order and exit");
 DEFINE_string(trace_file, "",
               "trace file for --print_trace; further files may follow as arguments");
@@ -47,6 +51,17 @@
     return EXIT_SUCCESS;
 }
 
+int printNewFleetKey()
+{
+    const key_pair keys = newKeyPair();
+    std::cout << json_line()
+                         .add("public_key", keys.publicKey)
+                         .add("secret_key", keys.secretKey)
+                         .finish()
+              << '\n';
+    return EXIT_SUCCESS;
+}
+
 sigset_t handledSignals()
 {
     sigset_t signals;
@@ -67,8 +82,19 @@
     logLine(log_level::info, "log level set", {{"to", settings.logLevel}});
 }
 
+// Each connection of a caller takes two descriptors, which soon passes the usual limit of 1,024.
+void raiseFileLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return;
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int serve(const node_settings &settings)
 {
+    raiseFileLimit();
     const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr); // Inherited by all threads of the node.
     std::signal(SIGPIPE, SIG_IGN);
@@ -120,5 +146,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (!FLAGS_print_trace.empty())
         return tamarackridge::printTraceFiles(argc, argv);
+    if (FLAGS_new_fleet_key)
+        return tamarackridge::printNewFleetKey();
     return tamarackridge::runNode();
 }
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -54,6 +54,7 @@
             integerField("backend.max_answer_bytes", out.maxAnswerBytes, 1, largestAnswerLimit),
             integerField("quota.lease_s", out.quotaLeaseSeconds, shortestLease, longestLease),
             integerField("quota.claim_delay_ms", out.quotaClaimDelayMs, 0, longestClaimDelay),
+            integerField("backend.kept_connection_idle_s", out.keptConnectionIdle, 1, longestIdle),
             textField("admin.token", out.adminToken, optional),
             textListField("admin.own_addresses", out.ownAddresses),
             choiceField("logging.level", out.logLevel, {"debug", "info", "warning", "error"}),
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -28,6 +28,7 @@
     std::string logAddress; ///< Empty: configuration comes from peers only.
     std::string backendAddress; ///< Empty: the address that the announcement came from.
     std::int64_t maxAnswerBytes = 8 << 20;
+    std::int64_t keptConnectionIdle = 15; ///< Seconds; below the backend server's own limit.
 
     std::int64_t quotaLeaseSeconds = 12 * 3600; ///< A crashed holder's share returns after it.
     std::int64_t quotaClaimDelayMs = 10'000; ///< Spreads the claims of free slots.
--- a/tests/node_caller_server_test.cpp
+++ b/tests/node_caller_server_test.cpp
@@ -5,7 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <optional>
+#include <memory>
 
 namespace tamarackridge {
 namespace {
@@ -23,6 +23,8 @@
             ++m_handled;
             if (request.target == "/throw")
                 throw std::runtime_error("fault");
+            if (request.target == "/large")
+                return http_answer{200, {{"X", std::string(maxAnswerHeaderBytes, 'x')}}, nullptr};
             const std::string text = request.method + ' ' + request.target + ' '
                                      + std::string(bodyView(request.body));
             m_last = std::move(request);
@@ -156,6 +158,15 @@
     EXPECT_EQ(bodyView(m_last.body).size(), 100U);
 }
 
+// Guards against an answer that doesn't fit into the connection's memory beside the request.
+TEST_F(node_caller_server, largest_headers_of_request_and_answer_fit_together)
+{
+    const std::string line = "GET /large HTTP/1.1\r\nHost: h\r\nX: ";
+    const std::string answer = exchange(line + std::string(2000, 'x') + "\r\n\r\n");
+    EXPECT_GT(answer.size(), maxAnswerHeaderBytes);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer.substr(0, 80);
+}
+
 // Guards against an exception passing through the C code of the server.
 TEST_F(node_caller_server, exceptions_become_internal_errors)
 {
@@ -175,5 +186,22 @@
     EXPECT_TRUE(rest.ends_with("GET /2 ")) << rest;
 }
 
+// Guards against requests that are reset at the end of a planned stop, because their connections
+// were not yet accepted by the server.
+TEST_F(node_caller_server, finish_serves_the_connections_that_exist)
+{
+    std::vector<std::unique_ptr<raw_connection>> connections;
+    for (int i = 0; i < 20; ++i) {
+        const int socket = raw_connection::connectTo(m_server.port());
+        connections.push_back(std::make_unique<raw_connection>(socket));
+        connections.back()->write("GET /end HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    m_server.closeAfterAnswers();
+    m_server.finish();
+    for (const std::unique_ptr<raw_connection> &connection : connections)
+        EXPECT_TRUE(connection->readAll().ends_with("GET /end "));
+    EXPECT_LT(raw_connection::connectTo(m_server.port()), 0);
+}
+
 } // namespace
 } // namespace tamarackridge
