--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -23,6 +23,14 @@
     return customers;
 }
 
+std::vector<node_ref> makeHolders(std::size_t count)
+{
+    std::vector<node_ref> holders(count);
+    for (std::size_t index = 0; index < count; ++index)
+        holders[index] = {"z", "holder-" + std::to_string(index), 2};
+    return holders;
+}
+
 /// \brief Counts the allocations between its construction and finish().
 class allocation_scope
 {
@@ -86,10 +94,7 @@
     seeded_random random(1);
     token_pool pool({"z", "self", 1}, {}, nullptr, random);
     pool.setCustomers(makeCustomers(8, 1'000'000'000 * token));
-    std::vector<node_ref> holders;
-    for (std::int64_t index = 0; index < state.range(0); ++index)
-        holders.push_back({"z", "holder-" + std::to_string(index), 2});
-    pool.setHolders(holders);
+    pool.setHolders(makeHolders(static_cast<std::size_t>(state.range(0))));
     const time_point now(1h);
     pool.trySpend("customer-3", now);
     std::vector<send_peer> out;
@@ -112,10 +117,7 @@
     seeded_random random(1);
     token_pool pool({"z", "self", 1}, {}, nullptr, random);
     pool.setCustomers(makeCustomers(8, token));
-    std::vector<node_ref> holders;
-    for (int index = 0; index < 16; ++index)
-        holders.push_back({"z", "holder-" + std::to_string(index), 2});
-    pool.setHolders(holders);
+    pool.setHolders(makeHolders(16));
     const time_point now(1h);
     std::vector<send_peer> out;
     for (int round = 0; round < 20; ++round) {
@@ -158,9 +160,7 @@
 {
     constexpr std::size_t count = 10'000;
     const std::vector<customer_rate> customers = makeCustomers(count, token);
-    std::vector<node_ref> holders;
-    for (std::int64_t index = 0; index < state.range(0); ++index)
-        holders.push_back({"z", "holder-" + std::to_string(index), 2});
+    const std::vector<node_ref> holders = makeHolders(static_cast<std::size_t>(state.range(0)));
     for (auto step : state) {
         seeded_random random(1);
         const std::uint64_t before = bench::allocatedBytes.load();
--- a/tests/fakes/quota_fleet.h
+++ b/tests/fakes/quota_fleet.h
@@ -300,18 +300,25 @@
         const time_point now = clock(at);
         if (logReachable(at)) {
             at.tenure.onReadingBegun(0);
+            const bool hasNews = at.nextOffset < m_log.size();
             for (; at.nextOffset < m_log.size(); ++at.nextOffset)
                 readRecord(at, at.nextOffset, now);
             at.tenure.onCaughtUp(now);
+            if (hasNews)
+                installHolders(at);
         }
         for (const tenure_append &append : at.tenure.tick(now))
             appendRecord(index, append.text);
         at.holder.setSlots(heldSlots(at), now);
+        onNode(index, m_options.pollInterval, [this, index](node &) { poll(index); });
+    }
+
+    void installHolders(node &at)
+    {
         std::vector<node_ref> holders;
         for (const slot_state &slot : at.tenure.slots())
             holders.push_back(slot.holder);
         at.pool.setHolders(holders);
-        onNode(index, m_options.pollInterval, [this, index](node &) { poll(index); });
     }
 
     void readRecord(node &at, std::size_t offset, time_point now)
--- a/tests/quarantine_spread_test.cpp
+++ b/tests/quarantine_spread_test.cpp
@@ -82,6 +82,7 @@
 {
     quarantine_group group(1, 40);
     std::vector<fixed_source> requests;
+    requests.reserve(400);
     for (int index = 0; index < 400; ++index)
         requests.emplace_back(std::to_string(index));
     for (std::size_t index = 0; index < 400; ++index)
@@ -106,6 +107,7 @@
     quarantine_group group(1, 16);
     seeded_random random(20261204);
     std::vector<fixed_source> requests;
+    requests.reserve(40'000);
     for (int index = 0; index < 40'000; ++index)
         requests.emplace_back(std::to_string(index));
     struct open_run
--- a/tests/quarantine_tracker_test.cpp
+++ b/tests/quarantine_tracker_test.cpp
@@ -17,9 +17,9 @@
 const fixed_source healthy("healthy");
 const fixed_source third("third");
 
-class Quarantine : public testing::Test // NOLINT(readability-identifier-naming)
+class quarantine_rules : public testing::Test
 {
-protected:
+public:
     void start(run_id run, const fixed_source &source)
     {
         tracker.onRunStarted(run, source, tracker.mayRun(source, now));
@@ -36,7 +36,7 @@
 } // namespace
 
 // Guards against hashing request bodies while nothing is suspected.
-TEST_F(Quarantine, ComputesNoFingerprintWithoutSuspects)
+TEST_F(quarantine_rules, ComputesNoFingerprintWithoutSuspects)
 {
     for (run_id run = 1; run <= 100; ++run)
         start(run, healthy);
@@ -58,7 +58,7 @@
 }
 
 // Guards against a request that crashes a third backend server.
-TEST_F(Quarantine, SecondCrashConvicts)
+TEST_F(quarantine_rules, SecondCrashConvicts)
 {
     start(1, killer);
     EXPECT_EQ(tracker.onCrash(now).size(), 1U);
@@ -75,7 +75,7 @@
 }
 
 // Guards against convicting a healthy request that ran beside the killer twice.
-TEST_F(Quarantine, HealthyNeighbourIsNotConvicted)
+TEST_F(quarantine_rules, HealthyNeighbourIsNotConvicted)
 {
     start(1, killer);
     start(2, healthy);
@@ -93,7 +93,7 @@
 }
 
 // Guards against a suspect that stays one although it was answered.
-TEST_F(Quarantine, SuccessClears)
+TEST_F(quarantine_rules, SuccessClears)
 {
     start(1, healthy);
     tracker.onCrash(now);
@@ -108,7 +108,7 @@
 }
 
 // Guards against a failed run that counts as proof of innocence.
-TEST_F(Quarantine, FailureDoesNotClear)
+TEST_F(quarantine_rules, FailureDoesNotClear)
 {
     start(1, killer);
     tracker.onCrash(now);
@@ -118,7 +118,7 @@
 }
 
 // Guards against convictions by crashes with several suspects, which prove nothing about one.
-TEST_F(Quarantine, CrashWithSeveralSuspectsConvictsNone)
+TEST_F(quarantine_rules, CrashWithSeveralSuspectsConvictsNone)
 {
     start(1, killer);
     start(2, third);
@@ -132,7 +132,7 @@
 }
 
 // Guards against two crashes of one cause, such as several runs of one request, counted as two.
-TEST_F(Quarantine, OneCrashCountsOnce)
+TEST_F(quarantine_rules, OneCrashCountsOnce)
 {
     start(1, killer);
     start(2, killer);
@@ -141,7 +141,7 @@
 }
 
 // Guards against suspicion that outlives its minute.
-TEST_F(Quarantine, SuspicionExpires)
+TEST_F(quarantine_rules, SuspicionExpires)
 {
     start(1, healthy);
     tracker.onCrash(now);
@@ -157,6 +157,7 @@
     crash_tracker tracker({.maxEntries = 10});
     time_point now(1h);
     std::vector<fixed_source> sources;
+    sources.reserve(100);
     for (int index = 0; index < 100; ++index)
         sources.emplace_back(std::to_string(index));
     for (run_id run = 0; run < 100; ++run, now += 100ms) {
@@ -179,6 +180,7 @@
     tracker.onRunStarted(2, killer, {});
     tracker.onCrash(now);
     std::vector<fixed_source> sources;
+    sources.reserve(20);
     for (int index = 0; index < 20; ++index)
         sources.emplace_back(std::to_string(index));
     now += 9min + 30s;
@@ -190,7 +192,7 @@
 }
 
 // Guards against entries of peers that corrupt the state.
-TEST_F(Quarantine, MalformedEntriesAreIgnored)
+TEST_F(quarantine_rules, MalformedEntriesAreIgnored)
 {
     const std::string key = toString(fingerprintOf(killer.parts()));
     for (const char *payload : {"", "1", "1 1 1", "1 1 2 5", "1 1 1 99999999999", "1 1 1 5 ",
--- a/tests/quota_holder_test.cpp
+++ b/tests/quota_holder_test.cpp
@@ -16,10 +16,10 @@
 const node_ref caller{"z", "caller", 9};
 
 /// \brief A holder of one of four slots: 25 tokens per second up to 50 for customer `a`.
-class QuotaHolder : public testing::Test // NOLINT(readability-identifier-naming)
+class quota_holder : public testing::Test
 {
-protected:
-    QuotaHolder()
+public:
+    quota_holder()
     {
         holder.setCustomers(customers, now);
         holder.setSlots(slots, now);
@@ -49,7 +49,7 @@
 } // namespace
 
 // Guards against a new holder that grants what its predecessor granted already.
-TEST_F(QuotaHolder, StartsEmpty)
+TEST_F(quota_holder, StartsEmpty)
 {
     EXPECT_EQ(granted(ask(token)), 0);
     now += 1s;
@@ -58,7 +58,7 @@
 }
 
 // Guards against a bucket above its part of the burst, and against tokens minted while it is full.
-TEST_F(QuotaHolder, OutstandingGrantsCountAgainstTheBurst)
+TEST_F(quota_holder, OutstandingGrantsCountAgainstTheBurst)
 {
     now += 10s;
     const token_grant grant = ask(1000 * token);
@@ -73,7 +73,7 @@
 
 // Guards against minting retroactively for the time in which a grant that then lapsed filled the
 // bucket: its tokens may have been spent at the last moment.
-TEST_F(QuotaHolder, LapsedGrantLeavesAnEmptyBucket)
+TEST_F(quota_holder, LapsedGrantLeavesAnEmptyBucket)
 {
     now += 10s;
     ask(50 * token);
@@ -84,7 +84,7 @@
 }
 
 // Guards against a bucket that stays low because nobody asked while a grant lapsed.
-TEST_F(QuotaHolder, MintingResumesAtTheLapse)
+TEST_F(quota_holder, MintingResumesAtTheLapse)
 {
     now += 10s;
     ask(50 * token);
@@ -94,7 +94,7 @@
 
 // Guards against tokens that a repeated or late report puts back twice, and against reports of
 // others.
-TEST_F(QuotaHolder, ReportsAreIdempotent)
+TEST_F(quota_holder, ReportsAreIdempotent)
 {
     now += 10s;
     const token_grant grant = ask(50 * token);
@@ -110,7 +110,7 @@
 }
 
 // Guards against a report to the former life of a restarted holder.
-TEST_F(QuotaHolder, GrantNumbersDifferBetweenLives)
+TEST_F(quota_holder, GrantNumbersDifferBetweenLives)
 {
     now += 10s;
     slot_holder second(random);
@@ -123,7 +123,7 @@
 
 // Guards against a lowered rate or burst that applies late, and a raised one that mints for the
 // past.
-TEST_F(QuotaHolder, NewRatesApplyFromNowOn)
+TEST_F(quota_holder, NewRatesApplyFromNowOn)
 {
     now += 10s;
     const std::vector<customer_rate> lower{{"a", 10 * token, 40 * token}};
@@ -140,7 +140,7 @@
 }
 
 // Guards against a holder that wakes after its lease and still mints or grants.
-TEST_F(QuotaHolder, StopsAtTheEndOfItsLease)
+TEST_F(quota_holder, StopsAtTheEndOfItsLease)
 {
     now = slots.front().until + 1h;
     EXPECT_EQ(granted(ask(token)), 0);
@@ -148,7 +148,7 @@
 }
 
 // Guards against granted tokens that outlive the slot's lease, when another holder mints already.
-TEST_F(QuotaHolder, NoGrantOutlivesTheTenure)
+TEST_F(quota_holder, NoGrantOutlivesTheTenure)
 {
     now = slots.front().until - 10s;
     while (now < slots.front().until) {
@@ -161,7 +161,7 @@
 }
 
 // Guards against a share that stays after a slot was lost.
-TEST_F(QuotaHolder, LostSlotTakesItsTokens)
+TEST_F(quota_holder, LostSlotTakesItsTokens)
 {
     const std::vector<held_slot> two{slots.front(), {{"z", 1}, 4, now + 12h}};
     holder.setSlots(two, now);
@@ -176,13 +176,14 @@
 }
 
 // Guards against a slow customer that never gets a token because of rounding.
-TEST_F(QuotaHolder, FractionsOfMicroTokensAreKept)
+TEST_F(quota_holder, FractionsOfMicroTokensAreKept)
 {
-    const std::vector<customer_rate> slow{{"a", token / 60, token * 4}};
+    const micro_tokens rate = token / 60;
+    const std::vector<customer_rate> slow{{"a", rate, token * 4}};
     holder.setCustomers(slow, now);
     for (int call = 0; call < 2'000'000; ++call, now += 10us)
         holder.available("a", now);
-    const double expected = 20.0 * static_cast<double>(token / 60) / 4 * 0.995;
+    const double expected = 20.0 * static_cast<double>(rate) / 4 * 0.995;
     EXPECT_NEAR(static_cast<double>(holder.available("a", now)), expected, 2);
 }
 
--- a/tests/quota_pool_test.cpp
+++ b/tests/quota_pool_test.cpp
@@ -14,10 +14,10 @@
 
 constexpr micro_tokens token = tokensPerRequest;
 
-class QuotaPool : public testing::Test // NOLINT(readability-identifier-naming)
+class quota_pool : public testing::Test
 {
-protected:
-    QuotaPool()
+public:
+    quota_pool()
     {
         pool.setCustomers(customers);
         pool.setHolders(holders);
@@ -67,7 +67,7 @@
 } // namespace
 
 // Guards against control traffic of nodes without demand.
-TEST_F(QuotaPool, IdlePoolIsSilent)
+TEST_F(quota_pool, IdlePoolIsSilent)
 {
     exchange();
     EXPECT_TRUE(requests.empty());
@@ -75,7 +75,7 @@
 }
 
 // Guards against asking distant holders, or itself, while the own zone has tokens.
-TEST_F(QuotaPool, AsksOwnZoneFirst)
+TEST_F(quota_pool, AsksOwnZoneFirst)
 {
     demand();
     for (const auto &[node, request] : requests)
@@ -86,7 +86,7 @@
 
 // Guards against tokens that are spent after the holder took them for lapsed: the lease counts
 // from the request, not from the grant's arrival.
-TEST_F(QuotaPool, LeaseCountsFromTheRequest)
+TEST_F(quota_pool, LeaseCountsFromTheRequest)
 {
     demand();
     const time_point sent = now;
@@ -99,7 +99,7 @@
 }
 
 // Guards against a pause between the grant and its use.
-TEST_F(QuotaPool, GrantAfterItsLeaseIsWorthless)
+TEST_F(quota_pool, GrantAfterItsLeaseIsWorthless)
 {
     demand();
     now += 3s;
@@ -109,7 +109,7 @@
 
 // Guards against tokens counted twice when a grant is repeated, or taken from a grant that was
 // never asked for.
-TEST_F(QuotaPool, RepeatedAndForeignGrantsAreDropped)
+TEST_F(quota_pool, RepeatedAndForeignGrantsAreDropped)
 {
     demand();
     answer(0, 2 * token);
@@ -121,7 +121,7 @@
 }
 
 // Guards against a grant to a node's former life, whose lease began before this life asked.
-TEST_F(QuotaPool, SequencesDifferBetweenLives)
+TEST_F(quota_pool, SequencesDifferBetweenLives)
 {
     demand();
     token_pool next{self, {}, nullptr, random};
@@ -137,7 +137,7 @@
 }
 
 // Guards against a request that waits out a lost answer although other holders have tokens.
-TEST_F(QuotaPool, LostAnswerLeadsToTheNextHolder)
+TEST_F(quota_pool, LostAnswerLeadsToTheNextHolder)
 {
     demand();
     now += 15ms;
@@ -148,7 +148,7 @@
 }
 
 // Guards against waiting for a grant that nobody can give.
-TEST_F(QuotaPool, NothingIsExpectedFromDrainedHolders)
+TEST_F(quota_pool, NothingIsExpectedFromDrainedHolders)
 {
     EXPECT_FALSE(pool.expectsGrant("unknown", now));
     pool.trySpend("a", now);
@@ -165,7 +165,7 @@
 
 // Guards against holders that count spent tokens as outstanding, and nodes that keep tokens which
 // they do not need.
-TEST_F(QuotaPool, ReportsSpentAndReturnsTheRest)
+TEST_F(quota_pool, ReportsSpentAndReturnsTheRest)
 {
     demand();
     answer(0, 3 * token);
@@ -181,7 +181,7 @@
 }
 
 // Guards against a graceful shutdown that takes tokens with it.
-TEST_F(QuotaPool, ShutdownReturnsEverything)
+TEST_F(quota_pool, ShutdownReturnsEverything)
 {
     demand();
     answer(0, 3 * token);
@@ -193,7 +193,7 @@
 }
 
 // Guards against tokens that survive a change of customers under another customer's name.
-TEST_F(QuotaPool, CustomersKeepTheirTokens)
+TEST_F(quota_pool, CustomersKeepTheirTokens)
 {
     demand();
     answer(0, 3 * token);
@@ -205,7 +205,7 @@
 }
 
 // Guards against messages between a node and itself.
-TEST_F(QuotaPool, OwnSlotsAreDrawnFromLocally)
+TEST_F(quota_pool, OwnSlotsAreDrawnFromLocally)
 {
     slot_holder local(random);
     local.setCustomers(customers, now);
