Spread claims by nodes per slot; keep pauses for asked customers only

Cause: the claims of all nodes that prefer a slot fell into one part in slots of the claim delay; with many slots in a zone that is less than the time to read a claim.

--- a/include/tamarackridge/src/quota/slot_tenure.h
+++ b/include/tamarackridge/src/quota/slot_tenure.h
@@ -21,8 +21,9 @@
 {
     duration lease = std::chrono::hours(12);
     /// Nodes that find a free slot claim it after a random part of this delay, so that one claim
-    /// is usually read before the others are sent.
-    duration claimDelay = std::chrono::seconds(10);
+    /// is usually read before the others are sent. One second per node and slot is enough when
+    /// records are read within 100 ms.
+    duration claimDelay = std::chrono::seconds(2);
     /// An append is repeated after this time, doubled with each failure up to the maximum.
     duration retryAfter = std::chrono::seconds(10);
     duration retryMax = std::chrono::minutes(5);
@@ -31,6 +32,9 @@
     /// Counts the log's own age of a record as time that others have waited already. This needs a
     /// log whose clock is never set and deviates by at most 0.5%.
     bool trustLogAge = false;
+
+    /// \returns options that keep the number of lost races low in a fleet of this size.
+    static tenure_options forFleet(std::size_t nodes, std::size_t slots);
 };
 
 /// \brief A text to append to the stream `quota`.
--- a/include/tamarackridge/src/quota/token_pool.h
+++ b/include/tamarackridge/src/quota/token_pool.h
@@ -106,7 +106,7 @@
         micro_tokens rate = 0;
         micro_tokens burst = 0;
         std::vector<token_lot> lots;
-        std::vector<holder_pause> pauses; ///< One per holder.
+        std::vector<holder_pause> pauses; ///< One per holder, once one was asked.
         double bytesLeft = 0; ///< May ask while positive.
         std::int64_t arrivals = 0; ///< Requests since the last estimate.
         micro_tokens unmet = 0; ///< Tokens missing since the last request for tokens.
--- a/src/core/quota/slot_tenure.cpp
+++ b/src/core/quota/slot_tenure.cpp
@@ -192,11 +192,21 @@
 
 time_point slot_tenure::claimTime(const slot_id &slot, std::uint32_t slotsInZone, time_point now)
 {
+    // The nodes that prefer this slot spread over one delay, so that the first claim is usually
+    // read before the others are sent; the rest of the zone follows.
     const std::uint64_t first = XXH3_64bits(m_self.name.data(), m_self.name.size()) % slotsInZone;
     const std::uint64_t distance = (slot.index + slotsInZone - first) % slotsInZone;
-    return now
-           + part(m_options.claimDelay,
-                  (static_cast<double>(distance) + m_random.unit()) / slotsInZone);
+    const double start = distance == 0 ? 0 : 1 + static_cast<double>(distance) / slotsInZone;
+    return now + part(m_options.claimDelay, start + m_random.unit());
+}
+
+tenure_options tenure_options::forFleet(std::size_t nodes, std::size_t slots)
+{
+    const std::size_t nodesPerSlot = nodes / std::max<std::size_t>(slots, 1);
+    tenure_options options;
+    options.claimDelay = std::clamp<duration>(std::chrono::seconds(nodesPerSlot),
+                                              options.claimDelay, std::chrono::seconds(30));
+    return options;
 }
 
 duration slot_tenure::retryDelay()
--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -225,6 +225,7 @@
         message.wanted.push_back({customer.name, amount});
         ++customer.asked;
         customer.askedAt = now;
+        customer.pauses.resize(m_holders.size());
         customer.pauses[holder].askAgainAt = now + m_options.answerTimeout;
         // The answer costs as much again.
         charge(customer, 2 / static_cast<double>(wants.size()), 2);
--- a/src/core/quota/token_pool.cpp
+++ b/src/core/quota/token_pool.cpp
@@ -32,7 +32,6 @@
     internal::name_map<std::uint32_t> index;
     for (const customer_rate &customer : customers) {
         account next;
-        next.pauses.resize(m_holders.size());
         next.bytesLeft = static_cast<double>(m_options.bytesPerSecond)
                          / static_cast<double>(customers.size());
         if (account *known = find(customer.name))
@@ -69,7 +68,7 @@
         return;
     m_holders = std::move(next);
     for (account &customer : m_accounts)
-        customer.pauses.assign(m_holders.size(), {});
+        customer.pauses.clear();
 }
 
 token_pool::account *token_pool::find(std::string_view customer)
@@ -168,7 +167,8 @@
 
 bool token_pool::canAsk(const account &customer, std::size_t holder, time_point now) const
 {
-    return m_holders[holder].askAgainAt <= now && customer.pauses[holder].askAgainAt <= now;
+    return m_holders[holder].askAgainAt <= now
+           && (customer.pauses.empty() || customer.pauses[holder].askAgainAt <= now);
 }
 
 void token_pool::onGrant(const node_ref &from, const token_grant &grant, time_point now)
@@ -199,6 +199,7 @@
                             micro_tokens wanted, micro_tokens granted, time_point now)
 {
     customer.isShort = granted < wanted;
+    customer.pauses.resize(m_holders.size());
     if (!customer.isShort) {
         if (holder)
             customer.pauses[*holder] = {};
--- a/tests/quota_tenure_test.cpp
+++ b/tests/quota_tenure_test.cpp
@@ -1,3 +1,4 @@
+#include "fakes/quota_fleet.h"
 #include "fakes/tenure_group.h"
 
 #include <gtest/gtest.h>
@@ -52,6 +53,20 @@
     EXPECT_LE(group.log.size(), 6U);
 }
 
+// Guards against a flood of appends when many nodes find the same slots free.
+TEST(QuotaTenure, ManyNodesSendFewClaims)
+{
+    fleet_options options;
+    options.zones = 1;
+    options.nodesPerZone = 64;
+    options.claimDelay = tenure_options::forFleet(64, 4).claimDelay;
+    quota_fleet fleet(options);
+    fleet.runFor(60s);
+    std::printf("64 nodes, 4 slots: %zu appends\n", fleet.appends());
+    EXPECT_GE(fleet.appends(), 4U);
+    EXPECT_LE(fleet.appends(), 10U);
+}
+
 // Guards against slots that nobody mints when a zone has fewer nodes than slots.
 TEST(QuotaTenure, OneNodeHoldsSeveralSlots)
 {
