--- a/src/load/service_received.cpp
+++ b/src/load/service_received.cpp
@@ -51,10 +51,17 @@
     }
     // Every send counts against the rate here, so a customer that resends is judged strictly.
     std::vector<ideal_bucket> sendBuckets = makeBuckets(plan);
+    std::vector<std::size_t> idealTaken(plan.customers.size());
+    std::vector<std::size_t> admitted(plan.customers.size());
     for (const send_record *send : sortedBy(records.sends, &send_record::at)) {
-        const bool inside = sendBuckets[send->customer].take(send->at);
-        if (inside && send->refusedForRate)
-            ++received[send->customer].wrongfulRefusals;
+        const std::size_t customer = send->customer;
+        idealTaken[customer] += sendBuckets[customer].take(send->at) ? 1 : 0;
+        admitted[customer] += send->refusedForRate ? 0 : 1;
+        // Of a customer above its rate, the fleet may admit other sends than the ideal bucket.
+        if (idealTaken[customer] > admitted[customer]) {
+            std::size_t &wrongful = received[customer].wrongfulRefusals;
+            wrongful = std::max(wrongful, idealTaken[customer] - admitted[customer]);
+        }
     }
     return received;
 }
--- a/src/load/service_received.h
+++ b/src/load/service_received.h
@@ -13,7 +13,9 @@
 {
     std::size_t insideRate = 0; ///< Requests inside rate and burst by an ideal bucket.
     std::size_t whole = 0; ///< Whole answers.
-    std::size_t wrongfulRefusals = 0; ///< Sends refused for the rate although inside it.
+    /// Largest number of sends, at any moment, that an ideal bucket would have admitted in total
+    /// beyond those that were admitted; inside the rate this is the number of refusals.
+    std::size_t wrongfulRefusals = 0;
 
     /// \returns whole answers per request inside the rate, at most 1.
     double servedRatio() const;
--- a/tests/load_service_received_test.cpp
+++ b/tests/load_service_received_test.cpp
@@ -34,6 +34,20 @@
     EXPECT_EQ(measureService(plan, records)[0].wrongfulRefusals, 1U);
 }
 
+// Guards against blaming the fleet for admitting another part of a flood than the ideal bucket.
+TEST(LoadServiceReceived, WhichSendsOfAFloodAreAdmittedDoesNotMatter)
+{
+    const load_plan plan = planWithLimit(10.0, 1.0);
+    run_records records;
+    // The ideal bucket admits at 0 and 100 ms, the fleet at 0 and 150 ms.
+    records.sends = {sendAt(0, false), sendAt(50, true), sendAt(100, true), sendAt(150, false),
+                     sendAt(180, true)};
+    EXPECT_EQ(measureService(plan, records)[0].wrongfulRefusals, 1U);
+    records.sends.push_back(sendAt(200, true));
+    records.sends.push_back(sendAt(300, true));
+    EXPECT_EQ(measureService(plan, records)[0].wrongfulRefusals, 2U);
+}
+
 // Guards against a verdict that depends on the order in which threads handed in their records.
 TEST(LoadServiceReceived, RecordsOfSeveralThreadsAreMergedByTime)
 {
