Notice a program of the demo that could not open its port

In a trial of the load generator another program held the port and answered in place of the backend stand-in, which had exited. The demo now counts its running programs before it sends traffic. The failed start also leaked the ulfius instance (152 bytes by LeakSanitizer); it is cleaned up. On a scratch copy with stubs for node, log and ctl, the demo runs its load when all ports are free and stops before it when one is taken.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -76,6 +76,17 @@
     done
 }
 
+# Fails if one of the started programs has ended, for example because another program has its port
+# and would answer in its place.
+check_all_running() {
+    local running expected=$((1 + 2 * ${#zones[@]} * ${#services[@]}))
+    running="$(jobs -rp | wc -l)"
+    if ((running != expected)); then
+        echo "demo: ${running} of ${expected} programs are running; see ${work_dir}/*.out" >&2
+        return 1
+    fi
+}
+
 # The first node of each zone is a seed for all others.
 print_seeds() {
     local zone separator=""
@@ -192,6 +203,7 @@
 for_each_node start_node
 for_each_node start_backend
 for_each_node wait_for_node
+check_all_running
 echo "sending traffic: 30 s with a surge to 6 times the normal rate from second 12 to 20"
 status=0
 run_load || status=$?
--- a/src/backend/http_server.cpp
+++ b/src/backend/http_server.cpp
@@ -115,8 +115,10 @@
         m_instance.allowed_post_processor = U_POST_PROCESS_NONE;
         m_instance.check_utf8 = 0;
         ulfius_set_default_endpoint(&m_instance, &implementation::onRequest, this);
-        if (!start(maxConnections))
+        if (!start(maxConnections)) {
+            ulfius_clean_instance(&m_instance);
             throw std::runtime_error("cannot listen on 127.0.0.1:" + std::to_string(port));
+        }
     }
     implementation(const implementation &) = delete;
     implementation &operator=(const implementation &) = delete;
