Eject on timeouts only when no answer comes in between

Cause: under overload streaks of five timeouts occur among answers, at all servers of a service at once; ejecting them loses what they still serve.

--- a/include/tamarackridge/src/routing/executor_health.h
+++ b/include/tamarackridge/src/routing/executor_health.h
@@ -11,11 +11,11 @@
 /// \brief When an executor is ejected and for how long.
 struct ejection_options
 {
-    std::uint32_t failureStreak = 5; ///< Consecutive failures or timeouts that eject.
+    std::uint32_t failureStreak = 5; ///< Consecutive failures that eject.
     duration firstTime = std::chrono::seconds(1); ///< Doubles with each failed probe.
     duration maxTime = std::chrono::seconds(30);
-    /// Time without any answer, while as many dispatches as the streak wait, that ejects. It is
-    /// extended to four average latencies for slow services.
+    /// Time without any answer after which a streak of timeouts, or as many waiting dispatches,
+    /// ejects. It is extended to four average latencies for slow services.
     duration stallTime = std::chrono::seconds(1);
 };
 
@@ -53,7 +53,8 @@
     double expectedDelay(duration linkDelay, double usualLatency, time_point now) const;
 
 private:
-    void onFailure(time_point now, const ejection_options &options);
+    void onFailure(bool answerless, time_point now, const ejection_options &options);
+    bool silent(time_point since, time_point now, const ejection_options &options) const;
     void eject(time_point now, const ejection_options &options);
     double currentLatency(double usualLatency, time_point now) const;
 
@@ -66,6 +67,8 @@
     bool m_ejected = false;
     time_point m_ejectedUntil;
     time_point m_progressAt; ///< Last answer, or first dispatch after a pause.
+    time_point m_answeredAt; ///< Last answer, moved on by the time without dispatches since.
+    time_point m_idleSince;
 };
 
 } // namespace tamarackridge
--- a/src/core/routing/executor_health.cpp
+++ b/src/core/routing/executor_health.cpp
@@ -18,8 +18,11 @@
 
 void executor_health::onDispatched(time_point now)
 {
-    if (m_inFlight == 0)
+    if (m_inFlight == 0) {
         m_progressAt = now;
+        // Only time in which an answer was due counts as silence.
+        m_answeredAt += now - m_idleSince;
+    }
     ++m_inFlight;
 }
 
@@ -28,15 +31,18 @@
 {
     if (m_inFlight > 0)
         --m_inFlight;
+    if (m_inFlight == 0)
+        m_idleSince = now;
     if (outcome == run_outcome::cancelled)
         return;
     const bool success = outcome == run_outcome::success;
     m_failureShare += failureWeight * ((success ? 0.0F : 1.0F) - m_failureShare);
     if (outcome == run_outcome::timeout || outcome == run_outcome::failed) {
-        onFailure(now, options);
+        onFailure(outcome == run_outcome::timeout, now, options);
         return;
     }
     m_progressAt = now;
+    m_answeredAt = now;
     m_streak = 0;
     m_ejected = false;
     m_ejections = 0;
@@ -49,11 +55,8 @@
 
 bool executor_health::updateEjected(time_point now, const ejection_options &options)
 {
-    const duration average(static_cast<std::int64_t>(m_latency));
-    if (!m_ejected && m_inFlight >= options.failureStreak
-        && now - m_progressAt > std::max(options.stallTime, 4 * average)) {
+    if (!m_ejected && m_inFlight >= options.failureStreak && silent(m_progressAt, now, options))
         eject(now, options);
-    }
     return m_ejected;
 }
 
@@ -68,15 +71,26 @@
     return (link + run) / std::max<double>(1 - m_failureShare, lowestSuccessShare);
 }
 
-void executor_health::onFailure(time_point now, const ejection_options &options)
+void executor_health::onFailure(bool answerless, time_point now, const ejection_options &options)
 {
     ++m_streak;
     // Dispatches from before the ejection that fail now say nothing new; the probe does.
     const bool probeFailed = m_ejected && now >= m_ejectedUntil;
-    if (probeFailed || (!m_ejected && m_streak >= options.failureStreak))
+    // Under overload, streaks of timeouts occur among answers, at every server of a service at
+    // once; to eject them all would lose what they still serve.
+    const bool streak = m_streak >= options.failureStreak
+                        && (!answerless || silent(m_answeredAt, now, options));
+    if (probeFailed || (!m_ejected && streak))
         eject(now, options);
 }
 
+bool executor_health::silent(time_point since, time_point now,
+                             const ejection_options &options) const
+{
+    const duration average(static_cast<std::int64_t>(m_latency));
+    return now - since > std::max(options.stallTime, 4 * average);
+}
+
 void executor_health::eject(time_point now, const ejection_options &options)
 {
     m_ejected = true;
