--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -69,7 +69,8 @@
     bool onEntry(std::string_view key, std::string_view payload, time_point now);
     /// \returns an entry with the durations that are left now, for spreading it again.
     std::optional<overlay_entry> entry(std::string_view key, time_point now) const;
-    /// \brief Forgets what has expired.
+    /// \brief Forgets what has expired; called every few seconds, since mayRun() computes a
+    /// fingerprint as long as any entry is kept.
     void expire(time_point now);
 
     std::size_t entryCount() const { return m_entries.size(); }
--- a/tests/fakes/quota_fleet.h
+++ b/tests/fakes/quota_fleet.h
@@ -137,10 +137,6 @@
     rate_oracle &oracle(const std::string &customer) { return m_oracles.at(customer); }
     /// \returns the most tokens of \a customer that were seen to exist, in requests.
     double mostTokens(const std::string &customer) { return m_mostTokens[customer]; }
-    std::size_t slotsHeld(std::size_t index) const
-    {
-        return m_nodes[index]->dead ? 0 : heldSlots(*m_nodes[index]).size();
-    }
     std::size_t appends() const { return m_log.size(); }
     std::int64_t bytesUsed(std::size_t index) const { return m_nodes[index]->pool.bytesUsed(); }
 
@@ -326,7 +322,7 @@
         }
         for (const tenure_append &append : at.tenure.tick(now))
             appendRecord(index, append.text);
-        at.holder.setSlots(heldSlots(at), now);
+        at.holder.setSlots(at.tenure.held(now), now);
         onNode(index, m_options.pollInterval, [this, index](node &) { poll(index); });
     }
 
@@ -352,8 +348,6 @@
                            text, now);
     }
 
-    std::vector<held_slot> heldSlots(const node &at) const { return at.tenure.held(clock(at)); }
-
     void appendRecord(std::size_t index, const std::string &text)
     {
         const incarnation life = m_nodes[index]->self.life;
