--- a/include/tamarackridge/src/node/peer_message.h
+++ b/include/tamarackridge/src/node/peer_message.h
@@ -64,7 +64,7 @@
     std::optional<error_kind> error; ///< Set when \a answer is not a backend server's answer.
     http_answer answer;
     std::uint32_t attemptsUnused = 0;
-    executor_load load;
+    std::optional<executor_load> load; ///< Not set when the executor did not answer.
 };
 
 /// \brief The owner no longer needs the answer.
--- a/include/tamarackridge/src/quota/slot_tenure.h
+++ b/include/tamarackridge/src/quota/slot_tenure.h
@@ -32,6 +32,10 @@
     /// Counts the log's own age of a record as time that others have waited already. This needs a
     /// log whose clock is never set and deviates by at most 0.5%.
     bool trustLogAge = false;
+    /// Peer endpoint of this node; empty: unknown. A claim by an earlier incarnation with the same
+    /// name and address need not run out: the address belongs to one VM at a time and the node
+    /// listens on it, so that incarnation has ended, or no caller can reach it any more.
+    std::string address;
 
     /// \returns options that keep the number of lost races low in a fleet of this size.
     static tenure_options forFleet(std::size_t nodes, std::size_t slots);
@@ -130,6 +134,7 @@
         time_point sentAt;
     };
 
+    bool isEarlierLife(const tenure_record &record) const;
     bool counts(const tenure_record &record, const tenure &state) const;
     bool adopted(const tenure_record &record, const tenure &state) const;
     void apply(std::int64_t offset, duration age, const tenure_record &record, time_point now);
--- a/include/tamarackridge/src/quota/tenure_record.h
+++ b/include/tamarackridge/src/quota/tenure_record.h
@@ -25,6 +25,7 @@
 {
     slot_id slot;
     node_ref holder;
+    std::string address; ///< Peer endpoint of the holder; may be empty.
     std::uint64_t number = 0; ///< Of the append, chosen by the holder; finds a lost answer.
     std::int64_t previous = -1; ///< Epoch that this record follows; -1 when none is known.
     std::int64_t readFrom = 0; ///< The holder has read every record since this offset.
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -23,7 +23,10 @@
         return run_outcome::overloaded;
     case error_kind::backend_timeout:
         return run_outcome::timeout;
+    // Refusals that say nothing about how well the executor serves.
     case error_kind::cancelled:
+    case error_kind::leaving:
+    case error_kind::request_quarantined:
         return run_outcome::cancelled;
     default:
         return run_outcome::failed;
@@ -67,7 +70,8 @@
     const tl::expected<std::string_view, error_kind> target =
             m_routes.choose(context.service, context.priorityRank, work.tried, now, m_random);
     if (!target) {
-        fail(owned, target.error(), now, out);
+        // After an attempt, its error says more than that no other executor was left.
+        fail(owned, work.lastError.value_or(target.error()), now, out);
         return;
     }
     work.part = work.attempts.divide();
@@ -126,7 +130,7 @@
 {
     const owned_id owned = found->first;
     progress &work = found->second;
-    endAttempt(work, routingOutcome(answer), &answer.load, answer.attemptsUnused, now);
+    endAttempt(work, answer, now);
     if (answer.state == run_state::unknown)
         work.mayHaveRun = true;
     if (mayRetry(work, answer, now)) {
@@ -144,14 +148,15 @@
     finish(owned, {run_state::ran, std::nullopt, std::move(answer.answer), 0}, now, out);
 }
 
-void dispatcher::endAttempt(progress &work, run_outcome outcome, const executor_load *load,
-                            std::uint32_t unused, time_point now)
+void dispatcher::endAttempt(progress &work, const dispatch_answer &answer, time_point now)
 {
     m_dispatches.erase(work.dispatchSequence);
     work.dispatchSequence = 0;
-    m_routes.onAnswer(work.executorNode, now - work.sent, outcome, load, now);
-    work.attempts.giveBack(work.part, unused);
+    const executor_load *load = answer.load ? &*answer.load : nullptr;
+    m_routes.onAnswer(work.executorNode, now - work.sent, routingOutcome(answer), load, now);
+    work.attempts.giveBack(work.part, answer.attemptsUnused);
     work.tried.push_back(work.executorNode);
+    work.lastError = answer.error;
 }
 
 bool dispatcher::mayRetry(progress &work, const dispatch_answer &answer, time_point now)
@@ -200,7 +205,9 @@
     }
     const dispatch_id id{m_self.life, work.dispatchSequence};
     const std::string node = work.executorNode;
-    endAttempt(work, run_outcome::cancelled, nullptr, 0, now);
+    dispatch_answer abandoned;
+    abandoned.error = error_kind::cancelled;
+    endAttempt(work, abandoned, now);
     m_owned.erase(found);
     if (node == m_self.name)
         m_executor.cancel(id, now, out);
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -78,6 +78,7 @@
         time_point sent;
         time_point attemptDeadline;
         time_point retryAt; ///< When nothing is under way.
+        std::optional<error_kind> lastError; ///< Of the last attempt.
         bool mayHaveRun = false;
     };
     using owned_map = std::unordered_map<owned_id, progress>;
@@ -86,8 +87,7 @@
     void send(owned_id owned, std::string_view node, time_point now, action_list &out);
     void settle(owned_map::iterator found, dispatch_answer answer, time_point now,
                 action_list &out);
-    void endAttempt(progress &work, run_outcome outcome, const executor_load *load,
-                    std::uint32_t unused, time_point now);
+    void endAttempt(progress &work, const dispatch_answer &answer, time_point now);
     bool mayRetry(progress &work, const dispatch_answer &answer, time_point now);
     void fail(owned_id owned, error_kind kind, time_point now, action_list &out);
     void finish(owned_id owned, request_outcome outcome, time_point now, action_list &out);
--- a/src/core/node/entry_outcome.cpp
+++ b/src/core/node/entry_outcome.cpp
@@ -34,6 +34,7 @@
         target.waitsUntil = std::min(now + tokenPatience, target.work.deadline);
         if (m_quota.expectsGrant(customer, now)) {
             m_waiting.push_back(id);
+            m_quota.exchange(now, out);
             return;
         }
     }
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t ownHeaderCount = 4;
+constexpr duration expiryInterval = std::chrono::seconds(5);
 constexpr int tooManyRequests = 429;
 constexpr int serviceUnavailable = 503;
 
@@ -69,7 +70,8 @@
     const admission_result result =
             m_queue.enqueue({run, work.context.priorityRank, work.chainStart, work.deadline}, now);
     if (result.kind == admission::refused) {
-        refuse(run, error_kind::overloaded, now, out);
+        refuse(run, result.tooLate ? error_kind::deadline_exceeded : error_kind::overloaded, now,
+               out);
         return;
     }
     if (result.kind == admission::admitted_evicting)
@@ -268,7 +270,10 @@
 
 void executor::tick(time_point now, action_list &out)
 {
-    m_crashes.expire(now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryInterval;
+        m_crashes.expire(now);
+    }
     startReady(now, out);
 }
 
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -93,6 +93,7 @@
     std::string m_instance;
     run_id m_nextRun = 1;
     std::vector<std::uint64_t> m_expired;
+    time_point m_nextExpiry;
 };
 
 } // namespace tamarackridge::internal
--- a/src/core/node/quota_service.cpp
+++ b/src/core/node/quota_service.cpp
@@ -21,6 +21,7 @@
     tenure_options result;
     result.lease = options.quotaLease;
     result.claimDelay = options.quotaClaimDelay;
+    result.address = options.peerEndpoint;
     return result;
 }
 
@@ -156,10 +157,15 @@
         m_holder.setSlots(held, now);
         m_membership.setHoldsQuota(!held.empty(), out);
     }
-    if (now >= m_pool.nextTick()) {
-        m_pool.tick(now, m_messages);
-        send(m_messages, out);
-    }
+    exchange(now, out);
+}
+
+void quota_service::exchange(time_point now, action_list &out)
+{
+    if (now < m_pool.nextTick())
+        return;
+    m_pool.tick(now, m_messages);
+    send(m_messages, out);
 }
 
 void quota_service::release(time_point now, action_list &out)
--- a/src/core/node/quota_service.h
+++ b/src/core/node/quota_service.h
@@ -34,6 +34,8 @@
     void onGrant(const node_ref &from, const token_grant &message, time_point now);
     void onReport(const node_ref &from, const token_report &message, time_point now);
     void tick(time_point now, action_list &out);
+    /// \brief Asks for tokens at once when that is due.
+    void exchange(time_point now, action_list &out);
 
     /// \brief Returns all tokens and releases all slots.
     void release(time_point now, action_list &out);
--- a/src/core/quota/slot_tenure.cpp
+++ b/src/core/quota/slot_tenure.cpp
@@ -108,6 +108,9 @@
     state.slotsInFleet = record.slotsInFleet;
     state.live = !record.release;
     state.freeAt = now + internal::othersLease(record.lease) - known;
+    // Only tokens that the earlier incarnation granted may still be spent.
+    if (isEarlierLife(record))
+        state.freeAt = std::min(state.freeAt, now + m_options.settleTime);
     state.heldUntil = time_point::min();
     state.appendAt = time_point::max();
     if (sentAt && !record.release) {
@@ -117,6 +120,13 @@
     }
 }
 
+bool slot_tenure::isEarlierLife(const tenure_record &record) const
+{
+    return !m_options.address.empty() && record.address == m_options.address
+           && record.holder.zone == m_self.zone && record.holder.name == m_self.name
+           && record.holder.life != m_self.life;
+}
+
 std::optional<time_point> slot_tenure::takeSent(const tenure_record &record)
 {
     if (record.holder != m_self)
@@ -250,6 +260,7 @@
     tenure_record record;
     record.slot = slot;
     record.holder = m_self;
+    record.address = m_options.address;
     record.number = m_nextNumber++;
     record.previous = state.epoch;
     record.readFrom = m_readFrom;
--- a/src/load/client_call.cpp
+++ b/src/load/client_call.cpp
@@ -50,7 +50,8 @@
         record.lastNotRunAt = now;
     const bool firstId = requestId.empty();
     // A refused id is never run, so a refusal hands out a fresh one for the next send.
-    if (record.state == run_state::not_run && !result.issuedId.empty())
+    const bool refusedForGood = result.status == idRequired || record.state == run_state::not_run;
+    if (refusedForGood && !result.issuedId.empty() && (firstId || result.status != idRequired))
         requestId = result.issuedId;
     // Using the id of the 428 answer is the first real send, not a retry.
     if (result.status == idRequired && firstId && !requestId.empty())
--- a/src/wire/decode_message.cpp
+++ b/src/wire/decode_message.cpp
@@ -172,7 +172,9 @@
 {
     out.id = idOf(in.id());
     out.attemptsUnused = in.attempts_unused();
-    return takeOutcome(in, out) && take(in.load(), out.load);
+    if (in.has_load() && !take(in.load(), out.load.emplace()))
+        return false;
+    return takeOutcome(in, out);
 }
 
 bool take(pb::DispatchCancel &in, dispatch_cancel &out)
--- a/src/wire/encode_message.cpp
+++ b/src/wire/encode_message.cpp
@@ -148,7 +148,8 @@
         put(in.id, *converted.mutable_id());
         putOutcome(in, converted);
         converted.set_attempts_unused(in.attemptsUnused);
-        put(in.load, *converted.mutable_load());
+        if (in.load)
+            put(*in.load, *converted.mutable_load());
     }
     void operator()(const dispatch_cancel &in) const
     {
--- a/tests/quota_tenure_test.cpp
+++ b/tests/quota_tenure_test.cpp
@@ -320,3 +320,37 @@
         RC_ASSERT(one.tenure.slots().front().holder == two.tenure.slots().front().holder);
     RC_ASSERT(one.tenure.outdated() == two.tenure.outdated());
 }
+
+// Guards against a fleet that mints nothing for a whole lease after all its nodes were restarted.
+TEST(QuotaTenure, ARestartedNodeTakesItsOwnSlotOverAtOnce)
+{
+    tenure_options options = eager();
+    options.address = "tcp://10.0.0.1:7100";
+    tenure_group group(options);
+    group.zones = {{"z", 1}};
+    tenure_group::member &first = group.add("z", "a");
+    group.runFor(2s);
+    ASSERT_EQ(group.held(first), 1U);
+    first.runs = false;
+    tenure_group::member &second = group.add("z", "a");
+    group.runFor(2s);
+    // Tokens that the earlier incarnation granted may be spent for the settle time.
+    EXPECT_EQ(group.held(second), 0U);
+    group.runFor(5s);
+    EXPECT_EQ(group.held(second), 1U);
+}
+
+// Guards against a node that takes a slot from a live holder that only shares its name.
+TEST(QuotaTenure, ASlotOfTheSameNameAtAnotherAddressRunsOut)
+{
+    tenure_options options = eager();
+    options.address = "tcp://10.0.0.1:7100";
+    tenure_group group(options);
+    group.zones = {{"z", 1}};
+    group.log = {claimText({"z", "a", 99}, -1)};
+    tenure_group::member &member = group.add("z", "a");
+    group.runFor(90s);
+    EXPECT_EQ(group.held(member), 0U);
+    group.runFor(20s);
+    EXPECT_EQ(group.held(member), 1U);
+}
