--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,10 +1,26 @@
 #!/usr/bin/env bash
 # Runs a fleet of 16 nodes and 16 backend servers in 4 zones on loopback, sends traffic with a surge
 # past capacity and checks the outcomes. Exits with 0 only if they held. Safe to run twice.
+# Usage: scripts/demo.sh [--kill=PROGRAM]
+# --kill ends one program with SIGKILL in the middle of the surge (log, node-movements-zone-b,
+# backend-invoicing-zone-c and so on); then the outcomes that must hold are those of
+# examples/demo/outcomes-kill.json: the truth of all answers, and goodput without that program.
 # TAMARACKRIDGE_BUILD_DIR selects the build directory (default: build), TAMARACKRIDGE_DEMO_PORT the
 # first of the ports that the demo uses (default: 18000).
 set -euo pipefail
 
+kill_target=""
+outcomes="outcomes.json"
+for argument in "$@"; do
+    case "${argument}" in
+    --kill=?*) kill_target="${argument#--kill=}" outcomes="outcomes-kill.json" ;;
+    *)
+        echo "demo: unknown argument '${argument}'; usage: scripts/demo.sh [--kill=PROGRAM]" >&2
+        exit 1
+        ;;
+    esac
+done
+
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 build_dir="${TAMARACKRIDGE_BUILD_DIR:-${root}/build}"
 export TAMARACKRIDGE_BUILD_DIR="${build_dir}"
@@ -24,6 +40,8 @@
 readonly service_median_ms=40
 readonly ready_seconds=20
 readonly quota_slots=16
+readonly kill_after_seconds=14
+declare -A program_pids
 readonly stop_seconds=6
 
 binary() { echo "${build_dir}/src/$1/tamarackridge-$1"; }
@@ -49,6 +67,14 @@
     shift
     # The lock is closed, so that a child that outlives this shell could not keep it.
     "$@" >"${work_dir}/${name}.out" 2>&1 {lock}>&- &
+    program_pids["${name}"]=$!
+}
+
+# Ends the program chosen with --kill once the surge has begun.
+kill_in_surge() {
+    sleep "${kill_after_seconds}"
+    echo "demo: killing ${kill_target}"
+    kill -KILL "${program_pids[${kill_target}]}"
 }
 
 # Ends what this shell started and nothing else: `jobs -rp` lists only its own running children.
@@ -193,8 +219,9 @@
     journals="$(for_each_node print_journal)"
     # In the background, so that an interrupt is handled at once and not after the load.
     "$(binary load)" --out="${work_dir}/result.json" --journals="${journals%,}" \
-        --check="${root}/examples/demo/outcomes.json" "${work_dir}/plan.json" &
+        --check="${root}/examples/demo/${outcomes}" "${work_dir}/plan.json" &
     load_pid=$!
+    [[ -n "${kill_target}" ]] && kill_in_surge
     wait "${load_pid}" || status=$?
     "$(binary load)" --plot="${work_dir}/goodput.svg" "${work_dir}/result.json" || true
     return "${status}"
@@ -223,6 +250,10 @@
 for_each_node wait_for_node
 wait_for_slots
 check_all_running
+if [[ -n "${kill_target}" && -z "${program_pids[${kill_target}]:-}" ]]; then
+    echo "demo: no program is called '${kill_target}'; there are: ${!program_pids[*]}" >&2
+    exit 1
+fi
 echo "sending traffic: 30 s with a surge to 6 times the normal rate from second 12 to 20"
 status=0
 run_load || status=$?
