--- a/src/scenario/virtual_fleet.cpp
+++ b/src/scenario/virtual_fleet.cpp
@@ -217,9 +217,13 @@
     const tl::expected<config_set, config_faults> set = parseConfigSet(configText);
     if (!set)
         throw std::invalid_argument(toString(set.error().front()));
-    const config_set empty;
-    const publication record{"scenario", -1, difference(empty, *set)};
-    static_cast<void>(m_log.append("config", encodePublication(record), m_events.now()));
+    const config_set before =
+            m_publishedSet.empty() ? config_set() : parseConfigSet(m_publishedSet).value();
+    const publication record{"scenario-" + std::to_string(m_publishedVersion), m_publishedVersion,
+                             difference(before, *set)};
+    m_publishedSet = std::string(configText);
+    m_publishedVersion =
+            m_log.append("config", encodePublication(record), m_events.now()).value_or(-1);
 }
 
 } // namespace tamarackridge::scenario
--- a/src/scenario/virtual_fleet.h
+++ b/src/scenario/virtual_fleet.h
@@ -85,7 +85,7 @@
 
     /// \brief Sends a caller's request to a node. No answer comes when the node dies.
     void call(const std::string &node, http_request request, answer_sink sink);
-    /// \brief Appends a publication of a whole set to the log, from the empty set.
+    /// \brief Appends the change from the set published before to this one.
     void publish(std::string_view configText);
 
     void run(duration length) { m_events.runUntil(m_events.now() + length); }
@@ -157,6 +157,8 @@
     std::set<std::string> m_cutLogs;
     std::vector<execution_record> m_executions;
     std::map<std::string, std::uint64_t> m_messagesSent;
+    std::string m_publishedSet; ///< JSON; empty before the first publication.
+    std::int64_t m_publishedVersion = -1;
     call_id m_nextCall = 1;
     std::uint64_t m_nextReading = 1;
 };
