Print the slopes for the capacity page

The capacity page needs bytes, hops and processor time per member, customer, key and record. capacity_slopes prints them from the real library: encoded frame sizes, live heap, node_core::tick against the number of members, and overlays in virtual time whose heartbeats are out of step.

Whole overlays of 5,800 nodes were ruled out: each node holds the whole directory, so one process would need some 16 GB. The overlay is measured up to 1,280 nodes and node_core::tick at 5,800 members.

--- /dev/null
+++ b/bench/capacity_slopes.cpp
@@ -0,0 +1,223 @@
+// Prints the slopes from which docs/CAPACITY.md works out the figures at the future size.
+// Usage: capacity_slopes [sizes|memory|tick|traffic|join|cut]; without an argument, all.
+#include "capacity_slopes.h"
+#include "scenario/virtual_fleet.h"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <string_view>
+
+using namespace tamarackridge;
+using namespace tamarackridge::bench;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \returns nanoseconds of one call of \a step.
+template <typename Step>
+double nanoseconds(int steps, Step step)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    for (int index = 0; index < steps; ++index)
+        step();
+    const std::chrono::duration<double, std::nano> taken = std::chrono::steady_clock::now() - begin;
+    return taken.count() / steps;
+}
+
+double atomicNanoseconds()
+{
+    std::atomic<std::uint64_t> counter = 0;
+    return nanoseconds(5'000'000, [&counter] { counter.fetch_add(1); });
+}
+
+void printTickOf(std::size_t members, double atomic)
+{
+    scenario::scenario_random random(1);
+    time_point now(1h);
+    const std::unique_ptr<node_core> core = coreWith(members, random, now);
+    action_list out;
+    // Less than the 2 s after which the silent neighbours of this lone core become suspects.
+    const double tick = nanoseconds(150, [&] {
+        now += 10ms;
+        out.clear();
+        core->tick(now, out);
+    });
+    const node_ref peer = sampleMember(0, 1).node;
+    const heartbeat beat = sampleHeartbeat(zonesOfFleet);
+    const double heard = nanoseconds(2000, [&] {
+        out.clear();
+        core->peerMessage(peer, beat, now, out);
+    });
+    std::printf("members %5zu  tick %10.0f ns %9.0f atomic  share of a core %6.3f%%  heartbeat "
+                "%7.0f ns %6.0f atomic\n",
+                members, tick, tick / atomic, tick * 100 / 1e9 * 100, heard, heard / atomic);
+}
+
+void printTick()
+{
+    const double atomic = atomicNanoseconds();
+    print("atomic increment", atomic, "ns");
+    for (const std::size_t members : {16, 64, 256, 640, 5800})
+        printTickOf(members, atomic);
+}
+
+struct spread
+{
+    double mean = 0;
+    double most = 0;
+};
+
+template <typename Value>
+spread spreadOver(const overlay_traffic &group, Value value)
+{
+    spread result;
+    for (const auto &[name, node] : group.nodes()) {
+        const double item = value(name, *node);
+        result.mean += item / static_cast<double>(group.nodes().size());
+        result.most = std::max(result.most, item);
+    }
+    return result;
+}
+
+/// \returns the longest silence of another zone in milliseconds that nodes see within 2 s.
+spread longestSilence(overlay_traffic &group)
+{
+    spread result;
+    for (int step = 0; step < 20; ++step) {
+        group.run(100ms);
+        const spread now = spreadOver(group, [&group](const std::string &, const overlay &node) {
+            duration longest{};
+            for (const std::string &zone : node.otherZones())
+                longest = std::max(longest, node.silence(zone, group.now()));
+            return std::chrono::duration<double, std::milli>(longest).count();
+        });
+        result.mean += now.mean / 20;
+        result.most = std::max(result.most, now.most);
+    }
+    return result;
+}
+
+void printTrafficOf(std::size_t zones, std::size_t nodes)
+{
+    overlay_traffic group(zones, nodes);
+    group.run(3s);
+    group.resetTraffic();
+    group.run(5s);
+    const std::map<std::string, traffic_count> steady = group.counted();
+    const auto rate = [&steady](const std::string &name, const overlay &) {
+        const traffic_count &counted = steady.at(name);
+        return static_cast<double>(counted.sent + counted.received) / 5;
+    };
+    const spread bytes = spreadOver(group, rate);
+    const spread links = spreadOver(group, [](const std::string &, const overlay &node) {
+        return static_cast<double>(node.neighbours().size());
+    });
+    const spread silence = longestSilence(group);
+    group.resetTraffic();
+    action_list out;
+    const std::string first = group.nodes().begin()->first;
+    group[first].setSelf("service-1", 151, member_state::leaving, "", out);
+    const std::size_t hops = group.deliver(first, out);
+    const spread flood = spreadOver(group, [&group](const std::string &name, const overlay &) {
+        const auto found = group.counted().find(name);
+        return found == group.counted().end()
+                       ? 0.0
+                       : static_cast<double>(found->second.sent + found->second.received);
+    });
+    std::printf("zones %zu nodes/zone %3zu  links mean %4.1f most %3.0f  B/s sent+received mean "
+                "%6.0f most %6.0f  entry: %zu hops to %zu nodes, %5.0f B per node, most %6.0f  "
+                "silence mean %4.0f most %4.0f ms\n",
+                zones, nodes, links.mean, links.most, bytes.mean, bytes.most, hops, group.reached(),
+                flood.mean, flood.most, silence.mean, silence.most);
+}
+
+void printTraffic()
+{
+    for (const std::size_t nodes : {16, 64, 256, 640})
+        printTrafficOf(1, nodes);
+    for (const std::size_t zones : {3, 9})
+        printTrafficOf(zones, 16);
+    printTrafficOf(9, 64);
+    printTrafficOf(2, 640);
+}
+
+void printJoinOf(std::size_t nodesPerZone)
+{
+    const member seed = sampleMember(0, 0);
+    overlay_traffic group(zonesOfFleet, nodesPerZone, {{seed.node.name, seed.endpoint}});
+    group.run(3s);
+    group.resetTraffic();
+    const member fresh = sampleMember(1, 9999);
+    group.add(fresh);
+    const std::size_t all = group.nodes().size();
+    duration waited{};
+    while (group[fresh.node.name].members().records().size() < all && waited < 10s) {
+        group.run(100ms);
+        waited += 100ms;
+    }
+    group.run(3s);
+    const traffic_count &joined = group.counted().at(fresh.node.name);
+    const traffic_count &asked = group.counted().at(seed.node.name);
+    std::printf("join a fleet of %4zu: whole directory after %4lld ms, node sent %8llu received "
+                "%8llu B, seed sent %8llu received %8llu B\n",
+                all, static_cast<long long>(waited / 1ms),
+                static_cast<unsigned long long>(joined.sent),
+                static_cast<unsigned long long>(joined.received),
+                static_cast<unsigned long long>(asked.sent),
+                static_cast<unsigned long long>(asked.received));
+}
+
+void printJoin()
+{
+    for (const std::size_t nodes : {8, 16, 32, 64})
+        printJoinOf(nodes);
+}
+
+void printCutOf(std::size_t nodesPerZone)
+{
+    const member seed = sampleMember(0, 0);
+    overlay_traffic group(zonesOfFleet, nodesPerZone, {{seed.node.name, seed.endpoint}});
+    group.run(3s);
+    const auto rate = [&group](const std::string &name, const overlay &) {
+        return static_cast<double>(group.counted().at(name).sent) / 5;
+    };
+    group.resetTraffic();
+    group.run(5s);
+    const spread before = spreadOver(group, rate);
+    group.cutZone(seed.node.zone);
+    group.run(5s);
+    group.resetTraffic();
+    group.run(5s);
+    const spread during = spreadOver(group, rate);
+    group.cutZone({});
+    group.resetTraffic();
+    group.run(5s);
+    const spread after = spreadOver(group, rate);
+    std::printf("fleet of %4zu, zone with the seed cut off: B/s sent mean %6.0f most %6.0f before; "
+                "mean %7.0f most %7.0f during; mean %7.0f most %7.0f in the 5 s after\n",
+                group.nodes().size(), before.mean, before.most, during.mean, during.most,
+                after.mean, after.most);
+}
+
+void printCut()
+{
+    for (const std::size_t nodes : {8, 16, 32})
+        printCutOf(nodes);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::pair<std::string_view, void (*)()> sections[] = {
+            {"sizes", &printSizes},     {"memory", &printMemory}, {"tick", &printTick},
+            {"traffic", &printTraffic}, {"join", &printJoin},     {"cut", &printCut}};
+    for (const auto &[name, show] : sections) {
+        if (argc > 1 && name != argv[1])
+            continue;
+        std::printf("== %s\n", std::string(name).c_str());
+        show();
+    }
+    return 0;
+}
