Work out rank and zones only after the directory has changed

node_core::tick took time linear in the members: rank() sorted the ring of the zone twice a tick, otherZones() collected the zones of all members and expireSuspects() scanned all of them, 100 times a second. The overlay now keeps rank and zones until the directory's revision changes, and the scan for suspects is left out while there are none.

Ruled out: a longer tick, since tokens and admission need 10 ms; raising the revision on suspicions, which change neither ring nor zones.

--- a/include/tamarackridge/src/membership/directory.h
+++ b/include/tamarackridge/src/membership/directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,12 +46,18 @@
     const record_map &records() const { return m_records; }
     /// \returns a digest of all members and versions, equal on nodes that hold the same.
     std::uint64_t digest() const { return m_digest; }
+    /// \returns a number that changes whenever ring() or zones() may change.
+    std::uint64_t revision() const { return m_revision; }
+    /// \returns the names of all zones that have members.
+    std::set<std::string> zones() const;
     /// \returns names of \a zone's members that are not dead and have not left, in ring order.
     std::vector<std::string> ring(std::string_view zone) const;
 
 private:
     record_map m_records;
     std::uint64_t m_digest = 0;
+    std::uint64_t m_revision = 0;
+    bool m_hasSuspects = false; ///< Saves the scan for them on most ticks.
 };
 
 /// \returns the position of a node name on the ring.
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -75,9 +75,9 @@
     /// \returns the names of the nodes that this node exchanges heartbeats with.
     std::vector<std::string> neighbours() const;
     /// \returns the names of all configured or known zones but the own one.
-    std::vector<std::string> otherZones() const;
+    std::vector<std::string> otherZones() const { return view().otherZones; }
     /// \returns the position of this node in its zone's ring.
-    std::size_t rank() const;
+    std::size_t rank() const { return view().rank; }
     bool isRelay() const { return rank() < m_options.relaysPerZone; }
     /// \returns the time since \a zone was last heard of, directly or through neighbours.
     duration silence(std::string_view zone, time_point now) const;
@@ -95,6 +95,15 @@
         std::uint64_t lastDigest = 0; ///< Of the neighbour's last heartbeat.
     };
 
+    /// What is derived from the whole directory; worked out again only after it has changed.
+    struct directory_view
+    {
+        std::uint64_t revision = 0; ///< Of the directory; 0 before the first use.
+        std::size_t rank = 0;
+        std::vector<std::string> otherZones;
+    };
+
+    const directory_view &view() const;
     void flood(const overlay_entry &entry, std::string_view except, action_list &out);
     void applyEntry(const overlay_entry &entry, const node_ref &from, time_point now,
                     overlay_changes &changes, action_list &out);
@@ -123,6 +132,7 @@
     std::vector<std::pair<std::string, std::string>> m_seeds;
     overlay_options m_options;
     directory m_directory;
+    mutable directory_view m_view;
     std::map<entry_key, stored_entry> m_entries; ///< Entries of other modules.
     std::map<std::string, neighbour_state, std::less<>> m_neighbours;
     std::map<std::string, time_point, std::less<>>
--- a/src/core/membership/directory.cpp
+++ b/src/core/membership/directory.cpp
@@ -33,6 +33,7 @@
     if (found == m_records.end()) {
         m_records.emplace(update.node.name, record{update, liveness::alive, now});
         m_digest ^= stampHash(update);
+        ++m_revision;
         return true;
     }
     record &present = found->second;
@@ -40,6 +41,7 @@
         return false;
     m_digest ^= stampHash(present.info) ^ stampHash(update);
     present = {update, liveness::alive, now};
+    ++m_revision;
     return true;
 }
 
@@ -51,17 +53,26 @@
         return false;
     found->second.health = liveness::suspect;
     found->second.since = now;
+    m_hasSuspects = true;
     return true;
 }
 
 std::vector<std::string> directory::expireSuspects(duration timeout, time_point now)
 {
     std::vector<std::string> dead;
+    if (!m_hasSuspects)
+        return dead;
+    m_hasSuspects = false;
     for (auto &[name, candidate] : m_records) {
-        if (candidate.health != liveness::suspect || now - candidate.since < timeout)
+        if (candidate.health != liveness::suspect)
             continue;
+        if (now - candidate.since < timeout) {
+            m_hasSuspects = true;
+            continue;
+        }
         candidate.health = liveness::dead;
         candidate.since = now;
+        ++m_revision;
         dead.push_back(name);
     }
     return dead;
@@ -79,6 +90,7 @@
         }
         m_digest ^= stampHash(candidate.info);
         entry = m_records.erase(entry);
+        ++m_revision;
     }
 }
 
@@ -88,6 +100,14 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+std::set<std::string> directory::zones() const
+{
+    std::set<std::string> names;
+    for (const auto &[name, candidate] : m_records)
+        names.insert(candidate.info.node.zone);
+    return names;
+}
+
 std::vector<std::string> directory::ring(std::string_view zone) const
 {
     std::vector<std::pair<std::uint64_t, std::string>> positions;
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -240,20 +240,18 @@
     return names;
 }
 
-std::vector<std::string> overlay::otherZones() const
-{
-    std::set<std::string> zones;
-    for (const auto &[name, record] : m_directory.records())
-        zones.insert(record.info.node.zone);
-    zones.erase(m_self.node.zone);
-    return {zones.begin(), zones.end()};
-}
-
-std::size_t overlay::rank() const
+const overlay::directory_view &overlay::view() const
 {
+    if (m_view.revision == m_directory.revision())
+        return m_view;
     const std::vector<std::string> ring = m_directory.ring(m_self.node.zone);
-    return static_cast<std::size_t>(std::find(ring.begin(), ring.end(), m_self.node.name)
-                                    - ring.begin());
+    const auto own = std::find(ring.begin(), ring.end(), m_self.node.name);
+    std::set<std::string> zones = m_directory.zones();
+    zones.erase(m_self.node.zone);
+    m_view = {m_directory.revision(),
+              static_cast<std::size_t>(own - ring.begin()),
+              {zones.begin(), zones.end()}};
+    return m_view;
 }
 
 duration overlay::silence(std::string_view zone, time_point now) const
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -232,3 +232,34 @@
     group.run(3s);
     EXPECT_EQ(group["b1"].members().records().size(), 6U);
 }
+
+// Guards against a rank or list of zones that is kept although the directory has changed: two nodes
+// would both take themselves for a relay, or none.
+TEST(Overlay, RankAndZonesFollowEveryChangeOfTheDirectory)
+{
+    overlay_group group(2, 5);
+    const auto checkAll = [&group](std::size_t zones) {
+        for (const auto &[name, node] : group.nodes()) {
+            const std::vector<std::string> ring = node->members().ring(node->self().node.zone);
+            ASSERT_LT(node->rank(), ring.size()) << name;
+            EXPECT_EQ(ring[node->rank()], name);
+            EXPECT_EQ(node->otherZones().size(), zones - 1) << name;
+        }
+    };
+    group.run(5s);
+    checkAll(2);
+    group.addNode("c", 0, 1);
+    group.run(5s);
+    checkAll(3);
+    group.remove("b2");
+    group.run(5s);
+    checkAll(3);
+    action_list out;
+    group["a3"].setSelf("movements", 150, member_state::left, "", out);
+    group.deliver("a3", out);
+    group.remove("a3");
+    checkAll(3);
+    group.run(11min);
+    EXPECT_EQ(group["a1"].members().find("b2"), nullptr);
+    checkAll(3);
+}
