Let only relays call seeds that are cut off

Every node sent a summary of its whole directory to each unreachable seed once a second, about 20 bytes a second for each member it knew. At 5,800 members that would be 132 KB a second from each node to each seed of a lost zone, queued in ZeroMQ for as long as the cut lasts. Now the relays of a zone do so, every 10 s; a node that knows nobody else is its zone's relay and still calls each second.

Ruled out: leaving seeds to the relays' links alone. When all nodes that a zone knows in another one were replaced during a cut, only a seed leads back; a test covers this. A summary of digests by range would be smaller still and is a larger change.

--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr duration joinInterval = std::chrono::seconds(1);
+// Of a node that knows others. A summary of the whole directory goes to each unreachable seed.
+constexpr duration rejoinInterval = std::chrono::seconds(10);
 // A tick that comes later than this says that this process itself was paused.
 constexpr duration ownPause = std::chrono::seconds(1);
 
@@ -82,9 +84,12 @@
 
 void overlay::joinSeeds(time_point now, action_list &out)
 {
-    if (now < m_nextJoin)
+    // While a zone with a seed is cut off, a summary from each node of a large fleet would fill the
+    // links. A node that knows nobody else has rank 0 and joins too.
+    if (now < m_nextJoin || !isRelay())
         return;
-    m_nextJoin = now + joinInterval;
+    const bool alone = m_directory.records().size() == 1;
+    m_nextJoin = now + (alone ? joinInterval : rejoinInterval);
     for (const auto &[name, endpoint] : m_seeds) {
         const directory::record *known = m_directory.find(name);
         const bool reachable = known != nullptr && known->health == liveness::alive
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -56,6 +56,9 @@
     void resume(const std::string &name) { m_paused.erase(name); }
     void cutZone(const std::string &zone) { m_cutZone = zone; }
     time_point now() const { return m_now; }
+    /// Summaries sent by each node since resetSummaries().
+    const std::map<std::string, std::size_t> &summaries() const { return m_summaries; }
+    void resetSummaries() { m_summaries.clear(); }
     std::size_t messages() const { return m_messages; }
     const std::map<std::string, std::unique_ptr<overlay>> &nodes() const { return m_nodes; }
     void deliver(const std::string &from, const action_list &out)
@@ -87,6 +90,8 @@
             if (message == nullptr)
                 continue;
             ++m_messages;
+            if (std::holds_alternative<entry_summary>(message->message))
+                ++m_summaries[from];
             queue.emplace_back(from, *message);
         }
     }
@@ -106,6 +111,7 @@
     std::string m_cutZone = "-";
     time_point m_now{};
     std::size_t m_messages = 0;
+    std::map<std::string, std::size_t> m_summaries;
 };
 
 bool sameDirectories(const overlay_group &group)
@@ -263,3 +269,42 @@
     EXPECT_EQ(group["a1"].members().find("b2"), nullptr);
     checkAll(3);
 }
+
+// Guards against a cut that makes every node send its whole directory to the lost seed each second.
+TEST(Overlay, OnlyRelaysCallASeedThatIsCutOff)
+{
+    overlay_group group(3, 16);
+    group.run(5s);
+    group.cutZone("a");
+    group.run(5s);
+    group.resetSummaries();
+    group.run(20s);
+    std::size_t most = 0;
+    for (const auto &[name, count] : group.summaries()) {
+        EXPECT_TRUE(group[name].isRelay()) << name;
+        most = std::max(most, count);
+    }
+    EXPECT_LE(group.summaries().size(), 6U);
+    EXPECT_GE(most, 1U);
+    EXPECT_LE(most, 3U);
+}
+
+// Guards against two zones that never find each other again, since all nodes that one knows in the
+// other were replaced during a cut.
+TEST(Overlay, ACutZoneWhoseNodesWereAllReplacedIsFoundThroughTheSeed)
+{
+    overlay_group group(2, 4);
+    group.run(5s);
+    group.cutZone("b");
+    for (int index = 0; index < 4; ++index) {
+        group.addNode("b", 10 + index, 7);
+        group.run(2s);
+        group.remove("b" + std::to_string(index));
+    }
+    group.run(10s);
+    group.cutZone("-");
+    group.run(15s);
+    EXPECT_EQ(group["a3"].members().find("b12")->health, liveness::alive);
+    EXPECT_LT(group["a3"].silence("b", group.now()), 2s);
+    EXPECT_LT(group["b12"].silence("a", group.now()), 2s);
+}
