Close the links to members that were forgotten

The overlay opened links but never closed one, although the shell carries out disconnect_peer. Each replaced VM left a socket at every node that had talked to it, which ZeroMQ tries again for ever. A link is now closed when its member is pruned, 10 min after it died or left.

Ruled out: closing at death, since a paused node is thought dead for a while and comes back.

Measured in the overlay test with 4 nodes: none of the 3 links to a removed node was closed before, all 3 are closed now, between 9 and 11 min after the removal; the node can join again.

Conclusion: open links are bounded by the members known.

--- a/include/tamarackridge/src/membership/directory.h
+++ b/include/tamarackridge/src/membership/directory.h
@@ -40,7 +40,8 @@
     /// \brief Sets every suspect older than \a timeout to dead. \returns their names.
     std::vector<std::string> expireSuspects(duration timeout, time_point now);
     /// \brief Forgets members that have been dead or left for \a retention.
-    void prune(duration retention, time_point now);
+    /// \returns their names.
+    std::vector<std::string> prune(duration retention, time_point now);
 
     const record *find(std::string_view node) const;
     const record_map &records() const { return m_records; }
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -119,6 +119,7 @@
     void suspectSilent(time_point now, overlay_changes &changes, action_list &out);
     void sendHeartbeats(const heartbeat_state &state, time_point now, action_list &out);
     void discountOwnPause(time_point now);
+    void closeLinks(const std::vector<std::string> &forgotten, action_list &out);
     void pruneEntries(time_point now);
     bool isSilent(const neighbour_state &state, const member &info, time_point now) const;
     entry_summary summary(bool wantsReply) const;
--- a/src/core/membership/directory.cpp
+++ b/src/core/membership/directory.cpp
@@ -78,8 +78,9 @@
     return dead;
 }
 
-void directory::prune(duration retention, time_point now)
+std::vector<std::string> directory::prune(duration retention, time_point now)
 {
+    std::vector<std::string> forgotten;
     for (auto entry = m_records.begin(); entry != m_records.end();) {
         const record &candidate = entry->second;
         const bool ended =
@@ -89,9 +90,11 @@
             continue;
         }
         m_digest ^= stampHash(candidate.info);
+        forgotten.push_back(entry->first);
         entry = m_records.erase(entry);
         ++m_revision;
     }
+    return forgotten;
 }
 
 const directory::record *directory::find(std::string_view node) const
--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -28,7 +28,7 @@
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + m_options.heartbeatInterval;
         sendHeartbeats(state, now, out);
-        m_directory.prune(m_options.retention, now);
+        closeLinks(m_directory.prune(m_options.retention, now), out);
         pruneEntries(now);
     }
     return changes;
@@ -144,6 +144,15 @@
         send(name, message, out);
 }
 
+void overlay::closeLinks(const std::vector<std::string> &forgotten, action_list &out)
+{
+    // A link that stays open would be tried again for ever.
+    for (const std::string &name : forgotten) {
+        if (m_connected.erase(name) > 0)
+            out.push_back(disconnect_peer{name});
+    }
+}
+
 void overlay::pruneEntries(time_point now)
 {
     std::erase_if(m_entries, [this, now](const auto &entry) {
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -58,6 +58,8 @@
     time_point now() const { return m_now; }
     /// Summaries sent by each node since resetSummaries().
     const std::map<std::string, std::size_t> &summaries() const { return m_summaries; }
+    /// Nodes that closed their link to \a name.
+    std::size_t closedLinksTo(const std::string &name) { return m_closed[name].size(); }
     void resetSummaries() { m_summaries.clear(); }
     std::size_t messages() const { return m_messages; }
     const std::map<std::string, std::unique_ptr<overlay>> &nodes() const { return m_nodes; }
@@ -86,6 +88,8 @@
                  std::deque<std::pair<std::string, send_peer>> &queue)
     {
         for (const action &step : out) {
+            if (const disconnect_peer *closed = std::get_if<disconnect_peer>(&step))
+                m_closed[closed->node].insert(from);
             const send_peer *message = std::get_if<send_peer>(&step);
             if (message == nullptr)
                 continue;
@@ -112,6 +116,7 @@
     time_point m_now{};
     std::size_t m_messages = 0;
     std::map<std::string, std::size_t> m_summaries;
+    std::map<std::string, std::set<std::string>> m_closed;
 };
 
 bool sameDirectories(const overlay_group &group)
@@ -289,6 +294,23 @@
     EXPECT_LE(most, 3U);
 }
 
+// Guards against links to replaced VMs that pile up and are tried again for ever.
+TEST(Overlay, LinksToForgottenNodesAreClosedAndOnlyThose)
+{
+    overlay_group group(1, 4);
+    group.run(5s);
+    group.remove("a2");
+    group.run(9min);
+    EXPECT_EQ(group.closedLinksTo("a2"), 0U);
+    group.run(2min);
+    EXPECT_EQ(group.closedLinksTo("a2"), 3U);
+    EXPECT_EQ(group.closedLinksTo("a1"), 0U);
+    group.addNode("a", 2, 7);
+    group.run(5s);
+    EXPECT_EQ(group["a1"].members().find("a2")->health, liveness::alive);
+    EXPECT_LT(group["a1"].members().find("a2")->since, group.now());
+}
+
 // Guards against two zones that never find each other again, since all nodes that one knows in the
 // other were replaced during a cut.
 TEST(Overlay, ACutZoneWhoseNodesWereAllReplacedIsFoundThroughTheSeed)
