Judge no relay at the begin or end of a cut

When a zone is cut off, its nodes' last heartbeats came up to an interval apart, so the first neighbours to reach 2 s of silence were suspected while the zone itself still counted as heard. When it came back, the first heartbeat made the zone heard, and every other neighbour in it was suspected at once. Each refutation was flooded to the whole fleet. A zone now counts as cut off after 1 s, and each neighbour has the full 2 s after the zone is heard again.

Nothing else changed during these cuts; changes made on both sides are exchanged by summaries as before.

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -95,6 +95,11 @@
         std::uint64_t lastDigest = 0; ///< Of the neighbour's last heartbeat.
     };
 
+    struct zone_hearing
+    {
+        time_point last;
+        time_point resumed; ///< End of the last silence.
+    };
     /// What is derived from the whole directory; worked out again only after it has changed.
     struct directory_view
     {
@@ -121,6 +126,8 @@
     void discountOwnPause(time_point now);
     void closeLinks(const std::vector<std::string> &forgotten, action_list &out);
     void pruneEntries(time_point now);
+    /// \returns the silence from which on a zone counts as cut off as a whole.
+    duration zoneCutAfter() const;
     bool isSilent(const neighbour_state &state, const member &info, time_point now) const;
     entry_summary summary(bool wantsReply) const;
     std::vector<overlay_entry> newerThan(const entry_summary &theirs) const;
@@ -138,7 +145,7 @@
     std::map<std::string, neighbour_state, std::less<>> m_neighbours;
     std::map<std::string, time_point, std::less<>>
             m_listeners; ///< Non-neighbours that sent a heartbeat.
-    std::map<std::string, time_point, std::less<>> m_zoneHeard;
+    std::map<std::string, zone_hearing, std::less<>> m_zoneHeard;
     std::map<std::string, std::string, std::less<>> m_connected; ///< Node to endpoint.
     time_point m_started;
     time_point m_lastTick;
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -84,10 +84,14 @@
 void overlay::heardZone(std::string_view zone, time_point when)
 {
     const auto found = m_zoneHeard.find(zone);
-    if (found == m_zoneHeard.end())
-        m_zoneHeard.emplace(std::string(zone), when);
-    else
-        found->second = std::max(found->second, when);
+    if (found == m_zoneHeard.end()) {
+        m_zoneHeard.emplace(std::string(zone), zone_hearing{when, when});
+        return;
+    }
+    zone_hearing &hearing = found->second;
+    if (when - hearing.last >= zoneCutAfter())
+        hearing.resumed = when;
+    hearing.last = std::max(hearing.last, when);
 }
 
 void overlay::onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
@@ -259,7 +263,7 @@
     if (zone == m_self.node.zone)
         return duration::zero();
     const auto found = m_zoneHeard.find(zone);
-    return now - (found == m_zoneHeard.end() ? m_started : found->second);
+    return now - (found == m_zoneHeard.end() ? m_started : found->second.last);
 }
 
 } // namespace tamarackridge
--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -102,13 +102,24 @@
     }
 }
 
+duration overlay::zoneCutAfter() const
+{
+    // The last heartbeats of a zone's nodes came up to an interval apart, so this is well below
+    // suspectAfter.
+    return m_options.suspectAfter - 2 * m_options.heartbeatInterval;
+}
+
 bool overlay::isSilent(const neighbour_state &state, const member &info, time_point now) const
 {
     if (now - state.lastHeard < m_options.suspectAfter)
         return false;
-    // A zone that is silent as a whole is cut off; its nodes are not judged one by one.
-    return info.node.zone == m_self.node.zone
-           || silence(info.node.zone, now) < m_options.suspectAfter;
+    if (info.node.zone == m_self.node.zone)
+        return true;
+    // A zone that is silent as a whole is cut off; its nodes are not judged one by one. When it is
+    // heard again, each of them has the full time to be heard.
+    const auto zone = m_zoneHeard.find(info.node.zone);
+    return zone != m_zoneHeard.end() && now - zone->second.last < zoneCutAfter()
+           && now - zone->second.resumed >= m_options.suspectAfter;
 }
 
 void overlay::suspectSilent(time_point now, overlay_changes &changes, action_list &out)
@@ -131,9 +142,9 @@
 {
     heartbeat message{
             m_directory.digest(), state.configVersion, state.confirmationAge, state.load, {}};
-    for (const auto &[zone, when] : m_zoneHeard) {
+    for (const auto &[zone, hearing] : m_zoneHeard) {
         if (zone != m_self.node.zone)
-            message.zones.push_back({zone, now - when});
+            message.zones.push_back({zone, now - hearing.last});
     }
     for (const auto &[name, neighbour] : m_neighbours)
         send(name, message, out);
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -330,3 +330,32 @@
     EXPECT_LT(group["a3"].silence("b", group.now()), 2s);
     EXPECT_LT(group["b12"].silence("a", group.now()), 2s);
 }
+
+// Guards against a cut whose begin or end makes relays suspect each other, since heartbeats come at
+// different times: each one's refutation would flood the fleet.
+TEST(Overlay, NoNodeOfACutZoneIsSuspectedWhenHeartbeatsAreOutOfStep)
+{
+    overlay_group group(0, 0);
+    for (int index = 0; index < 4; ++index) {
+        for (const char *zone : {"a", "b", "c"}) {
+            group.addNode(zone, index, 1);
+            group.run(100ms);
+        }
+    }
+    group.run(5s);
+    const auto checkUnsuspected = [&group] {
+        for (const auto &[name, node] : group.nodes()) {
+            EXPECT_EQ(node->self().counter, 2U) << name;
+            for (const auto &[other, record] : node->members().records())
+                EXPECT_EQ(record.health, liveness::alive) << name << " about " << other;
+        }
+    };
+    checkUnsuspected();
+    group.cutZone("b");
+    group.run(10s);
+    checkUnsuspected();
+    group.cutZone("-");
+    group.run(5s);
+    checkUnsuspected();
+    EXPECT_LT(group["b0"].silence("a", group.now()), 2s);
+}
