--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -75,9 +75,9 @@
     /// \returns the names of the nodes that this node exchanges heartbeats with.
     std::vector<std::string> neighbours() const;
     /// \returns the names of all configured or known zones but the own one.
-    std::vector<std::string> otherZones() const;
+    std::vector<std::string> otherZones() const { return view().otherZones; }
     /// \returns the position of this node in its zone's ring.
-    std::size_t rank() const;
+    std::size_t rank() const { return view().rank; }
     bool isRelay() const { return rank() < m_options.relaysPerZone; }
     /// \returns the time since \a zone was last heard of, directly or through neighbours.
     duration silence(std::string_view zone, time_point now) const;
@@ -95,6 +95,20 @@
         std::uint64_t lastDigest = 0; ///< Of the neighbour's last heartbeat.
     };
 
+    struct zone_hearing
+    {
+        time_point last;
+        time_point resumed; ///< End of the last silence.
+    };
+    /// What is derived from the whole directory; worked out again only after it has changed.
+    struct directory_view
+    {
+        std::uint64_t revision = 0; ///< Of the directory; 0 before the first use.
+        std::size_t rank = 0;
+        std::vector<std::string> otherZones;
+    };
+
+    const directory_view &view() const;
     void flood(const overlay_entry &entry, std::string_view except, action_list &out);
     void applyEntry(const overlay_entry &entry, const node_ref &from, time_point now,
                     overlay_changes &changes, action_list &out);
@@ -110,7 +124,10 @@
     void suspectSilent(time_point now, overlay_changes &changes, action_list &out);
     void sendHeartbeats(const heartbeat_state &state, time_point now, action_list &out);
     void discountOwnPause(time_point now);
+    void closeLinks(const std::vector<std::string> &forgotten, action_list &out);
     void pruneEntries(time_point now);
+    /// \returns the silence from which on a zone counts as cut off as a whole.
+    duration zoneCutAfter() const;
     bool isSilent(const neighbour_state &state, const member &info, time_point now) const;
     entry_summary summary(bool wantsReply) const;
     std::vector<overlay_entry> newerThan(const entry_summary &theirs) const;
@@ -123,11 +140,12 @@
     std::vector<std::pair<std::string, std::string>> m_seeds;
     overlay_options m_options;
     directory m_directory;
+    mutable directory_view m_view;
     std::map<entry_key, stored_entry> m_entries; ///< Entries of other modules.
     std::map<std::string, neighbour_state, std::less<>> m_neighbours;
     std::map<std::string, time_point, std::less<>>
             m_listeners; ///< Non-neighbours that sent a heartbeat.
-    std::map<std::string, time_point, std::less<>> m_zoneHeard;
+    std::map<std::string, zone_hearing, std::less<>> m_zoneHeard;
     std::map<std::string, std::string, std::less<>> m_connected; ///< Node to endpoint.
     time_point m_started;
     time_point m_lastTick;
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -84,10 +84,14 @@
 void overlay::heardZone(std::string_view zone, time_point when)
 {
     const auto found = m_zoneHeard.find(zone);
-    if (found == m_zoneHeard.end())
-        m_zoneHeard.emplace(std::string(zone), when);
-    else
-        found->second = std::max(found->second, when);
+    if (found == m_zoneHeard.end()) {
+        m_zoneHeard.emplace(std::string(zone), zone_hearing{when, when});
+        return;
+    }
+    zone_hearing &hearing = found->second;
+    if (when - hearing.last >= zoneCutAfter())
+        hearing.resumed = when;
+    hearing.last = std::max(hearing.last, when);
 }
 
 void overlay::onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
@@ -240,20 +244,18 @@
     return names;
 }
 
-std::vector<std::string> overlay::otherZones() const
-{
-    std::set<std::string> zones;
-    for (const auto &[name, record] : m_directory.records())
-        zones.insert(record.info.node.zone);
-    zones.erase(m_self.node.zone);
-    return {zones.begin(), zones.end()};
-}
-
-std::size_t overlay::rank() const
+const overlay::directory_view &overlay::view() const
 {
+    if (m_view.revision == m_directory.revision())
+        return m_view;
     const std::vector<std::string> ring = m_directory.ring(m_self.node.zone);
-    return static_cast<std::size_t>(std::find(ring.begin(), ring.end(), m_self.node.name)
-                                    - ring.begin());
+    const auto own = std::find(ring.begin(), ring.end(), m_self.node.name);
+    std::set<std::string> zones = m_directory.zones();
+    zones.erase(m_self.node.zone);
+    m_view = {m_directory.revision(),
+              static_cast<std::size_t>(own - ring.begin()),
+              {zones.begin(), zones.end()}};
+    return m_view;
 }
 
 duration overlay::silence(std::string_view zone, time_point now) const
@@ -261,7 +263,7 @@
     if (zone == m_self.node.zone)
         return duration::zero();
     const auto found = m_zoneHeard.find(zone);
-    return now - (found == m_zoneHeard.end() ? m_started : found->second);
+    return now - (found == m_zoneHeard.end() ? m_started : found->second.last);
 }
 
 } // namespace tamarackridge
--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr duration joinInterval = std::chrono::seconds(1);
+// Of a node that knows others. A summary of the whole directory goes to each unreachable seed.
+constexpr duration rejoinInterval = std::chrono::seconds(10);
 // A tick that comes later than this says that this process itself was paused.
 constexpr duration ownPause = std::chrono::seconds(1);
 
@@ -26,7 +28,7 @@
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + m_options.heartbeatInterval;
         sendHeartbeats(state, now, out);
-        m_directory.prune(m_options.retention, now);
+        closeLinks(m_directory.prune(m_options.retention, now), out);
         pruneEntries(now);
     }
     return changes;
@@ -82,9 +84,12 @@
 
 void overlay::joinSeeds(time_point now, action_list &out)
 {
-    if (now < m_nextJoin)
+    // While a zone with a seed is cut off, a summary from each node of a large fleet would fill the
+    // links. A node that knows nobody else has rank 0 and joins too.
+    if (now < m_nextJoin || !isRelay())
         return;
-    m_nextJoin = now + joinInterval;
+    const bool alone = m_directory.records().size() == 1;
+    m_nextJoin = now + (alone ? joinInterval : rejoinInterval);
     for (const auto &[name, endpoint] : m_seeds) {
         const directory::record *known = m_directory.find(name);
         const bool reachable = known != nullptr && known->health == liveness::alive
@@ -97,13 +102,24 @@
     }
 }
 
+duration overlay::zoneCutAfter() const
+{
+    // The last heartbeats of a zone's nodes came up to an interval apart, so this is well below
+    // suspectAfter.
+    return m_options.suspectAfter - 2 * m_options.heartbeatInterval;
+}
+
 bool overlay::isSilent(const neighbour_state &state, const member &info, time_point now) const
 {
     if (now - state.lastHeard < m_options.suspectAfter)
         return false;
-    // A zone that is silent as a whole is cut off; its nodes are not judged one by one.
-    return info.node.zone == m_self.node.zone
-           || silence(info.node.zone, now) < m_options.suspectAfter;
+    if (info.node.zone == m_self.node.zone)
+        return true;
+    // A zone that is silent as a whole is cut off; its nodes are not judged one by one. When it is
+    // heard again, each of them has the full time to be heard.
+    const auto zone = m_zoneHeard.find(info.node.zone);
+    return zone != m_zoneHeard.end() && now - zone->second.last < zoneCutAfter()
+           && now - zone->second.resumed >= m_options.suspectAfter;
 }
 
 void overlay::suspectSilent(time_point now, overlay_changes &changes, action_list &out)
@@ -126,9 +142,9 @@
 {
     heartbeat message{
             m_directory.digest(), state.configVersion, state.confirmationAge, state.load, {}};
-    for (const auto &[zone, when] : m_zoneHeard) {
+    for (const auto &[zone, hearing] : m_zoneHeard) {
         if (zone != m_self.node.zone)
-            message.zones.push_back({zone, now - when});
+            message.zones.push_back({zone, now - hearing.last});
     }
     for (const auto &[name, neighbour] : m_neighbours)
         send(name, message, out);
@@ -139,6 +155,15 @@
         send(name, message, out);
 }
 
+void overlay::closeLinks(const std::vector<std::string> &forgotten, action_list &out)
+{
+    // A link that stays open would be tried again for ever.
+    for (const std::string &name : forgotten) {
+        if (m_connected.erase(name) > 0)
+            out.push_back(disconnect_peer{name});
+    }
+}
+
 void overlay::pruneEntries(time_point now)
 {
     std::erase_if(m_entries, [this, now](const auto &entry) {
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -56,6 +56,11 @@
     void resume(const std::string &name) { m_paused.erase(name); }
     void cutZone(const std::string &zone) { m_cutZone = zone; }
     time_point now() const { return m_now; }
+    /// Summaries sent by each node since resetSummaries().
+    const std::map<std::string, std::size_t> &summaries() const { return m_summaries; }
+    /// Nodes that closed their link to \a name.
+    std::size_t closedLinksTo(const std::string &name) { return m_closed[name].size(); }
+    void resetSummaries() { m_summaries.clear(); }
     std::size_t messages() const { return m_messages; }
     const std::map<std::string, std::unique_ptr<overlay>> &nodes() const { return m_nodes; }
     void deliver(const std::string &from, const action_list &out)
@@ -83,10 +88,14 @@
                  std::deque<std::pair<std::string, send_peer>> &queue)
     {
         for (const action &step : out) {
+            if (const disconnect_peer *closed = std::get_if<disconnect_peer>(&step))
+                m_closed[closed->node].insert(from);
             const send_peer *message = std::get_if<send_peer>(&step);
             if (message == nullptr)
                 continue;
             ++m_messages;
+            if (std::holds_alternative<entry_summary>(message->message))
+                ++m_summaries[from];
             queue.emplace_back(from, *message);
         }
     }
@@ -106,6 +115,8 @@
     std::string m_cutZone = "-";
     time_point m_now{};
     std::size_t m_messages = 0;
+    std::map<std::string, std::size_t> m_summaries;
+    std::map<std::string, std::set<std::string>> m_closed;
 };
 
 bool sameDirectories(const overlay_group &group)
@@ -232,3 +243,119 @@
     group.run(3s);
     EXPECT_EQ(group["b1"].members().records().size(), 6U);
 }
+
+// Guards against a rank or list of zones that is kept although the directory has changed: two nodes
+// would both take themselves for a relay, or none.
+TEST(Overlay, RankAndZonesFollowEveryChangeOfTheDirectory)
+{
+    overlay_group group(2, 5);
+    const auto checkAll = [&group](std::size_t zones) {
+        for (const auto &[name, node] : group.nodes()) {
+            const std::vector<std::string> ring = node->members().ring(node->self().node.zone);
+            ASSERT_LT(node->rank(), ring.size()) << name;
+            EXPECT_EQ(ring[node->rank()], name);
+            EXPECT_EQ(node->otherZones().size(), zones - 1) << name;
+        }
+    };
+    group.run(5s);
+    checkAll(2);
+    group.addNode("c", 0, 1);
+    group.run(5s);
+    checkAll(3);
+    group.remove("b2");
+    group.run(5s);
+    checkAll(3);
+    action_list out;
+    group["a3"].setSelf("movements", 150, member_state::left, "", out);
+    group.deliver("a3", out);
+    group.remove("a3");
+    checkAll(3);
+    group.run(11min);
+    EXPECT_EQ(group["a1"].members().find("b2"), nullptr);
+    checkAll(3);
+}
+
+// Guards against a cut that makes every node send its whole directory to the lost seed each second.
+TEST(Overlay, OnlyRelaysCallASeedThatIsCutOff)
+{
+    overlay_group group(3, 16);
+    group.run(5s);
+    group.cutZone("a");
+    group.run(5s);
+    group.resetSummaries();
+    group.run(20s);
+    std::size_t most = 0;
+    for (const auto &[name, count] : group.summaries()) {
+        EXPECT_TRUE(group[name].isRelay()) << name;
+        most = std::max(most, count);
+    }
+    EXPECT_LE(group.summaries().size(), 6U);
+    EXPECT_GE(most, 1U);
+    EXPECT_LE(most, 3U);
+}
+
+// Guards against links to replaced VMs that pile up and are tried again for ever.
+TEST(Overlay, LinksToForgottenNodesAreClosedAndOnlyThose)
+{
+    overlay_group group(1, 4);
+    group.run(5s);
+    group.remove("a2");
+    group.run(9min);
+    EXPECT_EQ(group.closedLinksTo("a2"), 0U);
+    group.run(2min);
+    EXPECT_EQ(group.closedLinksTo("a2"), 3U);
+    EXPECT_EQ(group.closedLinksTo("a1"), 0U);
+    group.addNode("a", 2, 7);
+    group.run(5s);
+    EXPECT_EQ(group["a1"].members().find("a2")->health, liveness::alive);
+    EXPECT_LT(group["a1"].members().find("a2")->since, group.now());
+}
+
+// Guards against two zones that never find each other again, since all nodes that one knows in the
+// other were replaced during a cut.
+TEST(Overlay, ACutZoneWhoseNodesWereAllReplacedIsFoundThroughTheSeed)
+{
+    overlay_group group(2, 4);
+    group.run(5s);
+    group.cutZone("b");
+    for (int index = 0; index < 4; ++index) {
+        group.addNode("b", 10 + index, 7);
+        group.run(2s);
+        group.remove("b" + std::to_string(index));
+    }
+    group.run(10s);
+    group.cutZone("-");
+    group.run(15s);
+    EXPECT_EQ(group["a3"].members().find("b12")->health, liveness::alive);
+    EXPECT_LT(group["a3"].silence("b", group.now()), 2s);
+    EXPECT_LT(group["b12"].silence("a", group.now()), 2s);
+}
+
+// Guards against a cut whose begin or end makes relays suspect each other, since heartbeats come at
+// different times: each one's refutation would flood the fleet.
+TEST(Overlay, NoNodeOfACutZoneIsSuspectedWhenHeartbeatsAreOutOfStep)
+{
+    overlay_group group(0, 0);
+    for (int index = 0; index < 4; ++index) {
+        for (const char *zone : {"a", "b", "c"}) {
+            group.addNode(zone, index, 1);
+            group.run(100ms);
+        }
+    }
+    group.run(5s);
+    const auto checkUnsuspected = [&group] {
+        for (const auto &[name, node] : group.nodes()) {
+            EXPECT_EQ(node->self().counter, 2U) << name;
+            for (const auto &[other, record] : node->members().records())
+                EXPECT_EQ(record.health, liveness::alive) << name << " about " << other;
+        }
+    };
+    checkUnsuspected();
+    group.cutZone("b");
+    group.run(10s);
+    checkUnsuspected();
+    group.cutZone("-");
+    group.run(5s);
+    checkUnsuspected();
+    EXPECT_LT(group["b0"].silence("a", group.now()), 2s);
+}
