Hand over ledgers that were taken over, and issue no ids while draining

Now every ledger that a node decides on is handed over, a draining node refuses with 'leaving', and the successor's liveness is checked.

--- a/include/tamarackridge/src/ledger/ledger.h
+++ b/include/tamarackridge/src/ledger/ledger.h
@@ -11,8 +11,10 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace tamarackridge {
 
@@ -94,10 +96,11 @@
     /// \brief Drops records of expired ids.
     void expire(time_point now);
 
-    /// \brief Stops deciding and returns everything that a successor needs.
+    /// \brief Stops deciding and returns everything that a successor needs: one handover for each
+    /// incarnation that this ledger decides on, its own and those that it took over.
     ///
     /// Records still running are handed over as unknown. From then on every call is refused.
-    ledger_handover handOver(time_point now);
+    std::vector<ledger_handover> handOver(time_point now);
     /// \brief Takes over another incarnation's ledger.
     void takeOver(const ledger_handover &handover, time_point now);
 
@@ -110,6 +113,7 @@
     {
         ledger_secret secret{};
         time_point begin;
+        std::optional<time_point> ended; ///< Set for an incarnation that was taken over.
     };
     struct record
     {
--- a/src/core/ledger/ledger.cpp
+++ b/src/core/ledger/ledger.cpp
@@ -32,7 +32,7 @@
     : m_self(std::move(self))
     , m_options(options)
 {
-    m_lives[m_self.life] = {drawSecret(random), now};
+    m_lives[m_self.life] = {drawSecret(random), now, std::nullopt};
 }
 
 std::string ledger::issue(time_point now)
@@ -176,32 +176,44 @@
             dropAnswer(candidate);
         entry = m_records.erase(entry);
     }
+    std::erase_if(m_lives, [this, now](const auto &life) {
+        return life.second.ended && expired(*life.second.ended, now);
+    });
 }
 
-ledger_handover ledger::handOver(time_point now)
+std::vector<ledger_handover> ledger::handOver(time_point now)
 {
     m_stopped = true;
-    const clock_base &base = m_lives.at(m_self.life);
-    ledger_handover handover;
-    handover.life = m_self.life;
-    handover.secret = base.secret;
-    handover.clockAge = now - base.begin;
+    std::map<incarnation, ledger_handover> handovers;
+    for (const auto &[life, base] : m_lives) {
+        // Ids of an incarnation that ended longer ago than they live have all expired.
+        if (base.ended && expired(*base.ended, now))
+            continue;
+        ledger_handover &handover = handovers[life];
+        handover.life = life;
+        handover.secret = base.secret;
+        handover.clockAge = now - base.begin;
+    }
     for (const auto &[key, found] : m_records) {
-        if (key.life != m_self.life)
+        const auto handover = handovers.find(key.life);
+        if (handover == handovers.end())
             continue;
         const ledger_state state =
                 found.state == ledger_state::running ? ledger_state::unknown : found.state;
-        handover.entries.push_back({key.sequence, state, found.digest, found.customer,
-                                    now - found.issued, found.answer});
+        handover->second.entries.push_back({key.sequence, state, found.digest, found.customer,
+                                            now - found.issued, found.answer});
     }
-    return handover;
+    std::vector<ledger_handover> result;
+    for (auto &[life, handover] : handovers)
+        result.push_back(std::move(handover));
+    return result;
 }
 
 void ledger::takeOver(const ledger_handover &handover, time_point now)
 {
     if (m_lives.contains(handover.life))
         return;
-    m_lives[handover.life] = {handover.secret, now - handover.clockAge};
+    m_lives[handover.life] = {handover.secret, now - handover.clockAge, now};
     for (const ledger_entry &entry : handover.entries) {
         record taken;
         taken.state = entry.state;
--- a/src/core/node/config_service.cpp
+++ b/src/core/node/config_service.cpp
@@ -29,7 +29,9 @@
 void config_service::logRecords(std::span<const log_record> records, std::int64_t first,
                                 std::int64_t end, time_point now, action_list &out)
 {
+    const std::uint64_t undecodable = m_log.counters().undecodable;
     m_log.logRecords(records, first, end, now);
+    m_counters.add(node_counter::log_records_refused, m_log.counters().undecodable - undecodable);
     installIfNewer(now);
     if (m_log.upToDate())
         m_confirmed.logEndRead(now);
--- a/src/core/node/entry.cpp
+++ b/src/core/node/entry.cpp
@@ -155,6 +155,10 @@
         return;
     }
     const std::string_view text = headerValue(call.request.headers, header::requestId);
+    if (text.empty() && !m_issuing) {
+        reject(call.from, error_kind::leaving, now, out);
+        return;
+    }
     if (text.empty()) {
         answerWaiter(call.from, refusalOf(error_kind::request_id_required, run_state::not_run, now),
                      out);
@@ -308,6 +312,10 @@
         reject({call, {}}, owner.error(), now, out);
         return;
     }
+    if (!m_issuing) {
+        reject({call, {}}, error_kind::leaving, now, out);
+        return;
+    }
     std::int64_t count = 1;
     const std::string_view body = bodyView(request.body);
     const std::size_t position = body.find(countField);
--- a/src/core/node/entry.h
+++ b/src/core/node/entry.h
@@ -58,6 +58,8 @@
     void tokensArrived(time_point now, action_list &out);
     void tick(time_point now, action_list &out);
 
+    /// \brief Issues no more request ids, since the node is about to hand its ledger over.
+    void stopIssuing() { m_issuing = false; }
     /// \brief From now on new requests are refused; onward calls of running ones are still served.
     void refuseNew() { m_refusing = true; }
     bool idle() const { return m_requests.empty(); }
@@ -132,6 +134,7 @@
     std::unordered_map<call_id, entry_id> m_byCall;
     std::vector<entry_id> m_waiting; ///< For tokens, in order of arrival.
     entry_id m_nextEntry = 1;
+    bool m_issuing = true;
     bool m_refusing = false;
 };
 
--- a/src/core/node/entry_outcome.cpp
+++ b/src/core/node/entry_outcome.cpp
@@ -89,7 +89,7 @@
 request_outcome entry::refusalOf(error_kind kind, run_state state, time_point now)
 {
     request_outcome result{state, kind, {}, 0};
-    if (state == run_state::not_run)
+    if (state == run_state::not_run && m_issuing)
         result.answer.headers.push_back({std::string(header::requestId), m_ids.issue(now)});
     return result;
 }
--- a/src/core/node/node_counters.h
+++ b/src/core/node/node_counters.h
@@ -32,7 +32,10 @@
 class node_counters
 {
 public:
-    void add(node_counter counter) { ++m_values[static_cast<std::size_t>(counter)]; }
+    void add(node_counter counter, std::uint64_t count = 1)
+    {
+        m_values[static_cast<std::size_t>(counter)] += count;
+    }
     std::uint64_t value(node_counter counter) const
     {
         return m_values[static_cast<std::size_t>(counter)];
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -212,6 +212,7 @@
     if (m_phase != phase::running)
         return;
     m_phase = phase::draining;
+    m_entry.stopIssuing();
     m_shutdownBegan = now;
     m_executor.stopAccepting(error_kind::leaving, now, out);
     announceSelf(out);
@@ -236,20 +237,28 @@
 
 void node_state::handOver(action_list &out, time_point now)
 {
-    ledger_handover handover = m_ids.handOver(now);
-    std::string successor;
-    for (const std::string &candidate : m_membership.members().ring(m_options.self.zone)) {
-        const directory::record *record = m_membership.members().find(candidate);
-        if (record->info.state == member_state::serving && record->health == liveness::alive) {
-            successor = candidate;
-            break;
-        }
+    std::vector<ledger_handover> handovers = m_ids.handOver(now);
+    const std::string successor = chooseSuccessor(now);
+    for (ledger_handover &handover : handovers) {
+        if (!successor.empty() && m_membership.send(successor, std::move(handover), out))
+            m_counters.add(node_counter::handovers_sent);
     }
-    if (!successor.empty() && m_membership.send(successor, std::move(handover), out))
-        m_counters.add(node_counter::handovers_sent);
     m_membership.setSelf(m_backend.service, m_backend.slots, member_state::left, successor, out);
 }
 
+std::string node_state::chooseSuccessor(time_point now) const
+{
+    std::vector<std::string> zones = m_membership.otherZones();
+    zones.insert(zones.begin(), m_options.self.zone);
+    for (const std::string &zone : zones) {
+        for (const std::string &candidate : m_membership.members().ring(zone)) {
+            if (serves(*m_membership.members().find(candidate), now))
+                return candidate;
+        }
+    }
+    return {};
+}
+
 node_status node_state::status(time_point now)
 {
     node_status status;
--- a/src/core/node/node_state.h
+++ b/src/core/node/node_state.h
@@ -56,6 +56,9 @@
     void announceSelf(action_list &out);
     void tickShutdown(time_point now, action_list &out);
     void handOver(action_list &out, time_point now);
+    /// \returns the node that decides on this node's request ids after it: the first one that
+    /// serves in the own zone, else in another; empty when there is none.
+    std::string chooseSuccessor(time_point now) const;
     bool serves(const directory::record &record, time_point now) const;
 
     node_options m_options;
--- a/src/core/node/owner_calls.cpp
+++ b/src/core/node/owner_calls.cpp
@@ -15,17 +15,17 @@
 tl::expected<std::string, error_kind> owner_calls::ownerOf(const request_id &id) const
 {
     const auto successor = m_successors.find(id.owner.life);
-    if (successor != m_successors.end())
-        return successor->second.node;
-    const directory::record *known = m_membership.members().find(id.owner.name);
+    const bool handedOver = successor != m_successors.end();
+    const std::string &owner = handedOver ? successor->second.node : id.owner.name;
+    const directory::record *known = m_membership.members().find(owner);
     if (known == nullptr)
         return tl::unexpected(error_kind::owner_unreachable);
     // The node has started again without memory, and its earlier life handed over to nobody.
-    if (known->info.node.life != id.owner.life)
+    if (!handedOver && known->info.node.life != id.owner.life)
         return tl::unexpected(error_kind::outcome_unknown);
     if (known->health == liveness::dead)
         return tl::unexpected(error_kind::owner_unreachable);
-    return id.owner.name;
+    return owner;
 }
 
 void owner_calls::forward(call_id call, const request_id &id, owner_call message, time_point now,
@@ -62,8 +62,14 @@
 
 void owner_calls::noteMember(const member &info, time_point now)
 {
-    if (info.state == member_state::left && !info.successor.empty())
-        m_successors[info.node.life] = {info.successor, now};
+    if (info.state != member_state::left || info.successor.empty())
+        return;
+    // What this node had taken over goes on to its successor with its own ledger.
+    for (auto &[life, known] : m_successors) {
+        if (known.node == info.node.name)
+            known.node = info.successor;
+    }
+    m_successors[info.node.life] = {info.successor, now};
 }
 
 void owner_calls::tick(time_point now, action_list &out)
--- a/tests/ledger_at_most_once_test.cpp
+++ b/tests/ledger_at_most_once_test.cpp
@@ -115,7 +115,8 @@
     m_ledger.answered(m_ledger.begin(answeredId, "airline", digest, m_start).key, invoiceAnswer());
     m_ledger.begin(runningId, "airline", digest, m_start);
     ledger next{successor, {}, m_random, m_start + 4s};
-    next.takeOver(m_ledger.handOver(m_start + 5s), m_start + 5s);
+    for (const ledger_handover &handover : m_ledger.handOver(m_start + 5s))
+        next.takeOver(handover, m_start + 5s);
 
     const ledger_decision late = m_ledger.begin(unusedId, "airline", digest, m_start + 6s);
     EXPECT_EQ(late.kind, verdict::refuse);
@@ -126,6 +127,24 @@
     EXPECT_EQ(next.begin(unusedId, "airline", digest, m_start + 6s).kind, verdict::run);
 }
 
+// Guards against a rolling restart in which the ids of the first node are lost with the second.
+TEST_F(LedgerTest, HandedOverIdsAreHandedOverAgain)
+{
+    const request_id used = issue(m_start);
+    const request_id unused = issue(m_start);
+    m_ledger.answered(m_ledger.begin(used, "airline", digest, m_start).key, invoiceAnswer());
+    ledger second{successor, {}, m_random, m_start};
+    for (const ledger_handover &handover : m_ledger.handOver(m_start + 5s))
+        second.takeOver(handover, m_start + 5s);
+    ledger third{{"a", "node3", 0x33}, {}, m_random, m_start};
+    for (const ledger_handover &handover : second.handOver(m_start + 60s))
+        third.takeOver(handover, m_start + 60s);
+    EXPECT_EQ(third.begin(used, "airline", digest, m_start + 61s).kind, verdict::replay);
+    EXPECT_EQ(third.begin(unused, "airline", digest, m_start + 61s).kind, verdict::run);
+    third.expire(m_start + 15min);
+    EXPECT_FALSE(third.owns(owner.life));
+}
+
 // Guards against memory that grows with every write.
 TEST_F(LedgerTest, RecordsAndAnswersAreBounded)
 {
@@ -179,7 +198,8 @@
             decider.outcomeUnknown(key);
             running = false;
         } else if (step == 4 && !handedOver && !running) {
-            second.takeOver(first.handOver(now), now);
+            for (const ledger_handover &handover : first.handOver(now))
+                second.takeOver(handover, now);
             handedOver = true;
         }
     }
