--- a/src/core/ledger/ledger.cpp
+++ b/src/core/ledger/ledger.cpp
@@ -204,6 +204,7 @@
                                             now - found.issued, found.answer});
     }
     std::vector<ledger_handover> result;
+    result.reserve(handovers.size());
     for (auto &[life, handover] : handovers)
         result.push_back(std::move(handover));
     return result;
--- a/tests/quota_service_test.cpp
+++ b/tests/quota_service_test.cpp
@@ -63,6 +63,12 @@
     double wrongful; ///< Most wrongful refusals tolerated, as a part of the admitted requests.
 };
 
+/// \brief Names the case in the list of tests; its bytes would change with every run.
+void PrintTo(const skew_case &value, std::ostream *out) // NOLINT(readability-identifier-naming)
+{
+    *out << value.name << " at " << 100 * value.load << "%";
+}
+
 class quota_skew : public testing::TestWithParam<skew_case>
 { };
 
