Keep one seeded random source, event queue and benchmark support

The same class stood in the load tool, the scenarios, the tests and two examples; ctl had a second source of secure numbers.

--- a/bench/capacity_slopes.cpp
+++ b/bench/capacity_slopes.cpp
@@ -33,7 +33,7 @@
 
 void printTickOf(std::size_t members, double atomic)
 {
-    scenario::scenario_random random(1);
+    seeded_random random(1);
     time_point now(1h);
     const std::unique_ptr<node_core> core = coreWith(members, random, now);
     action_list out;
--- a/bench/capacity_state.cpp
+++ b/bench/capacity_state.cpp
@@ -74,7 +74,7 @@
     for (std::size_t index = 0; index < members; ++index)
         known.merge(sampleMember(index % zonesOfFleet, index / zonesOfFleet), {});
     print("directory, per member", perItem(before, members), "bytes");
-    scenario::scenario_random random(1);
+    seeded_random random(1);
     before = liveBytes();
     const std::unique_ptr<node_core> core = coreWith(members, random, time_point(1h));
     print("node_core, per member (directory, router, owners)", perItem(before, members), "bytes");
@@ -86,7 +86,7 @@
     std::vector<customer_rate> customers;
     for (std::size_t index = 0; index < count; ++index)
         customers.push_back({"customer-" + std::to_string(index), 100, 200});
-    scenario::scenario_random random(1);
+    seeded_random random(1);
     std::int64_t before = liveBytes();
     slot_holder holder(random);
     holder.setCustomers(customers, time_point(1h));
@@ -128,7 +128,7 @@
 
 void printConfigMemory()
 {
-    scenario::scenario_random random(1);
+    seeded_random random(1);
     const auto heap = [&random](std::size_t keys, std::size_t routes) {
         config_objects objects = sampleObjects(keys, routes, random);
         const std::int64_t before = liveBytes();
@@ -153,7 +153,7 @@
 void printLedgerMemory()
 {
     constexpr std::size_t count = 10'000;
-    scenario::scenario_random random(1);
+    seeded_random random(1);
     ledger ids(coreOptions().self, {}, random, time_point(1h));
     std::vector<ledger_key> keys;
     keys.reserve(count);
--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -1,5 +1,5 @@
-#include "fakes/seeded_random.h"
 #include "tamarackridge/config"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <benchmark/benchmark.h>
 
@@ -20,7 +20,7 @@
 constexpr int keys = 5000;
 
 /// \brief A set of the future size: one route per service, two methods each.
-config_objects largeObjects(fakes::seeded_random &random, std::vector<std::string> *presented)
+config_objects largeObjects(seeded_random &random, std::vector<std::string> *presented)
 {
     config_objects objects;
     objects.zones = {{"a", 4}, {"b", 4}, {"c", 4}};
@@ -51,7 +51,7 @@
 
 std::shared_ptr<const config_set> largeSet(std::vector<std::string> *presented = nullptr)
 {
-    fakes::seeded_random random(1);
+    seeded_random random(1);
     return std::make_shared<const config_set>(
             config_set::create(largeObjects(random, presented)).value());
 }
@@ -184,7 +184,7 @@
 void BM_Memory(benchmark::State &state)
 {
     const auto heapOf = [](int kind) {
-        fakes::seeded_random random(1);
+        seeded_random random(1);
         config_objects objects = largeObjects(random, nullptr);
         if (kind == 1)
             objects.keys.clear();
--- a/bench/limit_comparison_bench.cpp
+++ b/bench/limit_comparison_bench.cpp
@@ -1,6 +1,6 @@
-#include "fakes/seeded_random.h"
 #include "fakes/virtual_server.h"
 #include "tamarackridge/overload"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <benchmark/benchmark.h>
 
@@ -126,7 +126,7 @@
     }
 
     fakes::event_loop m_loop;
-    fakes::seeded_random m_random{20261204};
+    seeded_random m_random{20261204};
     fakes::virtual_server m_server{m_loop, m_random, slots, 20ms};
     limit_type m_limit;
     std::uint64_t m_completed = 0;
--- a/bench/node_bench.cpp
+++ b/bench/node_bench.cpp
@@ -1,4 +1,4 @@
-#include "allocation_counter.h"
+#include "benchmark_support.h"
 #include "scenario/sample_fleet.h"
 
 #include <benchmark/benchmark.h>
@@ -6,6 +6,7 @@
 #include <atomic>
 
 using namespace tamarackridge;
+using bench::reportAllocations;
 using namespace tamarackridge::scenario;
 using namespace std::chrono_literals;
 
@@ -25,20 +26,6 @@
     time_point now;
 };
 
-void reportAllocations(benchmark::State &state, std::uint64_t before)
-{
-    state.counters["allocations"] = benchmark::Counter(
-            static_cast<double>(bench::allocations - before), benchmark::Counter::kAvgIterations);
-}
-
-void BM_atomicIncrement(benchmark::State &state)
-{
-    std::atomic<std::uint64_t> counter = 0;
-    for (auto _ : state)
-        benchmark::DoNotOptimize(counter.fetch_add(1));
-}
-BENCHMARK(BM_atomicIncrement);
-
 /// All decisions for one request on one node: entry, route, key, rate, choice of the backend
 /// server, admission, answer. The HTTP request that the shell would have parsed is copied in the
 /// loop.
--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -1,33 +1,19 @@
-#include "allocation_counter.h"
-#include "fakes/seeded_random.h"
+#include "benchmark_support.h"
 #include "tamarackridge/overload"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <benchmark/benchmark.h>
 
 #include <atomic>
 
 using namespace tamarackridge;
+using bench::reportAllocations;
 using namespace std::chrono_literals;
 
 namespace {
 
 const time_point start(1h);
 
-/// Reports the allocations per iteration of the loop that ran since \a before.
-void reportAllocations(benchmark::State &state, std::uint64_t before)
-{
-    state.counters["allocations"] = benchmark::Counter(
-            static_cast<double>(bench::allocations - before), benchmark::Counter::kAvgIterations);
-}
-
-void BM_atomicIncrement(benchmark::State &state)
-{
-    std::atomic<std::uint64_t> counter = 0;
-    for (auto _ : state)
-        benchmark::DoNotOptimize(counter.fetch_add(1));
-}
-BENCHMARK(BM_atomicIncrement);
-
 void BM_limitAcquireRelease(benchmark::State &state)
 {
     concurrency_limit limit;
@@ -47,7 +33,7 @@
 void BM_queueEnqueuePop(benchmark::State &state)
 {
     admission_queue queue;
-    fakes::seeded_random random(20261204);
+    seeded_random random(20261204);
     time_point now = start;
     std::uint64_t id = 0;
     const auto add = [&] {
--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -1,7 +1,7 @@
 // Costs of quota: time and allocations per decision, memory per customer, control traffic.
 #include "allocation_count.h"
 #include "fakes/quota_fleet.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include "tamarackridge/quota"
 
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,6 +1,6 @@
-#include "allocation_counter.h"
-#include "fakes/seeded_random.h"
+#include "benchmark_support.h"
 #include "tamarackridge/routing"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <benchmark/benchmark.h>
 
@@ -43,14 +43,6 @@
     return routes;
 }
 
-void BM_atomicIncrement(benchmark::State &state)
-{
-    std::atomic<std::uint64_t> counter = 0;
-    for (auto _ : state)
-        benchmark::DoNotOptimize(counter.fetch_add(1));
-}
-BENCHMARK(BM_atomicIncrement);
-
 /// Choice, dispatch and answer of one request; the arguments are executors, services and zones.
 void BM_chooseAndAnswer(benchmark::State &state)
 {
@@ -61,7 +53,7 @@
     names.reserve(static_cast<std::size_t>(services));
     for (int i = 0; i < services; ++i)
         names.push_back(serviceName(i));
-    fakes::seeded_random random(20261204);
+    seeded_random random(20261204);
     const executor_load load{0, 100, 50, 0};
     time_point now = start;
     const auto request = [&](std::size_t service) {
@@ -96,7 +88,7 @@
         const std::uint64_t freedBefore = bench::freedBytes;
         const std::uint64_t before = bench::allocatedBytes;
         const std::unique_ptr<router> routes = makeRouter(executors, 600, 9);
-        fakes::seeded_random random(1);
+        seeded_random random(1);
         for (int i = 0; i < 600; ++i)
             benchmark::DoNotOptimize(routes->choose(serviceName(i), 5, {}, start, random));
         const std::uint64_t allocated = bench::allocatedBytes - before;
--- a/bench/routing_comparison_bench.cpp
+++ b/bench/routing_comparison_bench.cpp
@@ -1,6 +1,6 @@
-#include "fakes/seeded_random.h"
 #include "fakes/virtual_server.h"
 #include "tamarackridge/routing"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <benchmark/benchmark.h>
 
@@ -131,7 +131,7 @@
     }
 
     fakes::event_loop m_loop;
-    fakes::seeded_random m_random{20261204};
+    seeded_random m_random{20261204};
     std::vector<std::unique_ptr<fakes::virtual_server>> m_servers;
     std::array<std::uint32_t, servers> m_load{};
     std::array<chooser_type, nodes> m_choosers;
--- a/docs/snippets/embed_node.cpp
+++ b/docs/snippets/embed_node.cpp
@@ -5,7 +5,6 @@
 
 #include <cstdio>
 #include <map>
-#include <random>
 
 using namespace tamarackridge;
 
@@ -13,17 +12,6 @@
 
 constexpr duration step = std::chrono::milliseconds(10);
 
-// Seeded, so that each run of the example is the same. A program that serves callers passes a
-// cryptographically strong source: request ids and handles are drawn from it.
-class seeded_random final : public random_source
-{
-public:
-    std::uint64_t next() override { return m_engine(); }
-
-private:
-    std::mt19937_64 m_engine{1};
-};
-
 // Serialises the events of one node_core and carries out its actions.
 class embedded_node
 {
@@ -172,7 +160,9 @@
 
 int main()
 {
-    seeded_random random;
+    // Seeded, so that each run of the example is the same. A program that serves callers passes a
+    // cryptographically strong source: request ids and handles are drawn from it.
+    seeded_random random(1);
     node_options options;
     options.self = {"oviedo", "node-1", random.next()};
     options.quotaClaimDelay = std::chrono::milliseconds(100);
--- a/docs/snippets/quota_example.cpp
+++ b/docs/snippets/quota_example.cpp
@@ -1,27 +1,14 @@
 // How a node composes tenure, minting and spending; here with a log in memory and one node.
+#include "tamarackridge/core"
 #include "tamarackridge/quota"
 
 #include <cstdio>
-#include <random>
 
 using namespace tamarackridge;
 
-namespace {
-
-class engine_random final : public random_source
-{
-public:
-    std::uint64_t next() override { return m_engine(); }
-
-private:
-    std::mt19937_64 m_engine{1};
-};
-
-} // namespace
-
 int main()
 {
-    engine_random random;
+    seeded_random random(1);
     const node_ref self{"oviedo", "node-1", random.next()};
     time_point now(std::chrono::hours(1));
 
--- a/tests/fakes/seeded_random.h
+++ b/include/tamarackridge/src/base/seeded_random.h
@@ -4,9 +4,14 @@
 
 #include <random>
 
-namespace tamarackridge::fakes {
+namespace tamarackridge {
 
-/// \brief Reproducible random source for tests.
+/// \brief Reproducible random source for tests, scenarios and stand-ins; never for secrets.
+///
+/// \code
+/// seeded_random random(20261204);
+/// const double share = random.unit();
+/// \endcode
 class seeded_random final : public random_source
 {
 public:
@@ -19,4 +24,4 @@
     std::mt19937_64 m_engine;
 };
 
-} // namespace tamarackridge::fakes
+} // namespace tamarackridge
--- a/src/backend/request_handler.cpp
+++ b/src/backend/request_handler.cpp
@@ -2,7 +2,7 @@
 
 #include "backend/control.h"
 #include "load/echo_body.h"
-#include "load/engine_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <nlohmann/json.hpp>
 
@@ -23,7 +23,7 @@
 
 random_source &threadRandom()
 {
-    thread_local load::engine_random random(std::random_device{}());
+    thread_local seeded_random random(std::random_device{}());
     return random;
 }
 
--- a/src/core/quota/slot_tenure.cpp
+++ b/src/core/quota/slot_tenure.cpp
@@ -25,7 +25,7 @@
 
 slot_tenure::slot_tenure(node_ref self, tenure_options options, random_source &random)
     : m_self(std::move(self))
-    , m_options(options)
+    , m_options(std::move(options))
     , m_random(random)
 { }
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,7 @@
 #include "ctl/command_line.h"
 #include "ctl/commands.h"
 #include "ctl/curl_transport.h"
-#include "ctl/system_random.h"
+#include "process/secure_random.h"
 
 #include <gflags/gflags.h>
 
@@ -82,7 +82,7 @@
 {
     tamarackridge::curl_transport transport;
     tamarackridge::platform_log log(transport, FLAGS_log);
-    tamarackridge::system_random random;
+    tamarackridge::secure_random random;
     tamarackridge::config_client client(
             log, random, [](tamarackridge::duration pause) { std::this_thread::sleep_for(pause); });
     tamarackridge::commands session(client, transport, random, optionsFromFlags(), std::cout,
--- a/src/load/worker.h
+++ b/src/load/worker.h
@@ -2,9 +2,9 @@
 
 #include "load/arrivals.h"
 #include "load/client_call.h"
-#include "load/engine_random.h"
 #include "load/id_pool.h"
 #include "load/transfer_loop.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <deque>
 #include <functional>
@@ -34,7 +34,7 @@
         customer_state(const load_plan &plan, std::size_t customer, std::uint64_t seed);
 
         /// Draws arrivals and kinds only, so that they never depend on completions.
-        engine_random random;
+        seeded_random random;
         arrival_schedule schedule;
         id_pool ids;
         std::vector<double> targetWeights;
@@ -59,7 +59,7 @@
     const load_plan &m_plan;
     const std::size_t m_index;
     const std::string m_runName;
-    engine_random m_random; ///< For targets and pauses.
+    seeded_random m_random; ///< For targets and pauses.
     transfer_loop m_loop;
     std::chrono::steady_clock::time_point m_start;
     std::deque<customer_state> m_customers;
--- a/src/scenario/client_load.cpp
+++ b/src/scenario/client_load.cpp
@@ -15,7 +15,7 @@
     arrive(std::make_shared<const caller_group>(group), m_sample.fleet.events().now() + length);
 }
 
-void client_load::arrive(std::shared_ptr<const caller_group> group, time_point end)
+void client_load::arrive(const std::shared_ptr<const caller_group> &group, time_point end)
 {
     event_queue &events = m_sample.fleet.events();
     const double gap = -std::log(1.0 - m_random.unit()) / group->rate;
--- a/src/scenario/client_load.h
+++ b/src/scenario/client_load.h
@@ -63,7 +63,7 @@
     };
     using request_handle = std::shared_ptr<pending>;
 
-    void arrive(std::shared_ptr<const caller_group> group, time_point end);
+    void arrive(const std::shared_ptr<const caller_group> &group, time_point end);
     void send(const request_handle &request);
     void handle(const request_handle &request, int generation, const http_answer &answer);
     void resendLater(const request_handle &request);
@@ -72,7 +72,7 @@
 
     sample_fleet &m_sample;
     oracle &m_oracle;
-    scenario_random m_random;
+    seeded_random m_random;
     std::map<std::string, std::vector<load_second>> m_seconds;
     std::uint64_t m_nextMarker = 1;
     std::uint64_t m_sends = 0;
--- a/src/scenario/event_queue.h
+++ b/src/scenario/event_queue.h
@@ -34,6 +34,7 @@
         }
         m_now = end;
     }
+    void runFor(duration length) { runUntil(m_now + length); }
     time_point now() const { return m_now; }
 
 private:
--- a/src/scenario/sample_fleet.cpp
+++ b/src/scenario/sample_fleet.cpp
@@ -51,7 +51,7 @@
     return result;
 }
 
-sample_fleet::sample_fleet(fleet_options options, std::vector<sample_customer> customers,
+sample_fleet::sample_fleet(fleet_options options, const std::vector<sample_customer> &customers,
                            std::vector<std::string> zoneNames)
     : random(options.seed + 1)
     , zones(std::move(zoneNames))
--- a/src/scenario/sample_fleet.h
+++ b/src/scenario/sample_fleet.h
@@ -33,7 +33,7 @@
 /// \brief A fleet in which every zone has one server of each service.
 struct sample_fleet
 {
-    explicit sample_fleet(fleet_options options, std::vector<sample_customer> customers,
+    explicit sample_fleet(fleet_options options, const std::vector<sample_customer> &customers,
                           std::vector<std::string> zoneNames = {"a", "b", "c", "d"});
 
     /// \returns a request with the customer's key and a marker that the backend servers echo.
@@ -47,7 +47,7 @@
     /// \returns how often a backend server began to run the request with \a marker.
     std::size_t executionsOf(std::string_view marker) const;
 
-    scenario_random random;
+    seeded_random random;
     std::vector<std::string> zones;
     sample_configuration configuration;
     virtual_fleet fleet;
--- a/src/scenario/script_steps.cpp
+++ b/src/scenario/script_steps.cpp
@@ -56,7 +56,10 @@
     const fleet_step nodeStep = findVerb(nodeVerbs, line.verb);
     if (!(zoneStep != nullptr && isZone(name)) && !(nodeStep != nullptr && isNode(name)))
         return false;
-    (m_sample->fleet.*(zoneStep != nullptr ? zoneStep : nodeStep))(name);
+    const fleet_step step = zoneStep != nullptr ? zoneStep : nodeStep;
+    if (step == nullptr)
+        return false;
+    (m_sample->fleet.*step)(name);
     return true;
 }
 
--- a/src/scenario/virtual_fleet.cpp
+++ b/src/scenario/virtual_fleet.cpp
@@ -30,7 +30,7 @@
     std::unique_ptr<live_member> fresh = std::make_unique<live_member>();
     fresh->settings = member;
     fresh->self = {member.zone, member.name, m_random.next()};
-    fresh->random = std::make_unique<scenario_random>(m_random.next());
+    fresh->random = std::make_unique<seeded_random>(m_random.next());
     node_options options;
     options.self = fresh->self;
     options.peerEndpoint = "tcp://" + member.name;
@@ -47,7 +47,7 @@
     const std::string name = member.name;
     const incarnation life = fresh->self.life;
     fresh->backend->connect(
-            [this, name, life](run_id run, backend_result result) {
+            [this, name, life](run_id run, const backend_result &result) {
                 deliver(name, life, [this, run, result](live_member &self) {
                     action_list out;
                     self.core->backendAnswer(run, result, m_events.now(), out);
--- a/src/scenario/virtual_fleet.h
+++ b/src/scenario/virtual_fleet.h
@@ -4,11 +4,11 @@
 #include "scenario/virtual_backend.h"
 #include "scenario/virtual_log.h"
 #include "tamarackridge/node"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,19 +16,6 @@
 
 namespace tamarackridge::scenario {
 
-/// \brief Seeded random source of a scenario.
-class scenario_random final : public random_source
-{
-public:
-    explicit scenario_random(std::uint64_t seed)
-        : m_engine(seed)
-    { }
-    std::uint64_t next() override { return m_engine(); }
-
-private:
-    std::mt19937_64 m_engine;
-};
-
 /// \brief A node and its backend server in a fleet.
 struct fleet_member
 {
@@ -114,7 +101,7 @@
     {
         fleet_member settings;
         node_ref self;
-        std::unique_ptr<scenario_random> random;
+        std::unique_ptr<seeded_random> random;
         std::unique_ptr<node_core> core;
         std::unique_ptr<virtual_backend> backend;
         std::map<call_id, open_call> calls;
@@ -146,7 +133,7 @@
 
     fleet_options m_options;
     event_queue m_events;
-    scenario_random m_random;
+    seeded_random m_random;
     virtual_log m_log;
     std::map<std::string, std::unique_ptr<live_member>> m_members;
     std::map<std::string, fleet_member> m_settings;
--- a/tests/backend_behaviour_test.cpp
+++ b/tests/backend_behaviour_test.cpp
@@ -2,7 +2,7 @@
 #include "backend/load_endpoint.h"
 #include "backend/onward.h"
 #include "backend/service_time.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 
@@ -15,7 +15,7 @@
 TEST(BackendServiceTime, MedianAndSpreadAreAsStated)
 {
     const service_time times{.medianMs = 10.0, .sigma = 0.5};
-    fakes::seeded_random random(3);
+    seeded_random random(3);
     std::vector<double> samples;
     samples.reserve(10'001);
     for (int index = 0; index < 10'001; ++index)
--- a/tests/config_delta_test.cpp
+++ b/tests/config_delta_test.cpp
@@ -1,5 +1,5 @@
 #include "fakes/sample_config.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -43,7 +43,7 @@
 TEST(ConfigDelta, DifferenceLeadsFromOneSetToAnother)
 {
     EXPECT_TRUE(rc::check("apply(a, difference(a, b)) == b", [](std::uint64_t seed) {
-        fakes::seeded_random random(seed);
+        seeded_random random(seed);
         const config_set from = randomSet(random);
         const config_set to = randomSet(random);
         const config_delta delta = difference(from, to);
--- a/tests/config_input_test.cpp
+++ b/tests/config_input_test.cpp
@@ -52,7 +52,7 @@
     const std::string set = toJson(fakes::sampleSet());
     const std::string record = encodePublication({"p", -1, fakes::rateDelta("acme", 3)});
     EXPECT_TRUE(rc::check("damaged text", [&](std::uint64_t seed) {
-        fakes::seeded_random random(seed);
+        seeded_random random(seed);
         const tl::expected<config_set, config_faults> read = parseConfigSet(damage(set, random));
         if (read)
             RC_ASSERT(parseConfigSet(toJson(*read))->objects() == read->objects());
@@ -69,7 +69,7 @@
 TEST(ConfigInput, AcceptedPathsKeepTheirSegmentsWhenDecoded)
 {
     EXPECT_TRUE(rc::check("decoded path", [](std::uint64_t seed) {
-        fakes::seeded_random random(seed);
+        seeded_random random(seed);
         constexpr std::array<std::string_view, 13> parts = {
                 "/", ".", "..", "%25", "%2e", "%2F", "%5c", "%3b", "%20", "a", "2e", ";", "?"};
         std::string target = "/";
--- a/tests/config_key_test.cpp
+++ b/tests/config_key_test.cpp
@@ -1,5 +1,5 @@
 #include "fakes/sample_config.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 
@@ -26,7 +26,7 @@
         return owner ? (*owner)->name : std::string(answerFor(owner.error()).name);
     }
 
-    fakes::seeded_random m_random{7};
+    seeded_random m_random{7};
     issued_key m_acme = issueKey("acme", m_random);
     issued_key m_globex = issueKey("globex", m_random);
     config_objects m_objects = fakes::sampleObjects();
--- a/tests/config_log_test.cpp
+++ b/tests/config_log_test.cpp
@@ -132,7 +132,7 @@
 TEST(ConfigLog, ReadersAgreeAndNeverRevert)
 {
     EXPECT_TRUE(rc::check("all readers agree", [](std::uint64_t seed) {
-        fakes::seeded_random random(seed);
+        seeded_random random(seed);
         const config_history history = randomHistory(random, 60);
         any_reader reader(history, random);
         for (int step = 0; step < 60; ++step)
--- a/tests/ctl_commands_test.cpp
+++ b/tests/ctl_commands_test.cpp
@@ -1,8 +1,8 @@
 #include "ctl/commands.h"
 
 #include "fakes/sample_config.h"
-#include "fakes/seeded_random.h"
 #include "fakes/service_transport.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 
@@ -48,7 +48,7 @@
                          + ".json";
     fakes::service_transport m_transport;
     platform_log m_log{m_transport, "http://log"};
-    fakes::seeded_random m_random{5};
+    seeded_random m_random{5};
     command_options m_options;
     std::ostringstream m_out;
     std::ostringstream m_errors;
--- a/tests/ctl_publish_test.cpp
+++ b/tests/ctl_publish_test.cpp
@@ -29,7 +29,7 @@
 
     fakes::service_transport m_transport;
     platform_log m_log{m_transport, "http://log/"};
-    fakes::seeded_random m_random{11};
+    seeded_random m_random{11};
     int m_pauses = 0;
     std::function<void()> m_onPause;
     config_client m_client = newClient();
--- a/tests/fakes/config_history.h
+++ b/tests/fakes/config_history.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fakes/sample_config.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <algorithm>
 #include <memory>
--- a/tests/fakes/quarantine_group.h
+++ b/tests/fakes/quarantine_group.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include "tamarackridge/quarantine"
 
--- a/tests/fakes/quota_fleet.h
+++ b/tests/fakes/quota_fleet.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "fakes/event_queue.h"
 #include "fakes/rate_oracle.h"
-#include "fakes/seeded_random.h"
+#include "scenario/event_queue.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include "tamarackridge/quota"
 
@@ -383,7 +383,7 @@
     }
 
     fleet_options m_options;
-    event_queue m_events;
+    scenario::event_queue m_events;
     seeded_random m_random;
     std::vector<std::unique_ptr<node>> m_nodes;
     std::set<std::string> m_isolatedZones;
--- a/tests/fakes/surge_model.h
+++ b/tests/fakes/surge_model.h
@@ -2,8 +2,8 @@
 
 #include "tamarackridge/overload"
 
-#include "fakes/seeded_random.h"
 #include "fakes/virtual_server.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <array>
 #include <cmath>
--- a/tests/ledger_at_most_once_test.cpp
+++ b/tests/ledger_at_most_once_test.cpp
@@ -1,5 +1,5 @@
-#include "fakes/seeded_random.h"
 #include "tamarackridge/ledger"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -24,7 +24,7 @@
 protected:
     request_id issue(time_point now) { return *request_id::parse(m_ledger.issue(now)); }
 
-    fakes::seeded_random m_random{1};
+    seeded_random m_random{1};
     time_point m_start{};
     ledger m_ledger{owner, {}, m_random, m_start};
 };
@@ -165,7 +165,7 @@
 // Guards against any order of sends, outcomes and handovers that lets one id run twice.
 RC_GTEST_PROP(LedgerProperty, AnIdIsHandedOutForRunningAtMostOnce, ())
 {
-    fakes::seeded_random random{3};
+    seeded_random random{3};
     time_point now{};
     ledger first{owner, {}, random, now};
     ledger second{successor, {}, random, now};
--- a/tests/load_client_call_test.cpp
+++ b/tests/load_client_call_test.cpp
@@ -1,6 +1,6 @@
-#include "fakes/seeded_random.h"
 #include "load/client_call.h"
 #include "load/id_pool.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 
@@ -33,7 +33,7 @@
 TEST(LoadClientCall, IdOfA428AnswerIsUsedAtOnceAndIsNoRetry)
 {
     const load_customer customer = customerWith({});
-    fakes::seeded_random random(1);
+    seeded_random random(1);
     client_call call(customer, {});
     send_result required = answer(428, "request_id_required");
     required.issuedId = "id-1";
@@ -46,7 +46,7 @@
 // Guards against retries beyond the habit, or of answers that are final.
 TEST(LoadClientCall, RetriesOnlyWhatMaySucceedAndOnlyAsOftenAsPlanned)
 {
-    fakes::seeded_random random(1);
+    seeded_random random(1);
     client_call failing(patient, {});
     EXPECT_TRUE(failing.sendEnded(answer(503, "overloaded"), duration(1), random));
     EXPECT_TRUE(failing.sendEnded({}, duration(2), random));
@@ -64,7 +64,7 @@
 {
     const load_customer customer =
             customerWith({retry_mode::backoff, 3, std::chrono::milliseconds(100)});
-    fakes::seeded_random random(1);
+    seeded_random random(1);
     client_call call(customer, {});
     for (int longest : {100, 200, 400}) {
         const std::optional<duration> pause = call.sendEnded(answer(503), duration(1), random);
@@ -77,7 +77,7 @@
 // Guards against a 2xx answer with another request's body that counts as goodput.
 TEST(LoadClientCall, WrongBodyIsMismatched)
 {
-    fakes::seeded_random random(1);
+    seeded_random random(1);
     client_call call(patient, {});
     EXPECT_FALSE(call.sendEnded(answer(200), duration(1), random));
     EXPECT_EQ(call.record.outcome, request_outcome::mismatched);
--- a/tests/node_faults_test.cpp
+++ b/tests/node_faults_test.cpp
@@ -78,7 +78,7 @@
     }
 
     sample_fleet &m_sample;
-    scenario_random m_random;
+    seeded_random m_random;
 };
 
 class NodeFaultsTest : public ::testing::TestWithParam<std::uint64_t>
--- a/tests/overload_limit_test.cpp
+++ b/tests/overload_limit_test.cpp
@@ -1,7 +1,7 @@
 #include "tamarackridge/overload"
 
-#include "fakes/seeded_random.h"
 #include "fakes/virtual_server.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -60,7 +60,7 @@
     }
 
     fakes::event_loop m_loop;
-    fakes::seeded_random m_random;
+    seeded_random m_random;
     fakes::virtual_server m_server;
     std::uint64_t m_completed = 0;
 };
--- a/tests/quota_holder_test.cpp
+++ b/tests/quota_holder_test.cpp
@@ -1,5 +1,5 @@
 #include "fakes/rate_oracle.h"
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include "tamarackridge/quota"
 
--- a/tests/quota_pool_test.cpp
+++ b/tests/quota_pool_test.cpp
@@ -1,4 +1,4 @@
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include "tamarackridge/quota"
 
@@ -7,7 +7,6 @@
 #include <algorithm>
 
 using namespace tamarackridge;
-using namespace tamarackridge::fakes;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tests/routing_choice_test.cpp
+++ b/tests/routing_choice_test.cpp
@@ -1,6 +1,6 @@
 #include "tamarackridge/routing"
 
-#include "fakes/seeded_random.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -60,7 +60,7 @@
     }
 
     time_point m_now{1h};
-    fakes::seeded_random m_random{20261204};
+    seeded_random m_random{20261204};
     router m_routes{optionsFor("own")};
 };
 
@@ -218,7 +218,7 @@
 {
     const int executors = *rc::gen::inRange(1, 40);
     const std::string own = *rc::gen::arbitrary<std::string>();
-    fakes::seeded_random random(20261204);
+    seeded_random random(20261204);
     const time_point now(1h);
     router routes(optionsFor(own));
     for (int i = 0; i < executors; ++i)
