--- a/include/tamarackridge/src/node/node_core.h
+++ b/include/tamarackridge/src/node/node_core.h
@@ -30,6 +30,7 @@
     std::string peerEndpoint; ///< Endpoint under which peers reach this node.
     std::vector<seed_peer> seeds;
     bool logConfigured = true; ///< False: configuration comes from peers only.
+    duration logRetention = std::chrono::hours(24); ///< How long the log keeps a record.
     duration quotaLease = std::chrono::hours(12); ///< Of a quota slot.
     duration quotaClaimDelay = std::chrono::seconds(10); ///< Spreads the claims of free slots.
 };
--- a/src/core/node/config_service.cpp
+++ b/src/core/node/config_service.cpp
@@ -5,12 +5,24 @@
 
 namespace tamarackridge::internal {
 
+namespace {
+
+snapshot_options snapshotOptions(const node_options &options)
+{
+    snapshot_options result;
+    result.retention = options.logRetention;
+    return result;
+}
+
+} // namespace
+
 config_service::config_service(const node_options &options, overlay &membership,
                                node_counters &counters, random_source &random, install_sink sink)
     : m_options(options)
     , m_membership(membership)
     , m_counters(counters)
     , m_sink(std::move(sink))
+    , m_log(snapshotOptions(options))
     , m_keys(random.next())
     , m_confirmed(options.self.zone)
 { }
--- a/src/core/node/config_service.h
+++ b/src/core/node/config_service.h
@@ -56,7 +56,7 @@
     overlay &m_membership;
     node_counters &m_counters;
     install_sink m_sink;
-    config_log m_log{snapshot_options{}};
+    config_log m_log;
     key_store m_keys;
     confirmation m_confirmed;
     std::shared_ptr<const config_set> m_set;
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -167,16 +167,27 @@
     return assessFleet(askNodes(m_transport, m_options.nodes), m_client.current(), version);
 }
 
+bool commands::nodesAhead(const fleet_report &report)
+{
+    if (report.version <= m_client.version())
+        return false;
+    // Another publication may have followed, which the log then tells.
+    return m_client.catchUp().has_value() || report.version > m_client.version();
+}
+
 exit_code commands::awaitFleet()
 {
     constexpr int polls = 10; // A version is to be in force everywhere within 4 s.
     fleet_report report;
     for (int poll = 0; poll < polls; ++poll) {
         report = askFleet(m_client.version());
-        if (report.allCurrent())
+        if (report.allCurrent() && !nodesAhead(report))
             return exit_code::success;
         m_client.pause(std::chrono::seconds(1));
     }
+    if (nodesAhead(report))
+        m_errors << "nodes have a newer version than the log, which has lost records; they keep "
+                    "it\n";
     m_errors << "published, but not in force everywhere:\n"
              << statusText(report, m_client.current().settings().maxUnconfirmed, false);
     return exit_code::fleet_behind;
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -51,6 +51,8 @@
 
     std::optional<config_set> load(const std::string &file, exit_code &failure);
     exit_code finish(const change_report &report);
+    /// \returns whether a node follows a version that the log does not have.
+    bool nodesAhead(const fleet_report &report);
     exit_code awaitFleet();
     fleet_report askFleet(std::optional<std::int64_t> version);
     exit_code fail(exit_code code, const std::string &message);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t largestAnswerLimit = 256 << 20;
 constexpr std::int64_t mostConnections = 10'000;
 constexpr std::int64_t longestIdle = 3600;
+constexpr std::int64_t shortestRetention = 60;
+constexpr std::int64_t longestRetention = 365 * 86'400;
 constexpr std::int64_t shortestLease = 60;
 constexpr std::int64_t longestLease = 86'400;
 constexpr std::int64_t longestClaimDelay = 60'000;
@@ -50,6 +52,8 @@
             textField("peers.secret_key", out.fleetSecretKey),
             listField("peers.seeds", out.seeds, &seedFields),
             textField("log.address", out.logAddress, optional),
+            integerField("log.retention_s", out.logRetentionSeconds, shortestRetention,
+                         longestRetention),
             textField("backend.address", out.backendAddress, optional),
             integerField("backend.max_answer_bytes", out.maxAnswerBytes, 1, largestAnswerLimit),
             integerField("quota.lease_s", out.quotaLeaseSeconds, shortestLease, longestLease),
@@ -93,6 +97,7 @@
     options.self = {settings.zone, settings.name, life};
     options.peerEndpoint = settings.peerEndpoint;
     options.seeds = settings.seeds;
+    options.logRetention = std::chrono::seconds(settings.logRetentionSeconds);
     options.quotaLease = std::chrono::seconds(settings.quotaLeaseSeconds);
     options.quotaClaimDelay = std::chrono::milliseconds(settings.quotaClaimDelayMs);
     options.logConfigured = !settings.logAddress.empty();
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -26,6 +26,7 @@
     std::vector<seed_peer> seeds;
 
     std::string logAddress; ///< Empty: configuration comes from peers only.
+    std::int64_t logRetentionSeconds = 86'400; ///< How long the log keeps a record.
     std::string backendAddress; ///< Empty: the address that the announcement came from.
     std::int64_t maxAnswerBytes = 8 << 20;
     std::int64_t keptConnectionIdle = 15; ///< Seconds; below the backend server's own limit.
--- a/tests/ctl_commands_test.cpp
+++ b/tests/ctl_commands_test.cpp
@@ -178,6 +178,22 @@
     EXPECT_NE(m_errors.str().find("state=not-heard  zone=bilbao"), std::string::npos);
 }
 
+// Guards against a change that is reported as done although the nodes keep the higher version of a
+// log that has lost its records.
+TEST_F(ctl_commands, AChangeBelowTheVersionOfTheNodesIsNoSuccess)
+{
+    ASSERT_EQ(publish(fakes::sampleObjects(), -1), exit_code::success);
+    m_options.nodes = {"http://a", "http://b"};
+    for (const char *const zone : {"oviedo", "bilbao"}) {
+        const std::string url = zone == std::string("oviedo") ? "http://a" : "http://b";
+        m_transport.pages["GET " + url + "/.tamarackridge/status"] =
+                R"({"node": "n1", "zone": ")" + std::string(zone)
+                + R"(", "config_version": 700, "confirmation_age_ms": 40})";
+    }
+    EXPECT_EQ(run({"keys", "issue", "acme"}), exit_code::fleet_behind);
+    EXPECT_NE(m_errors.str().find("newer version than the log"), std::string::npos);
+}
+
 // Guards against a drain that is reported although no node took it.
 TEST_F(ctl_commands, DrainReachesTheNode)
 {
