--- a/src/core/node/entry.cpp
+++ b/src/core/node/entry.cpp
@@ -41,8 +41,7 @@
 } // namespace
 
 entry::entry(const parts &collaborators)
-    : m_options(collaborators.options)
-    , m_config(collaborators.config)
+    : m_config(collaborators.config)
     , m_quota(collaborators.quota)
     , m_ids(collaborators.ids)
     , m_handles(collaborators.handles)
--- a/src/core/node/entry.h
+++ b/src/core/node/entry.h
@@ -33,7 +33,6 @@
 public:
     struct parts
     {
-        const node_options &options;
         config_service &config;
         quota_service &quota;
         ledger &ids;
@@ -118,7 +117,6 @@
     void emitSpan(const entry_request &ended, const request_outcome &result, time_point now,
                   action_list &out) const;
 
-    const node_options &m_options;
     config_service &m_config;
     quota_service &m_quota;
     ledger &m_ids;
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -48,7 +48,7 @@
     , m_config(m_options, m_membership, m_counters, random,
                [this](const config_set &set, time_point now) { m_quota.configure(set, now); })
     , m_quota(m_options, m_membership, random)
-    , m_entry({m_options, m_config, m_quota, m_ids, m_handles, m_membership, m_counters, random})
+    , m_entry({m_config, m_quota, m_ids, m_handles, m_membership, m_counters, random})
     , m_executor(
               m_handles, m_counters, random,
               [this](const node_ref &owner, dispatch_answer answer, time_point now,
