--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -140,7 +140,11 @@
   },
   "log": {"address": "${log_url}"},
   "quota": {"claim_delay_ms": 500},
-  "logging": {"level": "warning", "trace_file": "${work_dir}/${name}.trace"}
+  "logging": {
+    "level": "warning",
+    "trace_file": "${work_dir}/${name}.trace",
+    "request_file": "${work_dir}/${name}.requests"
+  }
 }
 SETTINGS
 }
--- a/src/scenario/client_load.cpp
+++ b/src/scenario/client_load.cpp
@@ -24,18 +24,35 @@
     if (next >= end)
         return;
     events.at(next, [this, group, end] {
-        const request_handle request = std::make_shared<pending>();
-        request->group = *group;
-        request->marker = group->customer + "-" + std::to_string(m_nextMarker++);
-        request->isWrite = m_random.unit() < group->writeShare;
-        request->second = static_cast<std::size_t>(m_sample.fleet.events().now().time_since_epoch()
-                                                   / std::chrono::seconds(1));
-        ++secondOf(*request).requests;
-        send(request);
+        begin(*group, m_random.unit() < group->writeShare);
         arrive(group, end);
     });
 }
 
+void client_load::begin(const caller_group &group, bool isWrite)
+{
+    const request_handle request = std::make_shared<pending>();
+    request->group = group;
+    request->marker = group.customer + "-" + std::to_string(m_nextMarker++);
+    request->isWrite = isWrite;
+    request->second = static_cast<std::size_t>(m_sample.fleet.events().now().time_since_epoch()
+                                               / std::chrono::seconds(1));
+    ++secondOf(*request).requests;
+    send(request);
+}
+
+void client_load::replay(const caller_group &group, std::span<const recorded_request> trace)
+{
+    event_queue &events = m_sample.fleet.events();
+    for (const recorded_request &recorded : trace) {
+        caller_group caller = group;
+        caller.target = recorded.path;
+        events.after(recorded.arrival, [this, caller, isWrite = recorded.method == "POST"] {
+            begin(caller, isWrite);
+        });
+    }
+}
+
 load_second &client_load::secondOf(const pending &request)
 {
     std::vector<load_second> &seconds = m_seconds[request.group.customer];
--- a/src/scenario/client_load.h
+++ b/src/scenario/client_load.h
@@ -2,10 +2,12 @@
 
 #include "scenario/oracle.h"
 #include "scenario/sample_fleet.h"
+#include "scenario/trace_replay.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,11 @@
     /// \brief Arrivals of \a group begin now and end after \a length.
     void start(const caller_group &group, duration length);
 
+    /// \brief Sends the requests of a recorded trace from now on, at the pace of the recording.
+    ///
+    /// Posts become writes with a request id; the rate and share of \a group are not used.
+    void replay(const caller_group &group, std::span<const recorded_request> trace);
+
     const std::vector<load_second> &seconds(const std::string &customer) const;
     /// \returns the share of requests between the two seconds that got whole answers.
     double goodput(const std::string &customer, std::size_t from, std::size_t to) const;
@@ -64,6 +71,7 @@
     using request_handle = std::shared_ptr<pending>;
 
     void arrive(const std::shared_ptr<const caller_group> &group, time_point end);
+    void begin(const caller_group &group, bool isWrite);
     void send(const request_handle &request);
     void handle(const request_handle &request, int generation, const http_answer &answer);
     void resendLater(const request_handle &request);
--- a/src/scenario/main.cpp
+++ b/src/scenario/main.cpp
@@ -3,6 +3,7 @@
 
 #include <gflags/gflags.h>
 
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 
@@ -25,7 +26,8 @@
                   << "\n";
         return 1;
     }
-    script_runner runner(std::move(*script));
+    script_runner runner(std::move(*script),
+                         std::filesystem::path(fileName).parent_path().string());
     const tl::expected<std::vector<expectation_result>, script_fault> results = runner.run();
     if (!results) {
         std::cerr << fileName << ":" << results.error().line << ": " << results.error().message
--- a/src/scenario/script.h
+++ b/src/scenario/script.h
@@ -39,6 +39,7 @@
 /// zones a b c d
 /// customer andes rate 60 burst 60
 /// at 15s load andes zones a,b rate 120 for 30s writes 0.3 resends 4
+/// at 15s replay recorded/demo.jsonl customer andes resends 1
 /// at 20s cut a
 /// at 25s heal a
 /// run 60s
--- a/src/scenario/script_runner.h
+++ b/src/scenario/script_runner.h
@@ -5,6 +5,7 @@
 #include "scenario/script.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,8 +24,10 @@
 class script_runner
 {
 public:
-    explicit script_runner(std::vector<script_line> lines)
+    /// \param folder where the files that the scenario names are found.
+    script_runner(std::vector<script_line> lines, std::string folder)
         : m_lines(std::move(lines))
+        , m_folder(std::move(folder))
     { }
 
     /// \returns the outcome of each expectation, or the fault that kept the scenario from running.
@@ -40,12 +43,15 @@
 
     bool runStep(const script_line &line);
     bool load(const script_line &line);
+    bool replay(const script_line &line);
+    std::optional<caller_group> groupOf(const script_line &line) const;
     bool log(const script_line &line);
     bool slow(const script_line &line);
     bool isNode(const std::string &name) const;
     bool isZone(const std::string &name) const;
 
     std::vector<script_line> m_lines;
+    std::string m_folder;
     std::unique_ptr<sample_fleet> m_sample;
     std::unique_ptr<client_load> m_load;
     oracle m_oracle;
--- a/src/scenario/script_steps.cpp
+++ b/src/scenario/script_steps.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 
 namespace tamarackridge::scenario {
 
@@ -45,6 +46,8 @@
 {
     if (line.verb == "load")
         return load(line);
+    if (line.verb == "replay")
+        return replay(line);
     if (line.verb == "log")
         return log(line);
     if (line.verb == "slow")
@@ -74,27 +77,47 @@
     return std::find(m_sample->zones.begin(), m_sample->zones.end(), name) != m_sample->zones.end();
 }
 
-bool script_runner::load(const script_line &line)
+std::optional<caller_group> script_runner::groupOf(const script_line &line) const
 {
-    if (line.words.empty() || !m_sample->configuration.keys.contains(line.words.front()))
-        return false;
+    const std::string customer = line.verb == "replay"
+                                         ? line.option("customer").value_or("")
+                                         : (line.words.empty() ? "" : line.words.front());
+    if (!m_sample->configuration.keys.contains(customer))
+        return std::nullopt;
     caller_group group;
-    group.customer = line.words.front();
+    group.customer = customer;
     group.zones = m_sample->zones;
     if (const std::optional<std::string> zones = line.option("zones"))
         group.zones = splitAtCommas(*zones);
     if (const std::optional<std::string> target = line.option("target"))
         group.target = *target;
-    const std::optional<std::string> rate = line.option("rate");
-    const std::optional<std::string> length = line.option("for");
-    const std::optional<double> perSecond = rate ? parseNumber(*rate) : std::nullopt;
-    const std::optional<duration> time = length ? parseDuration(*length) : std::nullopt;
-    if (!perSecond || *perSecond <= 0 || !time)
-        return false;
-    group.rate = *perSecond;
     group.writeShare = parseNumber(line.option("writes").value_or("0")).value_or(0);
     group.resends = static_cast<int>(parseNumber(line.option("resends").value_or("0")).value_or(0));
-    m_load->start(group, *time);
+    return group;
+}
+
+bool script_runner::load(const script_line &line)
+{
+    std::optional<caller_group> group = groupOf(line);
+    const double rate = parseNumber(line.option("rate").value_or("0")).value_or(0);
+    const std::optional<duration> time = parseDuration(line.option("for").value_or(""));
+    if (!group || rate <= 0 || !time)
+        return false;
+    group->rate = rate;
+    m_load->start(*group, *time);
+    return true;
+}
+
+bool script_runner::replay(const script_line &line)
+{
+    const std::optional<caller_group> group = groupOf(line);
+    if (!group || line.words.empty())
+        return false;
+    std::ifstream file(m_folder + "/" + line.words.front());
+    const tl::expected<std::vector<recorded_request>, script_fault> trace = readTrace(file);
+    if (!trace || trace->empty())
+        return false;
+    m_load->replay(*group, *trace);
     return true;
 }
 
