--- a/tests/ledger_at_most_once_test.cpp
+++ b/tests/ledger_at_most_once_test.cpp
@@ -19,7 +19,7 @@
     return {201, {{"Location", "/invoices/1"}}, std::make_shared<const std::string>("invoice 1")};
 }
 
-class LedgerTest : public ::testing::Test
+class ledger_at_most_once : public ::testing::Test
 {
 protected:
     request_id issue(time_point now) { return *request_id::parse(m_ledger.issue(now)); }
@@ -32,7 +32,7 @@
 } // namespace
 
 // Guards against a resend that runs a write twice while the first send still runs.
-TEST_F(LedgerTest, ResendWaitsForTheRunningRequest)
+TEST_F(ledger_at_most_once, ResendWaitsForTheRunningRequest)
 {
     const request_id id = issue(m_start);
     EXPECT_EQ(m_ledger.begin(id, "airline", digest, m_start).kind, verdict::run);
@@ -40,7 +40,7 @@
 }
 
 // Guards against a resend after the answer was lost on its way to the caller.
-TEST_F(LedgerTest, ResendOfAnAnsweredRequestGetsTheSameAnswer)
+TEST_F(ledger_at_most_once, ResendOfAnAnsweredRequestGetsTheSameAnswer)
 {
     const request_id id = issue(m_start);
     m_ledger.answered(m_ledger.begin(id, "airline", digest, m_start).key, invoiceAnswer());
@@ -52,7 +52,7 @@
 
 // Guards against an earlier send, held up on its way, that runs after the caller was told
 // `not-run`.
-TEST_F(LedgerTest, ARefusalIsFinalForItsId)
+TEST_F(ledger_at_most_once, ARefusalIsFinalForItsId)
 {
     const request_id id = issue(m_start);
     m_ledger.refused(m_ledger.begin(id, "airline", digest, m_start).key);
@@ -64,7 +64,7 @@
 }
 
 // Guards against a second run after the backend connection broke with bytes sent.
-TEST_F(LedgerTest, AnUnknownOutcomeStaysUnknown)
+TEST_F(ledger_at_most_once, AnUnknownOutcomeStaysUnknown)
 {
     const request_id id = issue(m_start);
     const ledger_key key = m_ledger.begin(id, "airline", digest, m_start).key;
@@ -76,7 +76,7 @@
 }
 
 // Guards against a replaced node without memory that runs, or denies, what its predecessor ran.
-TEST_F(LedgerTest, AnotherIncarnationAnswersUnknown)
+TEST_F(ledger_at_most_once, AnotherIncarnationAnswersUnknown)
 {
     const request_id id = issue(m_start);
     ledger replaced{{"a", "node1", 0x12}, {}, m_random, m_start};
@@ -86,7 +86,7 @@
 }
 
 // Guards against a run of an id whose record may already have been dropped.
-TEST_F(LedgerTest, AnExpiredIdNeverRuns)
+TEST_F(ledger_at_most_once, AnExpiredIdNeverRuns)
 {
     const request_id id = issue(m_start);
     const ledger_decision decision = m_ledger.begin(id, "airline", digest, m_start + 10min);
@@ -95,7 +95,7 @@
 }
 
 // Guards against ids made up by callers and against one customer reading another's answer.
-TEST_F(LedgerTest, ForgedAndForeignIdsAreRefused)
+TEST_F(ledger_at_most_once, ForgedAndForeignIdsAreRefused)
 {
     request_id id = issue(m_start);
     m_ledger.answered(m_ledger.begin(id, "airline", digest, m_start).key, invoiceAnswer());
@@ -107,7 +107,7 @@
 }
 
 // Guards against a planned stop that loses records or leaves two nodes deciding.
-TEST_F(LedgerTest, HandoverMovesTheDecision)
+TEST_F(ledger_at_most_once, HandoverMovesTheDecision)
 {
     const request_id answeredId = issue(m_start);
     const request_id runningId = issue(m_start);
@@ -128,7 +128,7 @@
 }
 
 // Guards against a rolling restart in which the ids of the first node are lost with the second.
-TEST_F(LedgerTest, HandedOverIdsAreHandedOverAgain)
+TEST_F(ledger_at_most_once, HandedOverIdsAreHandedOverAgain)
 {
     const request_id used = issue(m_start);
     const request_id unused = issue(m_start);
@@ -146,7 +146,7 @@
 }
 
 // Guards against memory that grows with every write.
-TEST_F(LedgerTest, RecordsAndAnswersAreBounded)
+TEST_F(ledger_at_most_once, RecordsAndAnswersAreBounded)
 {
     ledger small{owner, {10min, 4, 20}, m_random, m_start};
     for (int index = 0; index < 6; ++index) {
--- a/tests/node_configuration_test.cpp
+++ b/tests/node_configuration_test.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-class NodeConfigurationTest : public ::testing::Test
+class node_configuration : public ::testing::Test
 {
 protected:
-    NodeConfigurationTest()
+    node_configuration()
         : m_sample({.seed = 20261204}, {{"andes", 1000, 1000}, {"pampa", 9, 9}})
     {
         m_sample.fleet.run(15s);
@@ -51,7 +51,7 @@
 } // namespace
 
 // Guards against a withdrawn key that goes on working somewhere in the fleet.
-TEST_F(NodeConfigurationTest, AWithdrawnKeyStopsEverywhereWithinFourSeconds)
+TEST_F(node_configuration, AWithdrawnKeyStopsEverywhereWithinFourSeconds)
 {
     withdrawKey("andes");
     m_sample.fleet.run(3s);
@@ -60,7 +60,7 @@
 }
 
 // Guards against a zone that misses a change since it reaches its peers but not the platform log.
-TEST_F(NodeConfigurationTest, AZoneWithoutTheLogLearnsOfAWithdrawalFromItsPeers)
+TEST_F(node_configuration, AZoneWithoutTheLogLearnsOfAWithdrawalFromItsPeers)
 {
     m_sample.fleet.cutLog("c");
     withdrawKey("andes");
@@ -70,7 +70,7 @@
 
 // Guards against keys that are trusted for ever in a zone that nobody can tell of a withdrawal, and
 // against refusing what needs no key.
-TEST_F(NodeConfigurationTest, ACutOffZoneTrustsKeysUpToItsBoundOnly)
+TEST_F(node_configuration, ACutOffZoneTrustsKeysUpToItsBoundOnly)
 {
     m_sample.fleet.cutZone("c");
     m_sample.fleet.cutLog("c");
@@ -87,7 +87,7 @@
 }
 
 // Guards against a long outage of the log alone that stops customers from being served.
-TEST_F(NodeConfigurationTest, ALogOutageBeyondTheBoundRefusesNobody)
+TEST_F(node_configuration, ALogOutageBeyondTheBoundRefusesNobody)
 {
     m_sample.fleet.log().setAvailable(false);
     m_sample.fleet.run(3 * bound);
--- a/tests/node_faults_test.cpp
+++ b/tests/node_faults_test.cpp
@@ -81,14 +81,14 @@
     seeded_random m_random;
 };
 
-class NodeFaultsTest : public ::testing::TestWithParam<std::uint64_t>
+class node_faults : public ::testing::TestWithParam<std::uint64_t>
 { };
 
 } // namespace
 
 // Guards the safety points against kills, planned stops, pauses, cuts, log outages, lost append
 // answers and crashes, several at once, while callers send writes again through other zones.
-TEST_P(NodeFaultsTest, SafetyHoldsUnderSeveralFaultsAtOnce)
+TEST_P(node_faults, SafetyHoldsUnderSeveralFaultsAtOnce)
 {
     const std::vector<sample_customer> customers{{"andes", 60, 60}, {"pampa", 1000, 1000}};
     sample_fleet sample({.seed = GetParam()}, customers);
@@ -117,4 +117,4 @@
     EXPECT_GT(judge.wholeAnswers(), judge.requests() / 10);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, NodeFaultsTest, ::testing::Values(1, 2, 3, 4, 5, 6, 7, 8));
+INSTANTIATE_TEST_SUITE_P(Seeds, node_faults, ::testing::Values(1, 2, 3, 4, 5, 6, 7, 8));
--- a/tests/node_quarantine_test.cpp
+++ b/tests/node_quarantine_test.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-class NodeQuarantineTest : public ::testing::Test
+class node_quarantine : public ::testing::Test
 {
 protected:
-    NodeQuarantineTest()
+    node_quarantine()
         : m_sample({.seed = 20261204}, {{"andes", 1000, 1000}})
     {
         m_sample.fleet.run(15s);
@@ -42,7 +42,7 @@
 
 // Guards against a request that its caller sends again and again until every backend server is
 // down.
-TEST_F(NodeQuarantineTest, ARequestThatCrashesServersIsStoppedInTheWholeFleet)
+TEST_F(node_quarantine, ARequestThatCrashesServersIsStoppedInTheWholeFleet)
 {
     int quarantined = 0;
     const std::vector<std::string> entries{"a-tariffs", "b-tariffs", "c-tariffs", "d-tariffs"};
@@ -67,7 +67,7 @@
 }
 
 // Guards against a healthy request that is refused because it ran beside one that crashes servers.
-TEST_F(NodeQuarantineTest, HealthyRequestsBesideItAreServedAgain)
+TEST_F(node_quarantine, HealthyRequestsBesideItAreServedAgain)
 {
     for (const std::string &zone : m_sample.zones)
         m_sample.fleet.backend(zone + "-movements").setServiceTime(200ms);
--- a/tests/node_request_path_test.cpp
+++ b/tests/node_request_path_test.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-class NodeTest : public ::testing::Test
+class node_request_path : public ::testing::Test
 {
 protected:
-    NodeTest()
+    node_request_path()
         : m_sample({.seed = 20261204}, {{"andes", 1000, 1000}, {"pampa", 1000, 1000}})
     {
         m_sample.fleet.run(15s);
@@ -41,7 +41,7 @@
 } // namespace
 
 // Guards against an answer that is not the whole answer to the caller's own request.
-TEST_F(NodeTest, ALookupIsServedByThePeerThatHasTheService)
+TEST_F(node_request_path, ALookupIsServedByThePeerThatHasTheService)
 {
     const http_answer answer =
             call("a-tariffs", m_sample.request("GET", "/movements", "andes", "m1"));
@@ -52,7 +52,7 @@
 
 // Guards against keys that reach backend servers and requests that run for nobody's or another's
 // key.
-TEST_F(NodeTest, KeysStayAtTheNodeAndDecideForWhomARequestRuns)
+TEST_F(node_request_path, KeysStayAtTheNodeAndDecideForWhomARequestRuns)
 {
     call("a-tariffs", m_sample.request("GET", "/movements", "andes", "m1"));
     ASSERT_EQ(m_sample.executionsOf("m1"), 1U);
@@ -69,7 +69,7 @@
 }
 
 // Guards against a write that runs without an id and so cannot be recognised when sent again.
-TEST_F(NodeTest, AWriteWithoutAnIdIsRefusedWithAFreshOne)
+TEST_F(node_request_path, AWriteWithoutAnIdIsRefusedWithAFreshOne)
 {
     const http_answer refused =
             call("b-tariffs", m_sample.request("POST", "/invoices", "andes", "w1"));
@@ -82,7 +82,7 @@
 }
 
 // Guards against onward calls that lose the customer or need the key.
-TEST_F(NodeTest, AnOnwardCallRunsForTheSameCustomer)
+TEST_F(node_request_path, AnOnwardCallRunsForTheSameCustomer)
 {
     const std::string id = m_sample.newId("a-movements", "pampa");
     EXPECT_EQ(call("a-movements", m_sample.write("pampa", "w2", id)).status, 200);
@@ -92,7 +92,7 @@
 }
 
 // Guards against a resend through another zone that runs a write twice.
-TEST_F(NodeTest, AResendThroughAnotherZoneGetsTheSameAnswer)
+TEST_F(node_request_path, AResendThroughAnotherZoneGetsTheSameAnswer)
 {
     const std::string id = m_sample.newId("a-movements", "andes");
     const http_answer first = call("a-movements", m_sample.write("andes", "w3", id));
@@ -103,7 +103,7 @@
 }
 
 // Guards against a fresh node that runs, or denies, what its predecessor was asked to run.
-TEST_F(NodeTest, AfterTheOwnerDiedAResendIsUnknownAndNeverRuns)
+TEST_F(node_request_path, AfterTheOwnerDiedAResendIsUnknownAndNeverRuns)
 {
     const std::string id = m_sample.newId("a-movements", "andes");
     call("a-movements", m_sample.write("andes", "w4", id));
@@ -117,7 +117,7 @@
 }
 
 // Guards against a planned stop that forgets which writes ran.
-TEST_F(NodeTest, APlannedStopHandsItsRequestIdsOver)
+TEST_F(node_request_path, APlannedStopHandsItsRequestIdsOver)
 {
     const std::string used = m_sample.newId("a-movements", "andes");
     const std::string unused = m_sample.newId("a-movements", "andes");
@@ -132,7 +132,7 @@
 }
 
 // Guards against a write that runs again after its backend server died with it.
-TEST_F(NodeTest, AWriteWhoseBackendServerDiedIsUnknownForGood)
+TEST_F(node_request_path, AWriteWhoseBackendServerDiedIsUnknownForGood)
 {
     for (const std::string &zone : m_sample.zones)
         m_fleet.backend(zone + "-invoicing").setServiceTime(600s);
@@ -154,7 +154,7 @@
 
 // Guards against an owner that wakes after a pause with the request in its hand and dispatches it
 // when its caller has long been told otherwise.
-TEST_F(NodeTest, APausedOwnerDoesNotRunAWriteTwice)
+TEST_F(node_request_path, APausedOwnerDoesNotRunAWriteTwice)
 {
     const std::string id = m_sample.newId("a-movements", "andes");
     m_fleet.pause("a-movements");
@@ -168,7 +168,7 @@
 }
 
 // Guards against a zone that stops serving because it is cut off from the others and the log.
-TEST_F(NodeTest, ACutOffZoneGoesOnServing)
+TEST_F(node_request_path, ACutOffZoneGoesOnServing)
 {
     m_fleet.cutZone("c");
     m_fleet.cutLog("c");
@@ -178,7 +178,7 @@
 }
 
 // Guards against a fresh VM that cannot serve while the platform log is down.
-TEST_F(NodeTest, AFreshNodeLearnsTheConfigurationFromPeers)
+TEST_F(node_request_path, AFreshNodeLearnsTheConfigurationFromPeers)
 {
     m_fleet.log().setAvailable(false);
     m_fleet.replace("b-tariffs");
