--- a/tests/node_planned_stop_test.cpp
+++ b/tests/node_planned_stop_test.cpp
@@ -29,3 +29,18 @@
     }
     EXPECT_TRUE(judge.violations(sample.fleet.executions(), 1100ms).empty());
 }
+
+// Guards against ids that a node still issues while it is about to hand its ledger over.
+TEST(NodePlannedStop, ALeavingNodeIssuesNoRequestIds)
+{
+    sample_fleet sample({.seed = 20261204}, {{"andes", 100, 100}});
+    sample.fleet.run(15s);
+    sample.fleet.stop("a-movements");
+    http_answer answer;
+    sample.fleet.call("a-movements", sample.request("POST", "/invoices", "andes", "w1"),
+                      [&answer](const http_answer &received) { answer = received; });
+    sample.fleet.run(1s);
+    EXPECT_EQ(headerValue(answer.headers, "Tamarackridge-Error"), "leaving");
+    EXPECT_EQ(headerValue(answer.headers, "Tamarackridge-Run-State"), "not-run");
+    EXPECT_TRUE(headerValue(answer.headers, "Tamarackridge-Request-Id").empty());
+}
