--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -51,6 +51,10 @@
     overlay(member self, std::vector<std::pair<std::string, std::string>> seeds,
             overlay_options options, time_point now);
 
+    /// \brief Replaces the seeds, as names and endpoints, and joins through them at the next tick.
+    void setSeeds(std::vector<std::pair<std::string, std::string>> seeds, time_point now);
+    /// \brief Tells a node that has started again who is in the fleet.
+    void introduce(std::string_view node, action_list &out);
     /// \brief Changes what this node says about itself and spreads it.
     void setSelf(std::string_view service, std::uint32_t slots, member_state state,
                  std::string_view successor, action_list &out);
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -11,7 +11,7 @@
     clang-format clang-tidy
     libulfius-dev libmicrohttpd-dev libzmq3-dev cppzmq-dev libprotobuf-dev libgflags-dev libspdlog-dev
     libexpected-dev nlohmann-json3-dev libxxhash-dev libgnutls28-dev
-    libprometheus-cpp-core1.0 libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev
+    libboost-dev libprometheus-cpp-core1.0 libgtest-dev libgmock-dev libbenchmark-dev librapidcheck-dev
 )
 
 is_installed() {
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -17,6 +17,23 @@
     m_directory.merge(m_self, now);
 }
 
+void overlay::setSeeds(std::vector<std::pair<std::string, std::string>> seeds, time_point now)
+{
+    m_seeds = std::move(seeds);
+    m_nextJoin = now;
+}
+
+void overlay::introduce(std::string_view node, action_list &out)
+{
+    const directory::record *known = m_directory.find(node);
+    if (known == nullptr)
+        return;
+    const std::string endpoint = known->info.endpoint;
+    // Its earlier entry as well, so that it raises its counter above it.
+    sendTo(node, endpoint, 0, entries{{encodeMember(m_self), encodeMember(known->info)}}, out);
+    sendTo(node, endpoint, 0, summary(true), out);
+}
+
 void overlay::setSelf(std::string_view service, std::uint32_t slots, member_state state,
                       std::string_view successor, action_list &out)
 {
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -36,8 +36,8 @@
 } // namespace
 
 dispatcher::dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
-                       node_counters &counters, random_source &random, outcome_sink sink,
-                       late_sink lateSink)
+                       node_counters &counters, random_source &random, retry_table retries,
+                       outcome_sink sink, late_sink lateSink)
     : m_self(std::move(self))
     , m_membership(membership)
     , m_routes(routes)
@@ -46,6 +46,7 @@
     , m_random(random)
     , m_sink(std::move(sink))
     , m_lateSink(std::move(lateSink))
+    , m_retries(std::move(retries))
 { }
 
 dispatcher::owned_id dispatcher::start(owned_request request, time_point now, action_list &out)
@@ -54,7 +55,7 @@
     progress &work = m_owned[owned];
     work.attempts = attempt_budget(request.context.attempts);
     work.request = std::move(request);
-    m_retries.onFirstAttempt(now);
+    m_retries.of(work.request.context.service).onFirstAttempt(now);
     attempt(owned, now, out);
     return owned;
 }
@@ -157,6 +158,7 @@
     work.attempts.giveBack(work.part, answer.attemptsUnused);
     work.tried.push_back(work.executorNode);
     work.lastError = answer.error;
+    work.lastRefused = answer.state == run_state::not_run;
 }
 
 bool dispatcher::mayRetry(progress &work, const dispatch_answer &answer, time_point now)
@@ -173,7 +175,7 @@
     // An executor that is leaving refuses at once; moving on is not a sign of trouble.
     if (answer.error == error_kind::leaving)
         return true;
-    return m_retries.tryRetry(now);
+    return m_retries.of(work.request.context.service).tryRetry(now);
 }
 
 void dispatcher::fail(owned_id owned, error_kind kind, time_point now, action_list &out)
@@ -181,7 +183,11 @@
     const progress &work = m_owned.at(owned);
     request_outcome outcome;
     outcome.error = kind;
-    outcome.state = work.mayHaveRun ? run_state::unknown : answerFor(kind).state;
+    outcome.state = answerFor(kind).state;
+    if (work.mayHaveRun)
+        outcome.state = run_state::unknown;
+    else if (work.lastRefused)
+        outcome.state = run_state::not_run;
     finish(owned, std::move(outcome), now, out);
 }
 
@@ -189,6 +195,7 @@
 {
     const auto found = m_owned.find(owned);
     outcome.attemptsUnused = found->second.attempts.remaining();
+    outcome.executorNode = found->second.executorNode;
     m_owned.erase(found);
     m_sink(owned, std::move(outcome), now, out);
 }
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -2,10 +2,10 @@
 
 #include "core/node/executor.h"
 #include "core/node/node_counters.h"
+#include "core/node/retry_table.h"
 #include "tamarackridge/src/ledger/ledger.h"
 #include "tamarackridge/src/membership/overlay.h"
 #include "tamarackridge/src/overload/attempt_budget.h"
-#include "tamarackridge/src/overload/retry_budget.h"
 #include "tamarackridge/src/routing/router.h"
 
 #include <functional>
@@ -24,6 +24,7 @@
     std::optional<error_kind> error;
     http_answer answer;
     std::uint32_t attemptsUnused = 0;
+    std::string executorNode{}; ///< Of the last attempt; empty when none was made.
 };
 
 /// \brief A request that this node owns: it alone dispatches it.
@@ -47,8 +48,8 @@
     using late_sink = std::function<void(const ledger_key &key, const http_answer &answer)>;
 
     dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
-               node_counters &counters, random_source &random, outcome_sink sink,
-               late_sink lateSink);
+               node_counters &counters, random_source &random, retry_table retries,
+               outcome_sink sink, late_sink lateSink);
 
     /// \brief Takes a request; its outcome is reported exactly once.
     owned_id start(owned_request request, time_point now, action_list &out);
@@ -80,6 +81,7 @@
         time_point retryAt; ///< When nothing is under way.
         std::optional<error_kind> lastError; ///< Of the last attempt.
         bool mayHaveRun = false;
+        bool lastRefused = false; ///< The last attempt did not run.
     };
     using owned_map = std::unordered_map<owned_id, progress>;
 
@@ -103,7 +105,7 @@
     random_source &m_random;
     outcome_sink m_sink;
     late_sink m_lateSink;
-    retry_budget m_retries;
+    retry_table m_retries;
     owned_map m_owned;
     std::unordered_map<std::uint64_t, owned_id> m_dispatches;
     std::map<std::uint64_t, ledger_key> m_late; ///< Expired dispatches of requests with an id.
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -1,6 +1,5 @@
 #include "core/node/executor.h"
 
-#include "core/node/forwarded_headers.h"
 #include "core/node/trace.h"
 
 #include <string>
@@ -8,7 +7,6 @@
 namespace tamarackridge::internal {
 namespace {
 
-constexpr std::size_t ownHeaderCount = 4;
 constexpr duration expiryInterval = std::chrono::seconds(5);
 constexpr int tooManyRequests = 429;
 constexpr int serviceUnavailable = 503;
@@ -25,6 +23,8 @@
         return run_outcome::timeout;
     case error_kind::cancelled:
         return run_outcome::cancelled;
+    case error_kind::overloaded:
+        return run_outcome::overloaded;
     default:
         return run_outcome::failed;
     }
@@ -32,13 +32,15 @@
 
 } // namespace
 
-executor::executor(handle_table &handles, node_counters &counters, random_source &random,
-                   answer_sink sink, entry_sink spread)
-    : m_handles(handles)
+executor::executor(run_headers &headers, const concurrency_limit_options &limit,
+                   node_counters &counters, random_source &random, answer_sink sink,
+                   entry_sink spread)
+    : m_headers(headers)
     , m_counters(counters)
     , m_random(random)
     , m_sink(std::move(sink))
     , m_spread(std::move(spread))
+    , m_limit(limit)
 { }
 
 void executor::accept(const node_ref &owner, dispatch request, time_point now, action_list &out)
@@ -122,26 +124,14 @@
 
 http_request executor::backendRequest(run_id run, execution &work, time_point now)
 {
-    running_request running;
-    running.run = run;
-    running.context = work.context;
-    running.context.trace = work.span;
-    running.attempts = onward_attempts(work.context.attempts > 0 ? work.context.attempts - 1 : 0);
-    running.deadline = work.deadline;
-    running.chainStart = work.chainStart;
     http_request request;
     request.method = work.request.method;
     request.target = work.request.target;
     request.body = work.request.body;
     // Only method, target and body are needed again, for a fingerprint after a crash.
     request.headers = std::move(work.request.headers);
-    request.headers.reserve(request.headers.size() + ownHeaderCount);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(work.deadline - now);
-    request.headers.push_back({std::string(header::handle), m_handles.open(std::move(running))});
-    request.headers.push_back({std::string(header::deadline), std::to_string(left.count())});
-    if (!work.context.customer.empty())
-        request.headers.push_back({std::string(header::customer), work.context.customer});
-    request.headers.push_back({std::string(header::traceparent), formatTraceparent(work.span)});
+    const starting_run starting{run, work.context, work.span, work.deadline, work.chainStart};
+    m_headers.open(starting, now, request.headers);
     return request;
 }
 
@@ -171,7 +161,9 @@
     }
     answer.error = result.answer.error();
     answer.state = result.bytesSent ? run_state::unknown : run_state::not_run;
-    if (!result.bytesSent && *answer.error != error_kind::cancelled)
+    const bool saysWhy =
+            answer.error == error_kind::cancelled || answer.error == error_kind::overloaded;
+    if (!result.bytesSent && !saysWhy)
         answer.error = error_kind::no_backend_server;
     return answer;
 }
@@ -194,11 +186,7 @@
     m_executions.erase(found);
     m_runs.erase(work.id);
     answer.id = work.id;
-    answer.attemptsUnused = work.context.attempts;
-    if (running_request *running = m_handles.findRun(run)) {
-        answer.attemptsUnused = running->attempts.unused();
-        m_handles.close(run);
-    }
+    answer.attemptsUnused = m_headers.close(run, work.context.attempts);
     if (answer.state == run_state::unknown)
         m_counters.add(node_counter::runs_unknown);
     answer.load = load(now);
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/node/node_counters.h"
-#include "tamarackridge/src/ledger/handle_table.h"
+#include "core/node/run_headers.h"
 #include "tamarackridge/src/node/node_core.h"
 #include "tamarackridge/src/overload/admission_queue.h"
 #include "tamarackridge/src/overload/concurrency_limit.h"
@@ -27,8 +27,8 @@
     /// \brief Receives entries about requests that crash backend servers.
     using entry_sink = std::function<void(const overlay_entry &entry, action_list &out)>;
 
-    executor(handle_table &handles, node_counters &counters, random_source &random,
-             answer_sink sink, entry_sink spread);
+    executor(run_headers &headers, const concurrency_limit_options &limit, node_counters &counters,
+             random_source &random, answer_sink sink, entry_sink spread);
 
     /// \brief Takes a dispatch; it is answered now or later, exactly once.
     void accept(const node_ref &owner, dispatch request, time_point now, action_list &out);
@@ -78,7 +78,7 @@
     void emitSpan(const execution &work, const dispatch_answer &answer, time_point now,
                   action_list &out) const;
 
-    handle_table &m_handles;
+    run_headers &m_headers;
     node_counters &m_counters;
     random_source &m_random;
     answer_sink m_sink;
--- /dev/null
+++ b/src/core/node/fleet_view.cpp
@@ -0,0 +1,68 @@
+#include "core/node/fleet_view.h"
+
+#include <chrono>
+
+namespace tamarackridge::internal {
+namespace {
+
+// A zone from which nothing was heard for this long gets no dispatches.
+constexpr duration zoneSilenceLimit = std::chrono::seconds(3);
+constexpr duration ownZoneDelay = std::chrono::microseconds(100);
+constexpr duration otherZoneDelay = std::chrono::microseconds(1500);
+
+} // namespace
+
+bool fleet_view::serves(const directory::record &record, time_point now) const
+{
+    return record.info.state == member_state::serving && record.health == liveness::alive
+           && m_membership.silence(record.info.node.zone, now) < zoneSilenceLimit;
+}
+
+void fleet_view::updateExecutor(std::string_view name, time_point now)
+{
+    const directory::record *record = m_membership.members().find(name);
+    const bool gone = record == nullptr || record->health == liveness::dead
+                      || record->info.state == member_state::left || record->info.service.empty();
+    if (gone) {
+        m_routes.removeExecutor(name);
+        return;
+    }
+    executor_info info;
+    info.node = record->info.node.name;
+    info.zone = record->info.node.zone;
+    info.service = record->info.service;
+    info.state = serves(*record, now) ? executor_state::serving : executor_state::not_serving;
+    if (info.node != m_membership.self().node.name)
+        info.linkDelay = info.zone == m_membership.self().node.zone ? ownZoneDelay : otherZoneDelay;
+    m_routes.upsertExecutor(info);
+}
+
+void fleet_view::updateReachability(time_point now, action_list &out)
+{
+    for (const std::string &zone : m_membership.otherZones()) {
+        const bool reachable = m_membership.silence(zone, now) < zoneSilenceLimit;
+        const auto [known, isNew] = m_zoneReachable.try_emplace(zone, reachable);
+        if (!isNew && known->second == reachable)
+            continue;
+        known->second = reachable;
+        for (const auto &[name, record] : m_membership.members().records()) {
+            if (record.info.node.zone != zone)
+                continue;
+            updateExecutor(name, now);
+            if (!reachable)
+                m_dispatcher.executorLost(name, now, out);
+        }
+    }
+}
+
+void fleet_view::applyMembers(const overlay_changes &changes, time_point now, action_list &out)
+{
+    for (const std::string &name : changes.members) {
+        updateExecutor(name, now);
+        const directory::record *record = m_membership.members().find(name);
+        if (record != nullptr && record->health != liveness::alive)
+            m_dispatcher.executorLost(name, now, out);
+    }
+}
+
+} // namespace tamarackridge::internal
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -7,10 +7,6 @@
 constexpr duration expiryInterval = std::chrono::seconds(1);
 // Other nodes stop dispatching here well within this time, and callers move on.
 constexpr duration drainGrace = std::chrono::seconds(3);
-// A zone from which nothing was heard for this long gets no dispatches.
-constexpr duration zoneSilenceLimit = std::chrono::seconds(3);
-constexpr duration ownZoneDelay = std::chrono::microseconds(100);
-constexpr duration otherZoneDelay = std::chrono::microseconds(1500);
 
 member selfMember(const node_options &options)
 {
@@ -44,13 +40,14 @@
     , m_membership(selfMember(m_options), seedList(m_options), overlay_options{}, time_point{})
     , m_routes(routerOptions(m_options))
     , m_handles(random)
+    , m_runHeaders(m_handles)
     , m_ids(m_options.self, ledger_options{}, random, time_point{})
     , m_config(m_options, m_membership, m_counters, random,
                [this](const config_set &set, time_point now) { m_quota.configure(set, now); })
     , m_quota(m_options, m_membership, random)
     , m_entry({m_config, m_quota, m_ids, m_handles, m_membership, m_counters, random})
     , m_executor(
-              m_handles, m_counters, random,
+              m_runHeaders, concurrency_limit_options{}, m_counters, random,
               [this](const node_ref &owner, dispatch_answer answer, time_point now,
                      action_list &out) {
                   if (owner == m_options.self)
@@ -62,12 +59,13 @@
                   m_membership.publish(entry, out);
               })
     , m_dispatcher(
-              m_options.self, m_membership, m_routes, m_executor, m_counters, random,
+              m_options.self, m_membership, m_routes, m_executor, m_counters, random, retry_table(),
               [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
                      action_list &out) { m_entry.outcome(owned, std::move(outcome), now, out); },
               [this](const ledger_key &key, const http_answer &answer) {
                   m_ids.answered(key, answer);
               })
+    , m_fleet(m_membership, m_routes, m_dispatcher)
     , m_ownerCalls(m_membership, m_counters)
 {
     m_entry.connect(m_dispatcher, m_ownerCalls);
@@ -86,7 +84,7 @@
     else
         m_executor.backendReady(announcement, now);
     announceSelf(out);
-    updateExecutor(m_options.self.name, now);
+    m_fleet.updateExecutor(m_options.self.name, now);
 }
 
 void node_state::backendCrashed(time_point now, action_list &out)
@@ -97,7 +95,7 @@
     m_counters.add(node_counter::crashes);
     m_executor.backendCrashed(now, out);
     announceSelf(out);
-    updateExecutor(m_options.self.name, now);
+    m_fleet.updateExecutor(m_options.self.name, now);
 }
 
 void node_state::announceSelf(action_list &out)
@@ -110,60 +108,14 @@
     m_membership.setSelf(m_backend.service, m_backend.slots, state, {}, out);
 }
 
-bool node_state::serves(const directory::record &record, time_point now) const
-{
-    return record.info.state == member_state::serving && record.health == liveness::alive
-           && m_membership.silence(record.info.node.zone, now) < zoneSilenceLimit;
-}
-
-void node_state::updateExecutor(std::string_view name, time_point now)
-{
-    const directory::record *record = m_membership.members().find(name);
-    const bool gone = record == nullptr || record->health == liveness::dead
-                      || record->info.state == member_state::left || record->info.service.empty();
-    if (gone) {
-        m_routes.removeExecutor(name);
-        return;
-    }
-    executor_info info;
-    info.node = record->info.node.name;
-    info.zone = record->info.node.zone;
-    info.service = record->info.service;
-    info.state = serves(*record, now) ? executor_state::serving : executor_state::not_serving;
-    if (info.node != m_options.self.name)
-        info.linkDelay = info.zone == m_options.self.zone ? ownZoneDelay : otherZoneDelay;
-    m_routes.upsertExecutor(info);
-}
-
-void node_state::updateReachability(time_point now, action_list &out)
-{
-    for (const std::string &zone : m_membership.otherZones()) {
-        const bool reachable = m_membership.silence(zone, now) < zoneSilenceLimit;
-        const auto [known, isNew] = m_zoneReachable.try_emplace(zone, reachable);
-        if (!isNew && known->second == reachable)
-            continue;
-        known->second = reachable;
-        for (const auto &[name, record] : m_membership.members().records()) {
-            if (record.info.node.zone != zone)
-                continue;
-            updateExecutor(name, now);
-            if (!reachable)
-                m_dispatcher.executorLost(name, now, out);
-        }
-    }
-}
-
 void node_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
 {
     for (const std::string &name : changes.members) {
-        updateExecutor(name, now);
         const directory::record *record = m_membership.members().find(name);
-        if (record == nullptr)
-            continue;
-        m_ownerCalls.noteMember(record->info, now);
-        if (record->health != liveness::alive)
-            m_dispatcher.executorLost(name, now, out);
+        if (record != nullptr)
+            m_ownerCalls.noteMember(record->info, now);
     }
+    m_fleet.applyMembers(changes, now, out);
     if (!changes.members.empty())
         m_quota.membersChanged();
     for (const overlay_entry &entry : changes.others) {
@@ -193,7 +145,7 @@
     const heartbeat_state state{m_config.version(), m_config.confirmationAge(now),
                                 m_executor.load(now)};
     applyChanges(m_membership.tick(state, now, out), now, out);
-    updateReachability(now, out);
+    m_fleet.updateReachability(now, out);
     m_config.tick(now, out);
     m_quota.tick(now, out);
     m_entry.tick(now, out);
@@ -216,7 +168,7 @@
     m_shutdownBegan = now;
     m_executor.stopAccepting(error_kind::leaving, now, out);
     announceSelf(out);
-    updateExecutor(m_options.self.name, now);
+    m_fleet.updateExecutor(m_options.self.name, now);
 }
 
 void node_state::tickShutdown(time_point now, action_list &out)
@@ -252,7 +204,7 @@
     zones.insert(zones.begin(), m_options.self.zone);
     for (const std::string &zone : zones) {
         for (const std::string &candidate : m_membership.members().ring(zone)) {
-            if (serves(*m_membership.members().find(candidate), now))
+            if (m_fleet.serves(*m_membership.members().find(candidate), now))
                 return candidate;
         }
     }
--- a/src/core/node/node_state.h
+++ b/src/core/node/node_state.h
@@ -4,6 +4,7 @@
 #include "core/node/dispatcher.h"
 #include "core/node/entry.h"
 #include "core/node/executor.h"
+#include "core/node/fleet_view.h"
 #include "core/node/node_counters.h"
 #include "core/node/owner_calls.h"
 #include "core/node/quota_service.h"
@@ -13,7 +14,6 @@
 #include "tamarackridge/src/node/node_core.h"
 #include "tamarackridge/src/routing/router.h"
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,15 +51,12 @@
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
     void applyChanges(const overlay_changes &changes, time_point now, action_list &out);
-    void updateExecutor(std::string_view name, time_point now);
-    void updateReachability(time_point now, action_list &out);
     void announceSelf(action_list &out);
     void tickShutdown(time_point now, action_list &out);
     void handOver(action_list &out, time_point now);
     /// \returns the node that decides on this node's request ids after it: the first one that
     /// serves in the own zone, else in another; empty when there is none.
     std::string chooseSuccessor(time_point now) const;
-    bool serves(const directory::record &record, time_point now) const;
 
     node_options m_options;
     random_source &m_random;
@@ -67,14 +64,15 @@
     overlay m_membership;
     router m_routes;
     handle_table m_handles;
+    handle_headers m_runHeaders;
     ledger m_ids;
     config_service m_config;
     quota_service m_quota;
     entry m_entry;
     executor m_executor;
     dispatcher m_dispatcher;
+    fleet_view m_fleet;
     owner_calls m_ownerCalls;
-    std::map<std::string, bool, std::less<>> m_zoneReachable;
     backend_announcement m_backend;
     bool m_backendUp = false;
     phase m_phase = phase::running;
--- /dev/null
+++ b/src/core/node/retry_table.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "tamarackridge/src/overload/retry_budget.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace tamarackridge::internal {
+
+/// \brief The retry budgets of one node: one for all services, or one for each.
+///
+/// With one for each, the requests for an idle service earn no retries against a struggling one.
+class retry_table
+{
+public:
+    enum class scope : std::uint8_t { node, service };
+
+    explicit retry_table(scope over = scope::node, const retry_budget_options &options = {})
+        : m_scope(over)
+        , m_options(options)
+    { }
+
+    retry_budget &of(std::string_view service)
+    {
+        const std::string_view key = m_scope == scope::node ? std::string_view() : service;
+        const auto found = m_budgets.find(key);
+        if (found != m_budgets.end())
+            return found->second;
+        return m_budgets.emplace(std::string(key), retry_budget(m_options)).first->second;
+    }
+
+private:
+    scope m_scope;
+    retry_budget_options m_options;
+    std::map<std::string, retry_budget, std::less<>> m_budgets;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/sidecar/caller_answer.cpp
@@ -0,0 +1,80 @@
+#include "core/sidecar/caller_answer.h"
+
+#include "core/node/error_answer.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr int badGateway = 502;
+constexpr int serviceUnavailable = 503;
+constexpr int gatewayTimeout = 504;
+
+// Long enough for a queue to shorten, short against the deadlines of callers, who wait for a third
+// of the time that they have left at most.
+constexpr duration shortWait = std::chrono::milliseconds(300);
+constexpr duration longestWait = std::chrono::seconds(5);
+
+int statusOf(error_kind kind, run_state state)
+{
+    const int usual = answerFor(kind).httpStatus;
+    if (state != run_state::not_run)
+        return kind == error_kind::backend_timeout || kind == error_kind::deadline_exceeded
+                       ? gatewayTimeout
+                       : badGateway;
+    // Statuses that say what is wrong with the request itself stay as they are.
+    constexpr std::array<error_kind, 7> aboutRequest{
+            error_kind::bad_request,   error_kind::request_too_large, error_kind::headers_too_large,
+            error_kind::unknown_route, error_kind::key_missing,       error_kind::key_unknown,
+            error_kind::rate_exceeded};
+    const bool keeps =
+            std::find(aboutRequest.begin(), aboutRequest.end(), kind) != aboutRequest.end();
+    return keeps ? usual : serviceUnavailable;
+}
+
+std::string seconds(duration wait)
+{
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.2f",
+                                     std::chrono::duration<double>(wait).count());
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+} // namespace
+
+http_answer refusal(error_kind kind, run_state state, duration wait)
+{
+    http_answer answer = errorAnswer(kind, state);
+    answer.status = statusOf(kind, state);
+    std::erase_if(answer.headers, [](const http_header &header) {
+        return equalHeaderNames(header.name, "Retry-After");
+    });
+    const bool comesBack = answer.status == serviceUnavailable || kind == error_kind::rate_exceeded;
+    if (comesBack)
+        answer.headers.push_back(
+                {"Retry-After", seconds(std::clamp(wait, shortWait, longestWait))});
+    return answer;
+}
+
+bool namesHeader(std::string_view connection, std::string_view header)
+{
+    while (!connection.empty()) {
+        const std::size_t comma = connection.find(',');
+        std::string_view token = connection.substr(0, comma);
+        const std::size_t begin = token.find_first_not_of(" \t");
+        const std::size_t end = token.find_last_not_of(" \t");
+        if (begin != std::string_view::npos
+            && equalHeaderNames(token.substr(begin, end - begin + 1), header))
+            return true;
+        if (comma == std::string_view::npos)
+            return false;
+        connection.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/sidecar/sidecar_entry.cpp
@@ -0,0 +1,220 @@
+#include "core/sidecar/sidecar_entry.h"
+
+#include "core/sidecar/caller_answer.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace tamarackridge::internal {
+namespace {
+
+// Onward calls of requests that already run go first: to refuse one wastes what was done for it.
+constexpr std::uint8_t onwardRank = 255;
+constexpr std::uint8_t highestCallerRank = 240;
+constexpr std::uint32_t routeUrgencies = 16; ///< Distinguished within one customer's urgency.
+constexpr std::uint32_t customerUrgencies = 15;
+
+// Headers that concern one connection only (RFC 9110, section 7.6.1), and the length of the body,
+// which the next hop sets itself.
+constexpr std::array<std::string_view, 9> connectionHeaders{
+        "connection", "keep-alive",        "proxy-connection", "te",    "trailer",
+        "upgrade",    "transfer-encoding", "content-length",   "expect"};
+
+std::uint8_t rankOf(const published_route &route, const published_customer *customer)
+{
+    if (customer == nullptr)
+        return onwardRank;
+    const std::uint32_t first = std::min(customer->urgency, customerUrgencies - 1);
+    const std::uint32_t second = std::min(route.urgency, routeUrgencies - 1);
+    return static_cast<std::uint8_t>(highestCallerRank - first * routeUrgencies - second);
+}
+
+duration deadlineOf(const http_request &request, const header_names &names,
+                    const published_route &route)
+{
+    const std::string_view text = headerValue(request.headers, names.deadline);
+    std::int64_t milliseconds = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (fault != std::errc() || end != text.data() + text.size())
+        return route.timeout;
+    return std::min<duration>(route.timeout, std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace
+
+sidecar_entry::sidecar_entry(const sidecar_options &options, dispatcher &target,
+                             node_counters &counters, decision_observer &observer)
+    : m_options(options)
+    , m_dispatcher(target)
+    , m_counters(counters)
+    , m_observer(observer)
+{ }
+
+void sidecar_entry::install(std::shared_ptr<route_table> table, time_point now)
+{
+    m_table = std::move(table);
+    m_allowance.configure(m_table->set().customers, now);
+}
+
+void sidecar_entry::callerRequest(call_id call, http_request request, time_point now,
+                                  action_list &out)
+{
+    m_counters.add(node_counter::calls);
+    pending item;
+    item.call = call;
+    item.began = now;
+    item.requestId = headerValue(request.headers, m_options.headers.requestId);
+    tl::expected<owned_request, error_kind> work = admit(item, request, now);
+    if (!work) {
+        request_outcome refused;
+        refused.state = run_state::not_run;
+        refused.error = work.error();
+        answer(item, std::move(refused), now, out);
+        return;
+    }
+    // The outcome can come before start() returns.
+    const dispatcher::owned_id owned = m_dispatcher.nextOwned();
+    m_byCall.emplace(call, owned);
+    m_requests.emplace(owned, std::move(item));
+    m_dispatcher.start(std::move(*work), now, out);
+}
+
+tl::expected<owned_request, error_kind> sidecar_entry::admit(pending &item, http_request &request,
+                                                             time_point now)
+{
+    if (!m_table)
+        return tl::unexpected(error_kind::not_configured);
+    const published_route *route =
+            m_table->route(headerValue(request.headers, "host"), request.target);
+    if (route == nullptr)
+        return tl::unexpected(error_kind::unknown_route);
+    item.route = route->name;
+    item.idempotent = route->idempotent;
+    const tl::expected<const published_customer *, error_kind> customer =
+            customerOf(*route, request);
+    if (!customer)
+        return tl::unexpected(customer.error());
+    if (*customer != nullptr) {
+        item.customer = (*customer)->name;
+        if (!m_allowance.trySpend(item.customer, now))
+            return tl::unexpected(error_kind::rate_exceeded);
+    }
+    item.service = m_table->nextService(*route);
+    item.attempts = route->attempts;
+
+    owned_request work;
+    work.deadline = now + deadlineOf(request, m_options.headers, *route);
+    if (work.deadline <= now)
+        return tl::unexpected(error_kind::deadline_exceeded);
+    work.chainStart = now;
+    work.context.route = item.route;
+    work.context.service = item.service;
+    work.context.customer = item.customer;
+    work.context.priorityRank = rankOf(*route, *customer);
+    work.context.idempotent = route->idempotent;
+    work.context.attempts = std::max(route->attempts, 1U);
+    work.request.method = std::move(request.method);
+    work.request.target = std::move(request.target);
+    work.request.body = std::move(request.body);
+    work.request.headers = onwardHeaders(std::move(request.headers), item.customer);
+    return work;
+}
+
+tl::expected<const published_customer *, error_kind>
+sidecar_entry::customerOf(const published_route &route, const http_request &request)
+{
+    if (route.open || m_table->set().customers.empty())
+        return nullptr;
+    const std::string_view key = headerValue(request.headers, m_options.headers.key);
+    if (key.empty())
+        return tl::unexpected(error_kind::key_missing);
+    const published_customer *customer = m_table->customer(key);
+    if (customer == nullptr)
+        return tl::unexpected(error_kind::key_unknown);
+    return customer;
+}
+
+std::vector<http_header> sidecar_entry::onwardHeaders(std::vector<http_header> received,
+                                                      const std::string &customer) const
+{
+    const header_names &names = m_options.headers;
+    const std::array<std::string_view, 5> replaced{names.deadline, names.key, names.customer,
+                                                   names.callerService, names.expectedInstance};
+    const auto isNamed = [](std::string_view name) {
+        return [name](std::string_view other) { return equalHeaderNames(name, other); };
+    };
+    const std::string listed(headerValue(received, "connection"));
+    std::erase_if(received, [&](const http_header &header) {
+        return std::any_of(replaced.begin(), replaced.end(), isNamed(header.name))
+               || std::any_of(connectionHeaders.begin(), connectionHeaders.end(),
+                              isNamed(header.name))
+               || namesHeader(listed, header.name);
+    });
+    received.push_back({names.callerService, m_options.service});
+    if (!customer.empty())
+        received.push_back({names.customer, customer});
+    return received;
+}
+
+void sidecar_entry::callerGone(call_id call, time_point now, action_list &out)
+{
+    const auto found = m_byCall.find(call);
+    if (found == m_byCall.end())
+        return;
+    const dispatcher::owned_id owned = found->second;
+    m_byCall.erase(found);
+    const auto request = m_requests.find(owned);
+    request_outcome gone;
+    gone.error = error_kind::cancelled;
+    request->second.call = 0;
+    if (!request->second.idempotent)
+        return; // It may have begun to run; its outcome is still logged.
+    const pending item = std::move(request->second);
+    m_requests.erase(request);
+    m_dispatcher.abandon(owned, now, out);
+    answer(item, std::move(gone), now, out);
+}
+
+void sidecar_entry::outcome(dispatcher::owned_id owned, request_outcome result, time_point now,
+                            action_list &out)
+{
+    const auto found = m_requests.find(owned);
+    if (found == m_requests.end())
+        return;
+    const pending item = std::move(found->second);
+    m_requests.erase(found);
+    m_byCall.erase(item.call);
+    answer(item, std::move(result), now, out);
+}
+
+void sidecar_entry::answer(const pending &item, request_outcome result, time_point now,
+                           action_list &out)
+{
+    ended_request ended;
+    ended.requestId = item.requestId;
+    ended.route = item.route;
+    ended.service = item.service;
+    ended.customer = item.customer;
+    ended.executor = result.executorNode;
+    ended.state = result.state;
+    ended.configVersion = m_table ? m_table->set().version : -1;
+    ended.took = now - item.began;
+    ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
+    if (result.error) {
+        ended.error = answerFor(*result.error).name;
+        const duration wait = *result.error == error_kind::rate_exceeded
+                                      ? m_allowance.retryAfter(item.customer)
+                                      : duration::zero();
+        result.answer = refusal(*result.error, result.state, wait);
+    }
+    ended.status = result.answer.status;
+    m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
+    m_observer.requestEnded(ended);
+    if (item.call != 0)
+        out.push_back(answer_caller{item.call, std::move(result.answer)});
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/sidecar/sidecar_entry.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/node/dispatcher.h"
+#include "core/node/node_counters.h"
+#include "tamarackridge/src/sidecar/customer_allowance.h"
+#include "tamarackridge/src/sidecar/route_table.h"
+#include "tamarackridge/src/sidecar/sidecar_core.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace tamarackridge::internal {
+
+/// \brief Takes the requests of this VM: finds route and customer, and reports how they ended.
+class sidecar_entry
+{
+public:
+    sidecar_entry(const sidecar_options &options, dispatcher &target, node_counters &counters,
+                  decision_observer &observer);
+
+    void install(std::shared_ptr<route_table> table, time_point now);
+    void setNodes(std::size_t nodes, time_point now) { m_allowance.setNodes(nodes, now); }
+    const route_table *table() const { return m_table.get(); }
+
+    void callerRequest(call_id call, http_request request, time_point now, action_list &out);
+    void callerGone(call_id call, time_point now, action_list &out);
+    void outcome(dispatcher::owned_id owned, request_outcome result, time_point now,
+                 action_list &out);
+
+    bool idle() const { return m_requests.empty(); }
+    std::size_t size() const { return m_requests.size(); }
+
+private:
+    struct pending
+    {
+        call_id call = 0;
+        std::string requestId;
+        std::string route;
+        std::string service;
+        std::string customer;
+        bool idempotent = false;
+        std::uint32_t attempts = 0; ///< Allowed by the route.
+        time_point began;
+    };
+
+    tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
+                                                  time_point now);
+    tl::expected<const published_customer *, error_kind> customerOf(const published_route &route,
+                                                                    const http_request &request);
+    std::vector<http_header> onwardHeaders(std::vector<http_header> received,
+                                           const std::string &customer) const;
+    void answer(const pending &item, request_outcome result, time_point now, action_list &out);
+
+    const sidecar_options &m_options;
+    dispatcher &m_dispatcher;
+    node_counters &m_counters;
+    decision_observer &m_observer;
+    std::shared_ptr<route_table> m_table;
+    customer_allowance m_allowance;
+    std::unordered_map<dispatcher::owned_id, pending> m_requests;
+    std::unordered_map<call_id, dispatcher::owned_id> m_byCall;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -0,0 +1,347 @@
+#include "core/sidecar/sidecar_state.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace tamarackridge::internal {
+namespace {
+
+constexpr duration tickInterval = std::chrono::milliseconds(20);
+// Callers are sent elsewhere after two health checks, one second apart, that found this node not
+// ready; requests that are on their way by then are still served.
+constexpr duration callersMoveOn = std::chrono::milliseconds(2500);
+// A newer configuration is asked for once in this time, whoever has it.
+constexpr duration fetchInterval = std::chrono::milliseconds(200);
+// Some backend servers slow down when all but a few of their slots are taken.
+constexpr double usableSlotShare = 0.95;
+// Retries are 5 in 100 requests of a service, so that all nodes together stay well below the bound
+// of the deployments (0.2 of the requests, retries of onward calls included).
+constexpr retry_budget_options serviceRetries{5, 0, 3};
+
+member selfMember(const sidecar_options &options)
+{
+    member self;
+    self.node = options.self;
+    self.endpoint = options.peerEndpoint;
+    return self;
+}
+
+router_options routerOptions(const sidecar_options &options)
+{
+    router_options result;
+    result.node = options.self.name;
+    result.zone = options.self.zone;
+    return result;
+}
+
+concurrency_limit_options limitOptions()
+{
+    concurrency_limit_options options;
+    options.learnFromLatency = false;
+    options.usableShare = usableSlotShare;
+    return options;
+}
+
+} // namespace
+
+void instance_headers::open(const starting_run &run, time_point now,
+                            std::vector<http_header> &headers)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(run.deadline - now);
+    headers.push_back({m_names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1))});
+    if (!m_instance.empty())
+        headers.push_back({m_names.expectedInstance, m_instance});
+}
+
+std::uint32_t instance_headers::close(run_id, std::uint32_t attempts)
+{
+    return attempts > 0 ? attempts - 1 : 0;
+}
+
+sidecar_state::sidecar_state(sidecar_options options, set_decoder decoder,
+                             decision_observer &observer, random_source &random)
+    : m_options(std::move(options))
+    , m_decoder(std::move(decoder))
+    , m_observer(observer)
+    , m_membership(selfMember(m_options), {}, overlay_options{}, time_point{})
+    , m_routes(routerOptions(m_options))
+    , m_runHeaders(m_options.headers)
+    , m_executor(
+              m_runHeaders, limitOptions(), m_counters, random,
+              [this](const node_ref &owner, dispatch_answer answer, time_point now,
+                     action_list &out) {
+                  if (owner == m_options.self)
+                      m_dispatcher.dispatchAnswer(owner.name, std::move(answer), now, out);
+                  else
+                      m_membership.send(owner.name, std::move(answer), out);
+              },
+              [this](const overlay_entry &entry, action_list &out) {
+                  m_membership.publish(entry, out);
+              })
+    , m_dispatcher(
+              m_options.self, m_membership, m_routes, m_executor, m_counters, random,
+              retry_table(retry_table::scope::service, serviceRetries),
+              [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
+                     action_list &out) { m_entry.outcome(owned, std::move(outcome), now, out); },
+              [](const ledger_key &, const http_answer &) {})
+    , m_fleet(m_membership, m_routes, m_dispatcher)
+    , m_entry(m_options, m_dispatcher, m_counters, observer)
+{ }
+
+std::int64_t sidecar_state::version() const
+{
+    return m_entry.table() == nullptr ? -1 : m_entry.table()->set().version;
+}
+
+const caller_limits &sidecar_state::limits() const
+{
+    static const caller_limits defaults;
+    return m_entry.table() == nullptr ? defaults : m_entry.table()->set().limits;
+}
+
+void sidecar_state::configurationRead(std::string_view text, std::string_view source,
+                                      time_point now)
+{
+    tl::expected<published_set, std::string> set = m_decoder(text);
+    if (!set) {
+        m_observer.beliefChanged("configuration", "refused: " + set.error(), source);
+        return;
+    }
+    if (set->version <= version())
+        return;
+    m_observer.beliefChanged("configuration", "version " + std::to_string(set->version), source);
+    m_entry.install(std::make_shared<route_table>(std::move(*set)), now);
+}
+
+void sidecar_state::membersListed(const std::vector<seed_peer> &members, time_point now)
+{
+    std::vector<std::pair<std::string, std::string>> seeds;
+    for (const seed_peer &item : members)
+        seeds.emplace_back(item.node, item.endpoint);
+    m_membersListed = seeds.size();
+    m_membership.setSeeds(std::move(seeds), now);
+    countNodes(now);
+}
+
+void sidecar_state::countNodes(time_point now)
+{
+    m_entry.setNodes(std::max(m_membership.members().records().size(), m_membersListed), now);
+}
+
+// Messages of fleets with a log of their own carry nothing for a sidecar.
+template <typename Message>
+void sidecar_state::handle(const node_ref &, Message &, time_point, action_list &)
+{ }
+
+template <>
+void sidecar_state::handle(const node_ref &from, dispatch &message, time_point now,
+                           action_list &out)
+{
+    m_executor.accept(from, std::move(message), now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, dispatch_answer &message, time_point now,
+                           action_list &out)
+{
+    m_dispatcher.dispatchAnswer(from.name, std::move(message), now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &, dispatch_cancel &message, time_point now,
+                           action_list &out)
+{
+    m_executor.cancel(message.id, now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, heartbeat &message, time_point now,
+                           action_list &out)
+{
+    m_membership.onHeartbeat(from, message, now, out);
+    m_routes.onHeartbeat(from.name, message.load);
+    if (message.configVersion > version() && now >= m_nextFetch) {
+        m_nextFetch = now + fetchInterval;
+        m_membership.send(from.name, config_fetch{version()}, out);
+    }
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, entry_summary &message, time_point,
+                           action_list &out)
+{
+    m_membership.onSummary(from, message, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, entries &message, time_point now, action_list &out)
+{
+    applyChanges(m_membership.onEntries(from, message, now, out), now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, config_fetch &message, time_point,
+                           action_list &out)
+{
+    if (message.haveVersion >= version())
+        return;
+    const published_set &set = m_entry.table()->set();
+    m_membership.send(from.name, config_state{set.version, -1, *set.text}, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, config_state &message, time_point now,
+                           action_list &)
+{
+    configurationRead(message.set, from.name, now);
+}
+
+void sidecar_state::peerMessage(const node_ref &from, peer_message message, time_point now,
+                                action_list &out)
+{
+    std::visit([&](auto &content) { handle(from, content, now, out); }, message);
+}
+
+void sidecar_state::peerRestarted(std::string_view node, time_point now, action_list &out)
+{
+    m_observer.beliefChanged(node, "restarted", "link");
+    m_dispatcher.executorLost(node, now, out);
+    m_membership.introduce(node, out);
+}
+
+void sidecar_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
+{
+    m_fleet.applyMembers(changes, now, out);
+    for (const std::string &name : changes.members) {
+        const directory::record *record = m_membership.members().find(name);
+        if (record == nullptr)
+            continue;
+        constexpr std::string_view health[] = {"alive", "suspect", "dead"};
+        std::string belief(toString(record->info.state));
+        belief.append(", ").append(health[static_cast<std::size_t>(record->health)]);
+        belief.append(", entry ").append(std::to_string(record->info.counter));
+        m_observer.beliefChanged(name, belief, "overlay");
+    }
+    if (!changes.members.empty())
+        countNodes(now);
+    for (const overlay_entry &entry : changes.others) {
+        if (entry.kind == entry_kind::quarantine)
+            m_executor.quarantineEntry(entry, now);
+    }
+}
+
+bool sidecar_state::isCurrent(const server_report &report) const
+{
+    if (report.startedAt != m_server.startedAt)
+        return report.startedAt > m_server.startedAt;
+    return report.instance != m_server.instance || report.sequence > m_server.sequence;
+}
+
+bool sidecar_state::serverReported(const server_report &report, time_point now, action_list &out)
+{
+    const bool ours =
+            report.service == m_options.service && report.address == m_options.serverAddress;
+    if (!ours || !isCurrent(report))
+        return false;
+    const bool restarted =
+            m_serverUp
+            && (report.instance != m_server.instance || report.startedAt != m_server.startedAt);
+    if (!m_serverUp || restarted || report.leaving != m_server.leaving) {
+        m_observer.beliefChanged("backend server",
+                                 report.instance + (report.leaving ? " leaving" : " serving")
+                                         + ", report " + std::to_string(report.sequence),
+                                 "heartbeat");
+    }
+    m_server = report;
+    m_serverUp = true;
+    m_runHeaders.setInstance(report.instance);
+    if (restarted)
+        m_executor.backendCrashed(now, out);
+    if (report.leaving || m_leaving) {
+        m_executor.stopAccepting(error_kind::leaving, now, out);
+    } else {
+        const std::string life = report.instance + '/' + std::to_string(report.startedAt);
+        m_executor.backendReady({report.service, life, report.slots, false}, now);
+    }
+    announceSelf(now, out);
+    return true;
+}
+
+void sidecar_state::serverLeft(std::string_view instance, time_point now, action_list &out)
+{
+    if (instance != m_server.instance)
+        return;
+    m_observer.beliefChanged("backend server", std::string(instance) + " gone", "its notice");
+    m_server.leaving = true;
+    // Reports of this start that are still on their way are older than the notice.
+    m_server.sequence = std::numeric_limits<std::int64_t>::max();
+    m_executor.stopAccepting(error_kind::leaving, now, out);
+    announceSelf(now, out);
+}
+
+void sidecar_state::backendCrashed(time_point now, action_list &out)
+{
+    if (!m_serverUp)
+        return;
+    m_serverUp = false;
+    m_observer.beliefChanged("backend server", m_server.instance + " down", "refused connection");
+    m_counters.add(node_counter::crashes);
+    m_executor.backendCrashed(now, out);
+    announceSelf(now, out);
+}
+
+void sidecar_state::announceSelf(time_point now, action_list &out)
+{
+    member_state state = member_state::starting;
+    if (m_leaving || m_server.leaving)
+        state = member_state::leaving;
+    else if (m_serverUp)
+        state = member_state::serving;
+    m_membership.setSelf(m_options.service, m_server.slots, state, {}, out);
+    m_fleet.updateExecutor(m_options.self.name, now);
+}
+
+void sidecar_state::tick(time_point now, action_list &out)
+{
+    m_nextTick = now + tickInterval;
+    const heartbeat_state state{version(), duration::zero(), m_executor.load(now)};
+    applyChanges(m_membership.tick(state, now, out), now, out);
+    m_fleet.updateReachability(now, out);
+    m_executor.tick(now, out);
+    m_dispatcher.tick(now, out);
+}
+
+void sidecar_state::beginShutdown(time_point now, action_list &out)
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    m_shutdownBegan = now;
+    m_executor.stopAccepting(error_kind::leaving, now, out);
+    announceSelf(now, out);
+}
+
+bool sidecar_state::drained(time_point now) const
+{
+    return m_leaving && now - m_shutdownBegan >= callersMoveOn && m_entry.idle()
+           && m_executor.idle() && m_dispatcher.idle();
+}
+
+node_status sidecar_state::status(time_point now)
+{
+    node_status status;
+    status.self = m_options.self;
+    status.configVersion = version();
+    status.ready = ready();
+    status.leaving = m_leaving;
+    status.service = m_options.service;
+    status.load = m_executor.load(now);
+    status.callsInFlight = m_entry.size();
+    status.membersKnown = m_membership.members().records().size();
+    status.counters = m_counters.list();
+    return status;
+}
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/core/sidecar/sidecar_state.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/node/dispatcher.h"
+#include "core/node/executor.h"
+#include "core/node/fleet_view.h"
+#include "core/node/node_counters.h"
+#include "core/node/run_headers.h"
+#include "core/sidecar/sidecar_entry.h"
+#include "tamarackridge/src/membership/overlay.h"
+#include "tamarackridge/src/routing/router.h"
+#include "tamarackridge/src/sidecar/sidecar_core.h"
+
+#include <string>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+/// \brief Tells a backend server the deadline and which instance the request is meant for.
+class instance_headers final : public run_headers
+{
+public:
+    explicit instance_headers(const header_names &names)
+        : m_names(names)
+    { }
+
+    void setInstance(std::string instance) { m_instance = std::move(instance); }
+    void open(const starting_run &run, time_point now, std::vector<http_header> &headers) override;
+    std::uint32_t close(run_id run, std::uint32_t attempts) override;
+
+private:
+    const header_names &m_names;
+    std::string m_instance;
+};
+
+/// \brief The parts of a sidecar and the connections between them.
+class sidecar_state
+{
+public:
+    sidecar_state(sidecar_options options, set_decoder decoder, decision_observer &observer,
+                  random_source &random);
+    sidecar_state(const sidecar_state &) = delete;
+    sidecar_state &operator=(const sidecar_state &) = delete;
+    ~sidecar_state() = default;
+
+    sidecar_entry &calls() { return m_entry; }
+    executor &runs() { return m_executor; }
+
+    void configurationRead(std::string_view text, std::string_view source, time_point now);
+    void membersListed(const std::vector<seed_peer> &members, time_point now);
+    void peerMessage(const node_ref &from, peer_message message, time_point now, action_list &out);
+    void peerRestarted(std::string_view node, time_point now, action_list &out);
+    bool serverReported(const server_report &report, time_point now, action_list &out);
+    void serverLeft(std::string_view instance, time_point now, action_list &out);
+    void backendCrashed(time_point now, action_list &out);
+
+    void tick(time_point now, action_list &out);
+    time_point nextTick() const { return m_nextTick; }
+    void beginShutdown(time_point now, action_list &out);
+    bool drained(time_point now) const;
+    bool ready() const { return m_entry.table() != nullptr && !m_leaving; }
+    bool leaving() const { return m_leaving; }
+    const caller_limits &limits() const;
+    node_status status(time_point now);
+
+private:
+    template <typename Message>
+    void handle(const node_ref &from, Message &message, time_point now, action_list &out);
+    void applyChanges(const overlay_changes &changes, time_point now, action_list &out);
+    bool isCurrent(const server_report &report) const;
+    void announceSelf(time_point now, action_list &out);
+    void countNodes(time_point now);
+    std::int64_t version() const;
+
+    sidecar_options m_options;
+    set_decoder m_decoder;
+    decision_observer &m_observer;
+    node_counters m_counters;
+    overlay m_membership;
+    router m_routes;
+    instance_headers m_runHeaders;
+    executor m_executor;
+    dispatcher m_dispatcher;
+    fleet_view m_fleet;
+    sidecar_entry m_entry;
+    std::size_t m_membersListed = 0;
+    server_report m_server; ///< The last report that was acted upon.
+    bool m_serverUp = false;
+    bool m_leaving = false;
+    time_point m_shutdownBegan;
+    time_point m_nextTick;
+    time_point m_nextFetch;
+};
+
+} // namespace tamarackridge::internal
--- /dev/null
+++ b/src/sidecar/event_loop.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "tamarackridge/src/base/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace tamarackridge {
+
+using tcp = boost::asio::ip::tcp;
+
+/// \brief Address and port of a socket.
+struct socket_address
+{
+    std::string host; ///< IPv4 address.
+    std::uint16_t port = 0;
+
+    std::string text() const { return host + ':' + std::to_string(port); }
+    tcp::endpoint endpoint() const { return {boost::asio::ip::make_address(host), port}; }
+};
+
+/// \returns the present time of the clock that all decisions use.
+inline time_point monotonicNow()
+{
+    return time_point(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+/// \brief Finds connections that went silent without a reset within about three seconds.
+void setKeepAlive(tcp::socket &socket);
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/http_connection.cpp
@@ -0,0 +1,234 @@
+#include "sidecar/http_connection.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::uint64_t mostAnswerBytes = 64 * 1024 * 1024;
+constexpr std::uint32_t mostHeaderBytes = 64 * 1024;
+
+// Headers of an answer that concern its connection only, or its length, which is set again.
+bool concernsConnection(std::string_view name)
+{
+    constexpr std::array<std::string_view, 6> names{"connection",        "keep-alive",
+                                                    "proxy-connection",  "upgrade",
+                                                    "transfer-encoding", "content-length"};
+    for (std::string_view other : names) {
+        if (equalHeaderNames(name, other))
+            return true;
+    }
+    return false;
+}
+
+std::optional<duration> idleTimeOf(std::string_view keepAlive)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t position = keepAlive.find(name);
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = keepAlive.substr(position + name.size());
+    std::int64_t seconds = 0;
+    const auto [end, fault] =
+            std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (fault != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+class beast_connection final : public http_connection
+{
+public:
+    beast_connection(boost::asio::io_context &loop, const socket_address &address)
+        : m_socket(loop)
+        , m_endpoint(address.endpoint())
+    { }
+
+    void exchange(const http_request &request, answer_match match, time_point deadline,
+                  done_handler done) override
+    {
+        m_match = std::move(match);
+        m_deadline = deadline;
+        m_done = std::move(done);
+        m_written = false;
+        m_skipped = false;
+        m_sent = false;
+        http::request<http::string_body> &message = m_request.emplace();
+        message.method_string(request.method);
+        message.target(request.target);
+        message.version(11);
+        for (const http_header &header : request.headers)
+            message.insert(header.name, header.value);
+        message.body() = bodyView(request.body);
+        message.prepare_payload();
+        if (m_socket.is_open())
+            send();
+        else
+            connect();
+    }
+
+    void close(exchange_end end) override
+    {
+        error_code ignored;
+        m_socket.close(ignored);
+        if (m_done)
+            finish(end);
+    }
+
+    void watchIdle(std::function<void()> closed) override
+    {
+        m_idleClosed = std::move(closed);
+        if (!m_watching)
+            watch();
+    }
+
+    time_point deadline() const override { return m_done ? m_deadline : time_point::max(); }
+
+private:
+    std::shared_ptr<beast_connection> self()
+    {
+        return std::static_pointer_cast<beast_connection>(shared_from_this());
+    }
+
+    void connect()
+    {
+        m_socket.async_connect(m_endpoint, [this, keep = self()](const error_code &error) {
+            if (!m_done)
+                return;
+            if (error) {
+                error_code ignored;
+                m_socket.close(ignored);
+                finish(exchange_end::refused);
+                return;
+            }
+            setKeepAlive(m_socket);
+            send();
+        });
+    }
+
+    void send()
+    {
+        m_sent = true;
+        m_idleClosed = nullptr;
+        http::async_write(m_socket, *m_request,
+                          [this, keep = self()](const error_code &error, std::size_t) {
+                              // The read tells what became of the request.
+                              m_written = !error;
+                          });
+        receive();
+    }
+
+    void receive()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(mostAnswerBytes);
+        m_parser->header_limit(mostHeaderBytes);
+        if (m_request->method() == http::verb::head)
+            m_parser->skip(true);
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [this, keep = self()](const error_code &error, std::size_t) {
+                             if (m_done)
+                                 received(error);
+                         });
+    }
+
+    void received(const error_code &error)
+    {
+        if (error) {
+            close(exchange_end::broken);
+            return;
+        }
+        const http::response<http::string_body> &message = m_parser->get();
+        const boost::beast::string_view id =
+                m_match.header.empty() ? boost::beast::string_view() : message[m_match.header];
+        const bool interim = message.result_int() < 200;
+        const bool foreign =
+                !m_match.header.empty() && std::string_view(id.data(), id.size()) != m_match.value;
+        if (interim || foreign) {
+            m_skipped = m_skipped || foreign;
+            if (!m_parser->keep_alive() && !interim)
+                close(exchange_end::broken);
+            else
+                receive();
+            return;
+        }
+        exchange_result result;
+        result.end = exchange_end::answered;
+        result.bytesSent = true;
+        result.reusable = m_written && !m_skipped && m_parser->keep_alive() && m_buffer.size() == 0;
+        const boost::beast::string_view keepAlive = message["Keep-Alive"];
+        result.idleTime = idleTimeOf({keepAlive.data(), keepAlive.size()});
+        http::response<http::string_body> whole = m_parser->release();
+        result.answer.status = static_cast<int>(whole.result_int());
+        for (const auto &field : whole) {
+            const std::string name(field.name_string());
+            if (!concernsConnection(name))
+                result.answer.headers.push_back({name, std::string(field.value())});
+        }
+        result.answer.body = std::make_shared<const std::string>(std::move(whole.body()));
+        if (!result.reusable) {
+            error_code ignored;
+            m_socket.close(ignored);
+        }
+        std::exchange(m_done, nullptr)(std::move(result));
+    }
+
+    void finish(exchange_end end)
+    {
+        exchange_result result;
+        result.end = end;
+        result.bytesSent = m_sent;
+        // Not from within the call that ended the exchange, whose caller is not prepared for it.
+        boost::asio::post(m_socket.get_executor(),
+                          [done = std::exchange(m_done, nullptr), result, keep = self()]() mutable {
+                              done(std::move(result));
+                          });
+    }
+
+    void watch()
+    {
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read, [this, keep = self()](const error_code &) {
+            m_watching = false;
+            // While an exchange is pending its own read takes the bytes.
+            if (m_done || !m_idleClosed)
+                return;
+            error_code ignored;
+            m_socket.close(ignored);
+            std::exchange(m_idleClosed, nullptr)();
+        });
+    }
+
+    tcp::socket m_socket;
+    tcp::endpoint m_endpoint;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request<http::string_body>> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    answer_match m_match;
+    time_point m_deadline;
+    done_handler m_done;
+    std::function<void()> m_idleClosed;
+    bool m_watching = false;
+    bool m_written = false;
+    bool m_skipped = false; ///< Whether an answer to another request came first.
+    bool m_sent = false;
+};
+
+} // namespace
+
+std::shared_ptr<http_connection> http_connection::create(boost::asio::io_context &loop,
+                                                         const socket_address &address)
+{
+    return std::make_shared<beast_connection>(loop, address);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/http_listener.cpp
@@ -0,0 +1,329 @@
+#include "sidecar/http_listener.h"
+
+#include "core/sidecar/caller_answer.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// Bytes of a next request that are read while the present one is being decided.
+constexpr std::size_t mostReadAhead = 64 * 1024;
+constexpr std::size_t readAheadStep = 4 * 1024;
+// A caller that does not read its answer holds memory here.
+constexpr duration answerTime = std::chrono::seconds(15);
+// The other side closes first, so that bytes on their way do not reset the answer.
+constexpr duration lingerTime = std::chrono::seconds(1);
+constexpr int backlog = 1024;
+
+http_request convert(http::request<http::string_body> &received)
+{
+    http_request request;
+    request.method = std::string(received.method_string());
+    request.target = std::string(received.target());
+    for (const auto &field : received)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    if (!received.body().empty())
+        request.body = std::make_shared<const std::string>(std::move(received.body()));
+    return request;
+}
+
+/// A request whose length or host two parties could read differently is refused.
+bool isAmbiguous(const http::request<http::string_body> &request, bool chunked)
+{
+    const bool otherCoding = request.count(http::field::transfer_encoding) > 0 && !chunked;
+    return otherCoding || request.count(http::field::host) != 1;
+}
+
+std::optional<error_kind> faultOf(const error_code &error)
+{
+    if (error == http::error::header_limit)
+        return error_kind::headers_too_large;
+    if (error == http::error::body_limit)
+        return error_kind::request_too_large;
+    if (error == http::error::end_of_stream || error == http::error::partial_message)
+        return std::nullopt;
+    if (error.category() == http::make_error_code(http::error::bad_method).category())
+        return error_kind::bad_request;
+    return std::nullopt;
+}
+
+} // namespace
+
+class http_listener::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(http_listener &listener, tcp::socket socket)
+        : m_listener(listener)
+        , m_socket(std::move(socket))
+    { }
+
+    void start()
+    {
+        error_code ignored;
+        m_socket.non_blocking(true, ignored);
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        await();
+    }
+
+    void answer(http_answer answer)
+    {
+        m_phase = phase::writing;
+        m_call = 0;
+        m_keepAlive = m_keepAlive && !m_listener.m_callbacks.leaving();
+        http::response<http::string_body> &response = m_response.emplace();
+        response.version(11);
+        response.result(static_cast<unsigned>(answer.status));
+        for (const http_header &header : answer.headers)
+            response.insert(header.name, header.value);
+        response.body() = bodyView(answer.body);
+        response.prepare_payload();
+        response.keep_alive(m_keepAlive);
+        m_limit = monotonicNow() + answerTime;
+        http::async_write(m_socket, response,
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              self->written(error);
+                          });
+    }
+
+    void sweep(time_point now)
+    {
+        if (now < m_limit)
+            return;
+        if (m_phase != phase::reading) {
+            close();
+            return;
+        }
+        m_limit = time_point::max();
+        m_timedOut = true;
+        error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
+    void close()
+    {
+        if (m_phase == phase::closed)
+            return;
+        m_phase = phase::closed;
+        error_code ignored;
+        m_socket.close(ignored);
+        if (m_call != 0) {
+            m_listener.m_byCall.erase(m_call);
+            m_listener.m_callbacks.gone(m_call);
+        }
+        m_listener.m_connections.erase(shared_from_this());
+    }
+
+    /// \brief Forgets the listener, which is about to end.
+    void abandon()
+    {
+        m_phase = phase::closed;
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    enum class phase : std::uint8_t { idle, reading, deciding, writing, lingering, closed };
+
+    void await()
+    {
+        m_phase = phase::idle;
+        m_limit = monotonicNow() + m_listener.m_callbacks.limits().idleTimeout;
+        if (m_buffer.size() > 0)
+            read();
+        else
+            watch();
+    }
+
+    // At most one wait is pending; what it means depends on the phase in which it ends.
+    void watch()
+    {
+        if (m_watching)
+            return;
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read,
+                            [self = shared_from_this()](const error_code &error) {
+                                self->m_watching = false;
+                                if (!error)
+                                    self->readable();
+                            });
+    }
+
+    void readable()
+    {
+        switch (m_phase) {
+        case phase::idle:
+            read();
+            break;
+        case phase::deciding:
+        case phase::writing:
+        case phase::lingering:
+            readAhead();
+            break;
+        case phase::reading:
+        case phase::closed:
+            break;
+        }
+    }
+
+    void readAhead()
+    {
+        error_code error;
+        const std::size_t count = m_socket.read_some(m_buffer.prepare(readAheadStep), error);
+        if (error == boost::asio::error::would_block) {
+            watch();
+        } else if (error) {
+            close();
+        } else if (m_phase == phase::lingering) {
+            watch(); // Nothing more is answered on this connection.
+        } else {
+            m_buffer.commit(count);
+            if (m_buffer.size() < mostReadAhead)
+                watch();
+        }
+    }
+
+    void read()
+    {
+        const caller_limits &limits = m_listener.m_callbacks.limits();
+        m_phase = phase::reading;
+        m_limit = monotonicNow() + limits.headerTimeout;
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+        m_parser->body_limit(limits.maxBodyBytes);
+        http::async_read(m_socket, m_buffer, *m_parser,
+                         [self = shared_from_this()](const error_code &error, std::size_t) {
+                             self->received(error);
+                         });
+    }
+
+    void received(const error_code &error)
+    {
+        if (m_phase == phase::closed)
+            return;
+        if (error) {
+            const std::optional<error_kind> fault =
+                    m_timedOut ? error_kind::body_incomplete : faultOf(error);
+            if (fault)
+                refuse(*fault);
+            else
+                close();
+            return;
+        }
+        m_keepAlive = m_parser->keep_alive();
+        const bool chunked = m_parser->chunked();
+        http::request<http::string_body> message = m_parser->release();
+        m_parser.reset();
+        if (isAmbiguous(message, chunked)) {
+            refuse(error_kind::bad_request);
+            return;
+        }
+        m_phase = phase::deciding;
+        m_limit = time_point::max();
+        m_call = ++m_listener.m_lastCall;
+        m_listener.m_byCall.emplace(m_call, shared_from_this());
+        watch();
+        m_listener.m_callbacks.request(m_call, convert(message));
+    }
+
+    void refuse(error_kind kind)
+    {
+        m_keepAlive = false;
+        answer(internal::refusal(kind, run_state::not_run, duration::zero()));
+    }
+
+    void written(const error_code &error)
+    {
+        if (m_phase == phase::closed)
+            return;
+        m_response.reset();
+        if (error) {
+            close();
+        } else if (m_keepAlive) {
+            await();
+        } else {
+            m_phase = phase::lingering;
+            m_limit = monotonicNow() + lingerTime;
+            error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            watch();
+        }
+    }
+
+    http_listener &m_listener;
+    tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::response<http::string_body>> m_response;
+    time_point m_limit = time_point::max();
+    call_id m_call = 0;
+    phase m_phase = phase::idle;
+    bool m_watching = false;
+    bool m_keepAlive = true;
+    bool m_timedOut = false;
+};
+
+http_listener::http_listener(boost::asio::io_context &loop, const socket_address &address,
+                             listener_callbacks callbacks, call_id &lastCall)
+    : m_callbacks(std::move(callbacks))
+    , m_lastCall(lastCall)
+    , m_acceptor(loop)
+{
+    m_acceptor.open(tcp::v4());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address.endpoint());
+    m_acceptor.listen(backlog);
+    accept();
+}
+
+http_listener::~http_listener()
+{
+    for (const std::shared_ptr<connection> &item : m_connections)
+        item->abandon();
+}
+
+void http_listener::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            const std::shared_ptr<connection> item =
+                    std::make_shared<connection>(*this, std::move(socket));
+            m_connections.insert(item);
+            item->start();
+        }
+        accept();
+    });
+}
+
+void http_listener::answer(call_id call, http_answer answer)
+{
+    const auto found = m_byCall.find(call);
+    if (found == m_byCall.end())
+        return;
+    const std::shared_ptr<connection> item = found->second;
+    m_byCall.erase(found);
+    item->answer(std::move(answer));
+}
+
+void http_listener::sweep(time_point now)
+{
+    const std::vector<std::shared_ptr<connection>> present(m_connections.begin(),
+                                                           m_connections.end());
+    for (const std::shared_ptr<connection> &item : present)
+        item->sweep(now);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/main.cpp
@@ -0,0 +1,49 @@
+#include "platform/store_gateway.h"
+#include "sidecar/sidecar_app.h"
+#include "sidecar/sidecar_settings.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+DEFINE_string(settings, "", "Settings file: JSON with comments.");
+DEFINE_bool(check_settings, false, "Check the settings file and exit.");
+
+namespace {
+
+constexpr int exitSettings = 2;
+constexpr int exitFailure = 1;
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs beside a backend server; see docs/OPERATIONS.md");
+    gflags::SetVersionString(TAMARACKRIDGE_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    tamarackridge::sidecar_settings settings;
+    const std::vector<tamarackridge::settings_fault> faults =
+            tamarackridge::readSidecarSettings(FLAGS_settings, settings);
+    for (const tamarackridge::settings_fault &fault : faults)
+        std::fprintf(stderr, "%s: %s\n", FLAGS_settings.c_str(),
+                     tamarackridge::toString(fault).c_str());
+    if (!faults.empty())
+        return exitSettings;
+    if (FLAGS_check_settings)
+        return EXIT_SUCCESS;
+    // A write to a connection that the other side has closed is reported as an error.
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        boost::asio::io_context loop(1);
+        tamarackridge::platform::store_gateway platform(loop, settings.store);
+        tamarackridge::sidecar_app app(loop, settings, platform);
+        app.run();
+    } catch (const std::exception &fault) {
+        std::fprintf(stderr, "tamarackridge-sidecar: %s\n", fault.what());
+        return exitFailure;
+    }
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/sidecar/server_runner.cpp
@@ -0,0 +1,65 @@
+#include "sidecar/server_runner.h"
+
+#include <array>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+error_kind errorOf(exchange_end end)
+{
+    constexpr std::array<error_kind, 5> kinds{
+            error_kind::internal_error, error_kind::no_backend_server, error_kind::backend_failed,
+            error_kind::backend_timeout, error_kind::cancelled};
+    return kinds.at(static_cast<std::size_t>(end));
+}
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+void server_runner::run(run_backend item)
+{
+    answer_match match;
+    match.value = headerValue(item.request.headers, m_names.requestId);
+    if (!match.value.empty())
+        match.header = m_names.requestId;
+    const run_id run = item.run;
+    const connection_pool::exchange_id exchange = m_pool.exchange(
+            item.request, std::move(match), monotonicNow() + item.timeout,
+            [this, run](exchange_result result) { finished(run, std::move(result)); });
+    m_running.emplace(run, exchange);
+}
+
+void server_runner::cancel(run_id run)
+{
+    const auto found = m_running.find(run);
+    if (found != m_running.end())
+        m_pool.cancel(found->second);
+}
+
+void server_runner::finished(run_id run, exchange_result result)
+{
+    m_running.erase(run);
+    backend_result outcome;
+    outcome.bytesSent = result.bytesSent;
+    if (result.end != exchange_end::answered) {
+        outcome.connectionBroken = result.end == exchange_end::broken;
+        outcome.answer = tl::unexpected(errorOf(result.end));
+    } else if (!headerValue(result.answer.headers, m_names.notRun).empty()
+               || result.answer.status == 421) {
+        outcome.bytesSent = false;
+        outcome.answer = tl::unexpected(error_kind::overloaded);
+    } else if (isSuccess(result.answer.status)
+               && headerValue(result.answer.headers, m_names.seal).empty()) {
+        outcome.answer = tl::unexpected(error_kind::backend_answer_incomplete);
+    } else {
+        outcome.answer = std::move(result.answer);
+    }
+    m_done(run, std::move(outcome), result.end == exchange_end::refused);
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/server_runner.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "sidecar/connection_pool.h"
+#include "tamarackridge/src/node/action.h"
+#include "tamarackridge/src/node/node_core.h"
+
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace tamarackridge {
+
+/// \brief Header names in the answers of backend servers.
+struct server_answer_names
+{
+    std::string requestId; ///< Repeats the id of the request.
+    std::string notRun; ///< Present when the request was rejected and has not run.
+    std::string seal; ///< Present in every whole answer of success.
+};
+
+/// \brief Runs requests on the backend server of this VM, each at most once.
+class server_runner
+{
+public:
+    /// \param refused is set when no connection could be opened.
+    using done_handler = std::function<void(run_id run, backend_result result, bool refused)>;
+
+    server_runner(boost::asio::io_context &loop, const socket_address &server,
+                  server_answer_names names, done_handler done)
+        : m_pool(loop, server)
+        , m_names(std::move(names))
+        , m_done(std::move(done))
+    { }
+
+    void run(run_backend item);
+    void cancel(run_id run);
+    void sweep(time_point now) { m_pool.sweep(now); }
+    const connection_pool &pool() const { return m_pool; }
+
+private:
+    void finished(run_id run, exchange_result result);
+
+    connection_pool m_pool;
+    server_answer_names m_names;
+    done_handler m_done;
+    std::unordered_map<run_id, connection_pool::exchange_id> m_running;
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/sidecar_app.cpp
@@ -0,0 +1,357 @@
+#include "sidecar/sidecar_app.h"
+
+#include <chrono>
+#include <csignal>
+#include <utility>
+#include <variant>
+
+namespace tamarackridge {
+namespace {
+
+constexpr duration sweepInterval = std::chrono::milliseconds(100);
+
+http_answer plainAnswer(int status, std::string_view type, std::string body)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", std::string(type)});
+    answer.body = std::make_shared<const std::string>(std::move(body));
+    return answer;
+}
+
+http_answer jsonAnswer(int status, std::string_view error)
+{
+    json_line body;
+    if (!error.empty())
+        body.add("error", error);
+    return plainAnswer(status, "application/json", body.finish());
+}
+
+std::int64_t microseconds(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+}
+
+} // namespace
+
+sidecar_app::sidecar_app(boost::asio::io_context &loop, const sidecar_settings &settings,
+                         platform_gateway &platform)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_platform(platform)
+    , m_self{settings.zone, settings.name, m_random.next() | 1U}
+    , m_core(
+              coreOptions(),
+              [&platform](std::string_view text) { return platform.decodeSet(text); }, *this,
+              m_random)
+    , m_callers(loop, settings.callers, callerCallbacks(), m_lastCall)
+    , m_health(loop, settings.health, ownCallbacks(&sidecar_app::health), m_lastCall)
+    , m_control(loop, settings.control, ownCallbacks(&sidecar_app::control), m_lastCall)
+    , m_metrics(loop, settings.metrics, ownCallbacks(&sidecar_app::serveMetrics), m_lastCall)
+    , m_server(loop, settings.backend, platform.answerNames(),
+               [this](run_id run, backend_result result, bool refused) {
+                   post([&](time_point now, action_list &out) {
+                       m_core.backendAnswer(run, std::move(result), now, out);
+                       if (refused)
+                           m_core.backendCrashed(now, out);
+                   });
+               })
+    , m_peers(loop, settings.peers, m_self, linkCallbacks())
+    , m_store(loop, platform, settings.name, settings.peers.text(), storeCallbacks())
+    , m_tickTimer(loop)
+    , m_sweepTimer(loop)
+    , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
+{ }
+
+sidecar_options sidecar_app::coreOptions() const
+{
+    sidecar_options options;
+    options.self = m_self;
+    options.peerEndpoint = m_settings.peers.text();
+    options.service = m_settings.service;
+    options.serverAddress = m_settings.backend.text();
+    options.headers = m_platform.headers();
+    return options;
+}
+
+listener_callbacks sidecar_app::callerCallbacks()
+{
+    listener_callbacks callbacks;
+    callbacks.request = [this](call_id call, http_request request) {
+        post([&](time_point now, action_list &out) {
+            m_core.callerRequest(call, std::move(request), now, out);
+        });
+    };
+    callbacks.gone = [this](call_id call) {
+        post([&](time_point now, action_list &out) { m_core.callerGone(call, now, out); });
+    };
+    callbacks.limits = [this]() -> const caller_limits & { return m_core.limits(); };
+    callbacks.leaving = [this] { return m_core.leaving(); };
+    return callbacks;
+}
+
+listener_callbacks sidecar_app::ownCallbacks(void (sidecar_app::*handle)(call_id,
+                                                                         const http_request &))
+{
+    listener_callbacks callbacks;
+    callbacks.request = [this, handle](call_id call, const http_request &request) {
+        (this->*handle)(call, request);
+    };
+    callbacks.gone = [](call_id) {};
+    callbacks.limits = [this]() -> const caller_limits & { return m_core.limits(); };
+    callbacks.leaving = [] { return false; };
+    return callbacks;
+}
+
+peer_callbacks sidecar_app::linkCallbacks()
+{
+    peer_callbacks callbacks;
+    callbacks.received = [this](const node_ref &from, peer_message message) {
+        post([&](time_point now, action_list &out) {
+            m_core.peerMessage(from, std::move(message), now, out);
+        });
+    };
+    callbacks.restarted = [this](const std::string &node) {
+        post([&](time_point now, action_list &out) { m_core.peerRestarted(node, now, out); });
+    };
+    callbacks.changed = [this](const std::string &node, bool open) {
+        m_log.write(line_class::process, open ? "link opened" : "link lost",
+                    json_line().add("peer", node));
+    };
+    return callbacks;
+}
+
+store_callbacks sidecar_app::storeCallbacks()
+{
+    store_callbacks callbacks;
+    callbacks.setRead = [this](const std::string &text) {
+        post([&](time_point now, action_list &out) {
+            m_core.configurationRead(text, "store", now, out);
+        });
+    };
+    callbacks.membersRead = [this](const std::vector<seed_peer> &members) {
+        post([&](time_point now, action_list &out) { m_core.membersListed(members, now, out); });
+    };
+    callbacks.changed = [this](bool answers, std::string_view fault) {
+        m_log.write(line_class::process, answers ? "store regained" : "store lost",
+                    json_line().add("fault", fault));
+    };
+    callbacks.knowsPeers = [this] { return m_core.status(monotonicNow()).membersKnown > 1; };
+    return callbacks;
+}
+
+template <typename Event>
+void sidecar_app::post(Event event)
+{
+    event(monotonicNow(), m_actions);
+    if (m_carryingOut)
+        return;
+    m_carryingOut = true;
+    // Carrying out an action can bring further events, whose actions are appended.
+    for (std::size_t next = 0; next < m_actions.size(); ++next) {
+        action item = std::move(m_actions[next]);
+        carryOut(item);
+    }
+    m_actions.clear();
+    m_carryingOut = false;
+}
+
+void sidecar_app::carryOut(action &item)
+{
+    if (answer_caller *answer = std::get_if<answer_caller>(&item))
+        m_callers.answer(answer->call, std::move(answer->answer));
+    else if (run_backend *run = std::get_if<run_backend>(&item))
+        m_server.run(std::move(*run));
+    else if (const cancel_run *cancel = std::get_if<cancel_run>(&item))
+        m_server.cancel(cancel->run);
+    else if (const send_peer *send = std::get_if<send_peer>(&item))
+        m_peers.send(send->node, send->receiver, send->message);
+    else if (const connect_peer *connect = std::get_if<connect_peer>(&item))
+        m_peers.connect(connect->node, connect->endpoint);
+    else if (const disconnect_peer *disconnect = std::get_if<disconnect_peer>(&item))
+        m_peers.disconnect(disconnect->node);
+}
+
+void sidecar_app::health(call_id call, const http_request &)
+{
+    constexpr int ok = 200;
+    constexpr int unavailable = 503;
+    m_health.answer(call, jsonAnswer(m_core.ready() ? ok : unavailable, {}));
+}
+
+void sidecar_app::control(call_id call, const http_request &request)
+{
+    constexpr int ok = 200;
+    constexpr int badRequest = 400;
+    const server_notice notice = m_platform.decodeNotice(request);
+    if (const invalid_notice *invalid = std::get_if<invalid_notice>(&notice)) {
+        m_log.write(line_class::failure, "notice refused",
+                    json_line().add("fault", invalid->fault));
+        m_control.answer(call, jsonAnswer(badRequest, invalid->fault));
+        return;
+    }
+    if (report(notice))
+        m_control.answer(call, jsonAnswer(ok, {}));
+    else
+        m_control.answer(call, jsonAnswer(badRequest, "out of date, or about another server"));
+}
+
+bool sidecar_app::report(const server_notice &notice)
+{
+    bool accepted = true;
+    post([&](time_point now, action_list &out) {
+        if (const server_report *report = std::get_if<server_report>(&notice))
+            accepted = m_core.serverReported(*report, now, out);
+        else if (const leave_notice *leave = std::get_if<leave_notice>(&notice))
+            m_core.serverLeft(leave->instance, now, out);
+    });
+    if (!accepted) {
+        const server_report &report = std::get<server_report>(notice);
+        m_log.write(line_class::failure, "heartbeat not acted upon",
+                    json_line()
+                            .add("instance", report.instance)
+                            .add("service", report.service)
+                            .add("address", report.address)
+                            .add("sequence", report.sequence));
+    }
+    return accepted;
+}
+
+void sidecar_app::serveMetrics(call_id call, const http_request &)
+{
+    m_metrics.answer(call, plainAnswer(200, "text/plain; version=0.0.4", metricsText()));
+}
+
+std::string sidecar_app::metricsText()
+{
+    const node_status status = m_core.status(monotonicNow());
+    std::string text;
+    const auto add = [&text](const std::string &name, auto value) {
+        appendSample("tamarackridge_" + name, {}, static_cast<double>(value), text);
+    };
+    for (const auto &[name, value] : status.counters)
+        add(name + "_total", value);
+    for (const auto &[code, count] : m_answersByStatus)
+        appendSample("tamarackridge_answers_total", "status=\"" + std::to_string(code) + '"',
+                     static_cast<double>(count), text);
+    add("configuration_version", status.configVersion);
+    add("ready", status.ready ? 1 : 0);
+    add("calls_in_flight", status.callsInFlight);
+    add("members_known", status.membersKnown);
+    add("server_limit", status.load.limit);
+    add("server_in_flight", status.load.inFlight);
+    add("server_queued", status.load.queued);
+    add("server_connections_opened_total", m_server.pool().opened());
+    add("caller_connections", m_callers.connections());
+    add("peer_frames_sent_total", m_peers.counts().framesSent);
+    add("peer_bytes_sent_total", m_peers.counts().bytesSent);
+    add("peer_frames_expired_total", m_peers.counts().framesExpired);
+    add("peer_frames_refused_total", m_peers.counts().framesRefused);
+    add("store_faults_total", m_store.faults());
+    add("log_lines_dropped_total", m_log.dropped());
+    m_latency.appendText("tamarackridge_call_seconds", text);
+    return text;
+}
+
+void sidecar_app::requestEnded(const ended_request &request)
+{
+    ++m_answersByStatus[request.status];
+    m_latency.observe(request.took);
+    json_line line;
+    line.add("request", request.requestId)
+            .add("route", request.route)
+            .add("service", request.service)
+            .add("customer", request.customer)
+            .add("executor", request.executor)
+            .add("status", request.status)
+            .add("run_state", toString(request.state))
+            .add("error", request.error)
+            .add("attempts", request.attempts)
+            .add("configuration", request.configVersion)
+            .add("took_us", microseconds(request.took));
+    m_log.write(request.error.empty() ? line_class::success : line_class::failure, "request ended",
+                std::move(line));
+}
+
+void sidecar_app::beliefChanged(std::string_view subject, std::string_view belief,
+                                std::string_view source)
+{
+    m_log.write(line_class::process, "belief changed",
+                json_line().add("subject", subject).add("belief", belief).add("source", source));
+}
+
+void sidecar_app::tick()
+{
+    post([&](time_point now, action_list &out) { m_core.tick(now, out); });
+    m_tickTimer.expires_at(
+            std::chrono::steady_clock::time_point(m_core.nextTick().time_since_epoch()));
+    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+void sidecar_app::sweep()
+{
+    const time_point now = monotonicNow();
+    m_callers.sweep(now);
+    m_health.sweep(now);
+    m_control.sweep(now);
+    m_metrics.sweep(now);
+    m_server.sweep(now);
+    m_peers.sweep(now);
+    m_platform.sweep(now);
+    m_log.flush(now);
+    if (m_core.drained(now) || now >= m_stopAt) {
+        m_loop.stop();
+        return;
+    }
+    m_sweepTimer.expires_after(sweepInterval);
+    m_sweepTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            sweep();
+    });
+}
+
+void sidecar_app::awaitSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            m_log.write(line_class::process, "settings unchanged",
+                        json_line().add("cause", "SIGHUP; addresses change with a restart only"));
+        else
+            stop("signal");
+        awaitSignal();
+    });
+}
+
+void sidecar_app::stop(std::string_view cause)
+{
+    if (m_core.leaving())
+        return;
+    m_log.write(line_class::process, "stopping", json_line().add("cause", cause));
+    m_stopAt = monotonicNow() + std::chrono::seconds(m_settings.stopSeconds);
+    post([&](time_point now, action_list &out) { m_core.beginShutdown(now, out); });
+    m_store.leave();
+}
+
+void sidecar_app::run()
+{
+    m_log.write(line_class::process, "started",
+                json_line()
+                        .add("node", m_self.name)
+                        .add("zone", m_self.zone)
+                        .add("service", m_settings.service)
+                        .add("incarnation", m_self.life));
+    awaitSignal();
+    tick();
+    sweep();
+    m_store.start();
+    m_loop.run();
+    m_log.write(line_class::process, "stopped", json_line().add("node", m_self.name));
+    m_log.flush(monotonicNow());
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/sidecar_app.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "process/secure_random.h"
+#include "sidecar/http_listener.h"
+#include "sidecar/latency_buckets.h"
+#include "sidecar/output_log.h"
+#include "sidecar/peer_network.h"
+#include "sidecar/platform_gateway.h"
+#include "sidecar/server_runner.h"
+#include "sidecar/sidecar_settings.h"
+#include "sidecar/store_watch.h"
+#include "tamarackridge/src/sidecar/sidecar_core.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <string>
+
+namespace tamarackridge {
+
+/// \brief The process beside a backend server: sockets and timers around a sidecar_core.
+class sidecar_app final : public decision_observer
+{
+public:
+    sidecar_app(boost::asio::io_context &loop, const sidecar_settings &settings,
+                platform_gateway &platform);
+
+    /// \brief Runs until the process is to end.
+    void run();
+
+    void requestEnded(const ended_request &request) override;
+    void beliefChanged(std::string_view subject, std::string_view belief,
+                       std::string_view source) override;
+
+private:
+    sidecar_options coreOptions() const;
+    listener_callbacks callerCallbacks();
+    listener_callbacks ownCallbacks(void (sidecar_app::*handle)(call_id, const http_request &));
+    peer_callbacks linkCallbacks();
+    store_callbacks storeCallbacks();
+
+    /// \brief Passes an event to the core and carries out what it decides.
+    template <typename Event>
+    void post(Event event);
+    void carryOut(action &item);
+
+    void health(call_id call, const http_request &request);
+    void control(call_id call, const http_request &request);
+    void serveMetrics(call_id call, const http_request &request);
+    std::string metricsText();
+    bool report(const server_notice &notice);
+
+    void tick();
+    void sweep();
+    void awaitSignal();
+    void stop(std::string_view cause);
+
+    boost::asio::io_context &m_loop;
+    sidecar_settings m_settings;
+    platform_gateway &m_platform;
+    output_log m_log;
+    secure_random m_random;
+    node_ref m_self;
+    sidecar_core m_core;
+    action_list m_actions;
+    bool m_carryingOut = false;
+    call_id m_lastCall = 0;
+    http_listener m_callers;
+    http_listener m_health;
+    http_listener m_control;
+    http_listener m_metrics;
+    server_runner m_server;
+    peer_network m_peers;
+    store_watch m_store;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_sweepTimer;
+    boost::asio::signal_set m_signals;
+    std::map<int, std::uint64_t> m_answersByStatus;
+    latency_buckets m_latency;
+    time_point m_stopAt = time_point::max();
+};
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/sidecar_settings.cpp
@@ -0,0 +1,60 @@
+#include "sidecar/sidecar_settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+constexpr std::int64_t longestStop = 3600;
+
+bool parseAddress(const std::string &text, socket_address &out)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    const char *const first = text.data() + colon + 1;
+    const char *const last = text.data() + text.size();
+    std::uint16_t port = 0;
+    const auto [end, fault] = std::from_chars(first, last, port);
+    boost::system::error_code error;
+    out.host = text.substr(0, colon);
+    boost::asio::ip::make_address_v4(out.host, error);
+    out.port = port;
+    return fault == std::errc() && end == last && !error;
+}
+
+settings_field addressField(std::string path, socket_address &target)
+{
+    const std::string expected = "an IPv4 address and a port, for example 10.0.0.5:8080";
+    return {std::move(path), expected, field_need::required,
+            [&target, expected](const nlohmann::json &value) -> std::vector<settings_fault> {
+                if (value.is_string() && parseAddress(value.get<std::string>(), target))
+                    return {};
+                return {{"", expected}};
+            }};
+}
+
+} // namespace
+
+std::vector<settings_fault> readSidecarSettings(const std::string &fileName, sidecar_settings &out)
+{
+    const std::vector<settings_field> fields = {
+            textField("node.zone", out.zone),
+            textField("node.name", out.name),
+            textField("backend.service", out.service),
+            addressField("backend.address", out.backend),
+            addressField("backend.control", out.control),
+            addressField("callers.address", out.callers),
+            addressField("health.address", out.health),
+            addressField("peers.address", out.peers),
+            addressField("metrics.address", out.metrics),
+            addressField("store.address", out.store),
+            integerField("stop.longest_s", out.stopSeconds, 1, longestStop),
+    };
+    return readSettingsFile(fileName, fields);
+}
+
+} // namespace tamarackridge
