Wait for an attempt as long as its deadline, trust announced slots, lend tokens between nodes

(1) A dispatcher gave an idempotent attempt half of its time and failed it when no retry was left, while the server was at work: LOST after SIGTERM, 504 after 0.4 s. (2) Sheds of a faulty server lowered the concurrency limit as if it were full.

Ruled out: the server ending the run (its trace shows 0 cut after our 504); clock or drain time.

--- a/include/tamarackridge/src/overload/concurrency_limit.h
+++ b/include/tamarackridge/src/overload/concurrency_limit.h
@@ -18,9 +18,9 @@
     duration minWindow = std::chrono::milliseconds(50);
     duration maxWindow = std::chrono::seconds(1);
     duration checkPeriod = std::chrono::seconds(10); ///< Between full checks of the baseline.
-    /// False where the announced slots are true and runs wait for onward calls: their latency then
-    /// says more about other servers than about this one.
-    bool learnFromLatency = true;
+    /// False where the announced slots are true and runs wait for onward calls: latency and
+    /// refusals then say more about other servers, or about faults, than about a queue here.
+    bool learns = true;
     double usableShare = 1; ///< Of the announced slots; some servers slow down when nearly full.
 };
 
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -124,6 +124,12 @@
     /// \brief The process behind the link to a peer is another one than before.
     void peerRestarted(std::string_view node, time_point now, action_list &out);
 
+    /// \brief A peer does not acknowledge what was sent to it.
+    void peerSilent(std::string_view node, time_point now, action_list &out);
+    /// \brief A dispatch was taken back before any byte of it was sent.
+    void undelivered(std::string_view node, std::uint64_t sequence, time_point now,
+                     action_list &out);
+
     /// \brief A heartbeat of the own backend server.
     /// \returns false when it is out of date or about another server; it is not acted upon then.
     bool serverReported(const server_report &report, time_point now, action_list &out);
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -37,7 +37,7 @@
 
 dispatcher::dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
                        node_counters &counters, random_source &random, retry_table retries,
-                       outcome_sink sink, late_sink lateSink)
+                       attempt_patience patience, outcome_sink sink, late_sink lateSink)
     : m_self(std::move(self))
     , m_membership(membership)
     , m_routes(routes)
@@ -47,6 +47,7 @@
     , m_sink(std::move(sink))
     , m_lateSink(std::move(lateSink))
     , m_retries(std::move(retries))
+    , m_patience(patience)
 { }
 
 dispatcher::owned_id dispatcher::start(owned_request request, time_point now, action_list &out)
@@ -92,7 +93,8 @@
     work.sent = now;
     work.attemptDeadline = work.request.deadline + answerGrace;
     // Half of the time stays for another executor when this one does not answer at all.
-    if (work.request.context.idempotent && work.attempts.remaining() > 0)
+    if (m_patience == attempt_patience::half && work.request.context.idempotent
+        && work.attempts.remaining() > 0)
         work.attemptDeadline = now + (work.request.deadline - now) / 2;
     m_dispatches.emplace(work.dispatchSequence, owned);
     m_routes.onDispatched(node, now);
@@ -172,8 +174,11 @@
     if (answer.error == error_kind::cancelled || answer.error == error_kind::deadline_exceeded
         || answer.error == error_kind::request_quarantined)
         return false;
-    // An executor that is leaving refuses at once; moving on is not a sign of trouble.
-    if (answer.error == error_kind::leaving)
+    // A request that reached no backend server adds nothing to the load of the service.
+    const bool arrivedNowhere =
+            answer.error == error_kind::leaving
+            || (refusedBeforeRunning && answer.error == error_kind::no_backend_server);
+    if (arrivedNowhere)
         return true;
     return m_retries.of(work.request.context.service).tryRetry(now);
 }
@@ -222,6 +227,16 @@
         m_membership.send(node, dispatch_cancel{id}, out);
 }
 
+void dispatcher::undelivered(std::string_view node, std::uint64_t sequence, time_point now,
+                             action_list &out)
+{
+    dispatch_answer unsent;
+    unsent.id = {m_self.life, sequence};
+    unsent.state = run_state::not_run;
+    unsent.error = error_kind::no_backend_server;
+    dispatchAnswer(node, std::move(unsent), now, out);
+}
+
 void dispatcher::executorLost(std::string_view node, time_point now, action_list &out)
 {
     std::vector<owned_id> affected;
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -37,6 +37,15 @@
     std::optional<ledger_key> key; ///< Set for a request with a request id.
 };
 
+/// \brief How long a dispatcher waits for one attempt.
+enum class attempt_patience : std::uint8_t {
+    /// Half of the time that is left, so that another executor can be tried: for transports that do
+    /// not tell whether a dispatch arrived.
+    half,
+    /// All of it: the transport reports peers that do not read.
+    whole,
+};
+
 /// \brief Brings owned requests to an outcome: chooses executors, sends, retries.
 class dispatcher
 {
@@ -49,7 +58,7 @@
 
     dispatcher(node_ref self, overlay &membership, router &routes, executor &ownExecutor,
                node_counters &counters, random_source &random, retry_table retries,
-               outcome_sink sink, late_sink lateSink);
+               attempt_patience patience, outcome_sink sink, late_sink lateSink);
 
     /// \brief Takes a request; its outcome is reported exactly once.
     owned_id start(owned_request request, time_point now, action_list &out);
@@ -58,6 +67,9 @@
     /// \brief Handles the outcome of a dispatch; an answer that matches no dispatch is dropped.
     void dispatchAnswer(std::string_view from, dispatch_answer answer, time_point now,
                         action_list &out);
+    /// \brief The transport did not hand a dispatch over, and will not.
+    void undelivered(std::string_view node, std::uint64_t sequence, time_point now,
+                     action_list &out);
     /// \brief A node died or became suspect: idempotent requests on it are sent elsewhere.
     void executorLost(std::string_view node, time_point now, action_list &out);
 
@@ -106,6 +118,7 @@
     outcome_sink m_sink;
     late_sink m_lateSink;
     retry_table m_retries;
+    attempt_patience m_patience;
     owned_map m_owned;
     std::unordered_map<std::uint64_t, owned_id> m_dispatches;
     std::map<std::uint64_t, ledger_key> m_late; ///< Expired dispatches of requests with an id.
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -60,6 +60,7 @@
               })
     , m_dispatcher(
               m_options.self, m_membership, m_routes, m_executor, m_counters, random, retry_table(),
+              attempt_patience::half,
               [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
                      action_list &out) { m_entry.outcome(owned, std::move(outcome), now, out); },
               [this](const ledger_key &key, const http_answer &answer) {
--- a/src/core/sidecar/caller_answer.cpp
+++ b/src/core/sidecar/caller_answer.cpp
@@ -4,8 +4,7 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
-#include <cstdio>
+#include <string>
 
 namespace tamarackridge::internal {
 namespace {
@@ -14,10 +13,9 @@
 constexpr int serviceUnavailable = 503;
 constexpr int gatewayTimeout = 504;
 
-// Long enough for a queue to shorten, short against the deadlines of callers, who wait for a third
-// of the time that they have left at most.
-constexpr duration shortWait = std::chrono::milliseconds(300);
-constexpr duration longestWait = std::chrono::seconds(5);
+// Long enough for a queue to shorten or for tokens to be minted, short against the deadlines of
+// callers, who wait for a third of the time that they have left at most.
+constexpr std::string_view resendDelaySeconds = "0.4";
 
 int statusOf(error_kind kind, run_state state)
 {
@@ -36,17 +34,9 @@
     return keeps ? usual : serviceUnavailable;
 }
 
-std::string seconds(duration wait)
-{
-    std::array<char, 32> text{};
-    const int length = std::snprintf(text.data(), text.size(), "%.2f",
-                                     std::chrono::duration<double>(wait).count());
-    return {text.data(), static_cast<std::size_t>(length)};
-}
-
 } // namespace
 
-http_answer refusal(error_kind kind, run_state state, duration wait)
+http_answer refusal(error_kind kind, run_state state)
 {
     http_answer answer = errorAnswer(kind, state);
     answer.status = statusOf(kind, state);
@@ -55,8 +45,7 @@
     });
     const bool comesBack = answer.status == serviceUnavailable || kind == error_kind::rate_exceeded;
     if (comesBack)
-        answer.headers.push_back(
-                {"Retry-After", seconds(std::clamp(wait, shortWait, longestWait))});
+        answer.headers.push_back({"Retry-After", std::string(resendDelaySeconds)});
     return answer;
 }
 
--- a/src/core/sidecar/caller_answer.h
+++ b/src/core/sidecar/caller_answer.h
@@ -2,7 +2,6 @@
 
 #include "tamarackridge/src/base/error_kind.h"
 #include "tamarackridge/src/base/http_message.h"
-#include "tamarackridge/src/base/time.h"
 
 #include <string_view>
 
@@ -12,8 +11,7 @@
 ///
 /// 429 and 503 promise that the request has not run and will not run; anything that may have run
 /// is answered with 502 or 504.
-/// \param wait when to come back, if the cause says so; zero otherwise.
-http_answer refusal(error_kind kind, run_state state, duration wait);
+http_answer refusal(error_kind kind, run_state state);
 
 /// \returns whether the value of a `Connection` header names \a header.
 bool namesHeader(std::string_view connection, std::string_view header);
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -54,6 +54,17 @@
     m_implementation->peerRestarted(node, now, out);
 }
 
+void sidecar_core::peerSilent(std::string_view node, time_point now, action_list &out)
+{
+    m_implementation->peerSilent(node, now, out);
+}
+
+void sidecar_core::undelivered(std::string_view node, std::uint64_t sequence, time_point now,
+                               action_list &out)
+{
+    m_implementation->dispatches().undelivered(node, sequence, now, out);
+}
+
 bool sidecar_core::serverReported(const server_report &report, time_point now, action_list &out)
 {
     return m_implementation->serverReported(report, now, out);
--- a/src/core/sidecar/sidecar_entry.cpp
+++ b/src/core/sidecar/sidecar_entry.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint32_t routeUrgencies = 16; ///< Distinguished within one customer's urgency.
 constexpr std::uint32_t customerUrgencies = 15;
 
+// Tokens of another node arrive within a round trip between zones; a request that would wait for
+// much longer is refused.
+constexpr duration tokenPatience = std::chrono::milliseconds(40);
+
 // Headers that concern one connection only (RFC 9110, section 7.6.1), and the length of the body,
 // which the next hop sets itself.
 constexpr std::array<std::string_view, 9> connectionHeaders{
@@ -46,19 +50,15 @@
 } // namespace
 
 sidecar_entry::sidecar_entry(const sidecar_options &options, dispatcher &target,
-                             node_counters &counters, decision_observer &observer)
+                             allowance_service &allowance, node_counters &counters,
+                             decision_observer &observer)
     : m_options(options)
     , m_dispatcher(target)
+    , m_allowance(allowance)
     , m_counters(counters)
     , m_observer(observer)
 { }
 
-void sidecar_entry::install(std::shared_ptr<route_table> table, time_point now)
-{
-    m_table = std::move(table);
-    m_allowance.configure(m_table->set().customers, now);
-}
-
 void sidecar_entry::callerRequest(call_id call, http_request request, time_point now,
                                   action_list &out)
 {
@@ -68,18 +68,57 @@
     item.began = now;
     item.requestId = headerValue(request.headers, m_options.headers.requestId);
     tl::expected<owned_request, error_kind> work = admit(item, request, now);
-    if (!work) {
-        request_outcome refused;
-        refused.state = run_state::not_run;
-        refused.error = work.error();
-        answer(item, std::move(refused), now, out);
-        return;
-    }
+    if (!work)
+        refuse(item, work.error(), now, out);
+    else if (item.customer.empty() || m_allowance.trySpend(item.customer, now))
+        begin(std::move(item), std::move(*work), now, out);
+    else if (m_allowance.expectsGrant(item.customer, now))
+        m_waiting.push_back({std::move(item), std::move(*work)});
+    else
+        refuse(item, error_kind::rate_exceeded, now, out);
+}
+
+void sidecar_entry::begin(pending item, owned_request work, time_point now, action_list &out)
+{
     // The outcome can come before start() returns.
     const dispatcher::owned_id owned = m_dispatcher.nextOwned();
-    m_byCall.emplace(call, owned);
+    m_byCall.emplace(item.call, owned);
     m_requests.emplace(owned, std::move(item));
-    m_dispatcher.start(std::move(*work), now, out);
+    m_dispatcher.start(std::move(work), now, out);
+}
+
+void sidecar_entry::refuse(const pending &item, error_kind kind, time_point now, action_list &out)
+{
+    request_outcome refused;
+    refused.state = run_state::not_run;
+    refused.error = kind;
+    answer(item, std::move(refused), now, out);
+}
+
+void sidecar_entry::tokensArrived(time_point now, action_list &out)
+{
+    std::vector<waiting_request> waiting = std::exchange(m_waiting, {});
+    for (waiting_request &request : waiting) {
+        if (m_allowance.retrySpend(request.item.customer, now))
+            begin(std::move(request.item), std::move(request.work), now, out);
+        else
+            m_waiting.push_back(std::move(request));
+    }
+}
+
+void sidecar_entry::tick(time_point now, action_list &out)
+{
+    if (m_waiting.empty())
+        return;
+    std::vector<waiting_request> waiting = std::exchange(m_waiting, {});
+    for (waiting_request &request : waiting) {
+        if (m_allowance.retrySpend(request.item.customer, now))
+            begin(std::move(request.item), std::move(request.work), now, out);
+        else if (now - request.item.began < tokenPatience)
+            m_waiting.push_back(std::move(request));
+        else
+            refuse(request.item, error_kind::rate_exceeded, now, out);
+    }
 }
 
 tl::expected<owned_request, error_kind> sidecar_entry::admit(pending &item, http_request &request,
@@ -97,11 +136,8 @@
             customerOf(*route, request);
     if (!customer)
         return tl::unexpected(customer.error());
-    if (*customer != nullptr) {
+    if (*customer != nullptr)
         item.customer = (*customer)->name;
-        if (!m_allowance.trySpend(item.customer, now))
-            return tl::unexpected(error_kind::rate_exceeded);
-    }
     item.service = m_table->nextService(*route);
     item.attempts = route->attempts;
 
@@ -161,6 +197,8 @@
 
 void sidecar_entry::callerGone(call_id call, time_point now, action_list &out)
 {
+    std::erase_if(m_waiting,
+                  [call](const waiting_request &request) { return request.item.call == call; });
     const auto found = m_byCall.find(call);
     if (found == m_byCall.end())
         return;
@@ -205,10 +243,7 @@
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = answerFor(*result.error).name;
-        const duration wait = *result.error == error_kind::rate_exceeded
-                                      ? m_allowance.retryAfter(item.customer)
-                                      : duration::zero();
-        result.answer = refusal(*result.error, result.state, wait);
+        result.answer = refusal(*result.error, result.state);
     }
     ended.status = result.answer.status;
     m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
--- a/src/core/sidecar/sidecar_entry.h
+++ b/src/core/sidecar/sidecar_entry.h
@@ -2,13 +2,15 @@
 
 #include "core/node/dispatcher.h"
 #include "core/node/node_counters.h"
-#include "tamarackridge/src/sidecar/customer_allowance.h"
+#include "core/sidecar/allowance_service.h"
 #include "tamarackridge/src/sidecar/route_table.h"
 #include "tamarackridge/src/sidecar/sidecar_core.h"
 
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace tamarackridge::internal {
 
@@ -16,11 +18,10 @@
 class sidecar_entry
 {
 public:
-    sidecar_entry(const sidecar_options &options, dispatcher &target, node_counters &counters,
-                  decision_observer &observer);
+    sidecar_entry(const sidecar_options &options, dispatcher &target, allowance_service &allowance,
+                  node_counters &counters, decision_observer &observer);
 
-    void install(std::shared_ptr<route_table> table, time_point now);
-    void setNodes(std::size_t nodes, time_point now) { m_allowance.setNodes(nodes, now); }
+    void install(std::shared_ptr<route_table> table) { m_table = std::move(table); }
     const route_table *table() const { return m_table.get(); }
 
     void callerRequest(call_id call, http_request request, time_point now, action_list &out);
@@ -28,8 +29,13 @@
     void outcome(dispatcher::owned_id owned, request_outcome result, time_point now,
                  action_list &out);
 
-    bool idle() const { return m_requests.empty(); }
-    std::size_t size() const { return m_requests.size(); }
+    /// \brief Requests that wait for their customer's tokens are tried again.
+    void tokensArrived(time_point now, action_list &out);
+    /// \brief Refuses requests that have waited for tokens long enough.
+    void tick(time_point now, action_list &out);
+
+    bool idle() const { return m_requests.empty() && m_waiting.empty(); }
+    std::size_t size() const { return m_requests.size() + m_waiting.size(); }
 
 private:
     struct pending
@@ -44,8 +50,17 @@
         time_point began;
     };
 
+    /// A request that waits for its customer's tokens.
+    struct waiting_request
+    {
+        pending item;
+        owned_request work;
+    };
+
     tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
                                                   time_point now);
+    void begin(pending item, owned_request work, time_point now, action_list &out);
+    void refuse(const pending &item, error_kind kind, time_point now, action_list &out);
     tl::expected<const published_customer *, error_kind> customerOf(const published_route &route,
                                                                     const http_request &request);
     std::vector<http_header> onwardHeaders(std::vector<http_header> received,
@@ -54,10 +69,11 @@
 
     const sidecar_options &m_options;
     dispatcher &m_dispatcher;
+    allowance_service &m_allowance;
     node_counters &m_counters;
     decision_observer &m_observer;
     std::shared_ptr<route_table> m_table;
-    customer_allowance m_allowance;
+    std::vector<waiting_request> m_waiting; ///< In order of arrival.
     std::unordered_map<dispatcher::owned_id, pending> m_requests;
     std::unordered_map<call_id, dispatcher::owned_id> m_byCall;
 };
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -39,7 +39,7 @@
 concurrency_limit_options limitOptions()
 {
     concurrency_limit_options options;
-    options.learnFromLatency = false;
+    options.learns = false;
     options.usableShare = usableSlotShare;
     return options;
 }
@@ -82,12 +82,13 @@
               })
     , m_dispatcher(
               m_options.self, m_membership, m_routes, m_executor, m_counters, random,
-              retry_table(retry_table::scope::service, serviceRetries),
+              retry_table(retry_table::scope::service, serviceRetries), attempt_patience::whole,
               [this](dispatcher::owned_id owned, request_outcome outcome, time_point now,
                      action_list &out) { m_entry.outcome(owned, std::move(outcome), now, out); },
               [](const ledger_key &, const http_answer &) {})
     , m_fleet(m_membership, m_routes, m_dispatcher)
-    , m_entry(m_options, m_dispatcher, m_counters, observer)
+    , m_allowance(m_options.self, m_membership, random)
+    , m_entry(m_options, m_dispatcher, m_allowance, m_counters, observer)
 { }
 
 std::int64_t sidecar_state::version() const
@@ -112,7 +113,8 @@
     if (set->version <= version())
         return;
     m_observer.beliefChanged("configuration", "version " + std::to_string(set->version), source);
-    m_entry.install(std::make_shared<route_table>(std::move(*set)), now);
+    m_allowance.configure(set->customers, now);
+    m_entry.install(std::make_shared<route_table>(std::move(*set)));
 }
 
 void sidecar_state::membersListed(const std::vector<seed_peer> &members, time_point now)
@@ -127,7 +129,8 @@
 
 void sidecar_state::countNodes(time_point now)
 {
-    m_entry.setNodes(std::max(m_membership.members().records().size(), m_membersListed), now);
+    const std::size_t known = m_membership.members().records().size();
+    m_allowance.setNodes(std::max(known, m_membersListed), now);
 }
 
 // Messages of fleets with a log of their own carry nothing for a sidecar.
@@ -156,6 +159,28 @@
     m_executor.cancel(message.id, now, out);
 }
 
+template <>
+void sidecar_state::handle(const node_ref &from, token_request &message, time_point now,
+                           action_list &out)
+{
+    m_allowance.onRequest(from, message, now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, token_grant &message, time_point now,
+                           action_list &out)
+{
+    m_allowance.onGrant(from, message, now);
+    m_entry.tokensArrived(now, out);
+}
+
+template <>
+void sidecar_state::handle(const node_ref &from, token_report &message, time_point now,
+                           action_list &)
+{
+    m_allowance.onReport(from, message, now);
+}
+
 template <>
 void sidecar_state::handle(const node_ref &from, heartbeat &message, time_point now,
                            action_list &out)
@@ -211,6 +236,12 @@
     m_membership.introduce(node, out);
 }
 
+void sidecar_state::peerSilent(std::string_view node, time_point now, action_list &out)
+{
+    m_observer.beliefChanged(node, "does not read", "link");
+    m_dispatcher.executorLost(node, now, out);
+}
+
 void sidecar_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
 {
     m_fleet.applyMembers(changes, now, out);
@@ -309,6 +340,8 @@
     const heartbeat_state state{version(), duration::zero(), m_executor.load(now)};
     applyChanges(m_membership.tick(state, now, out), now, out);
     m_fleet.updateReachability(now, out);
+    m_allowance.tick(now, out);
+    m_entry.tick(now, out);
     m_executor.tick(now, out);
     m_dispatcher.tick(now, out);
 }
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -5,6 +5,7 @@
 #include "core/node/fleet_view.h"
 #include "core/node/node_counters.h"
 #include "core/node/run_headers.h"
+#include "core/sidecar/allowance_service.h"
 #include "core/sidecar/sidecar_entry.h"
 #include "tamarackridge/src/membership/overlay.h"
 #include "tamarackridge/src/routing/router.h"
@@ -49,6 +50,8 @@
     void membersListed(const std::vector<seed_peer> &members, time_point now);
     void peerMessage(const node_ref &from, peer_message message, time_point now, action_list &out);
     void peerRestarted(std::string_view node, time_point now, action_list &out);
+    void peerSilent(std::string_view node, time_point now, action_list &out);
+    dispatcher &dispatches() { return m_dispatcher; }
     bool serverReported(const server_report &report, time_point now, action_list &out);
     void serverLeft(std::string_view instance, time_point now, action_list &out);
     void backendCrashed(time_point now, action_list &out);
@@ -81,6 +84,7 @@
     executor m_executor;
     dispatcher m_dispatcher;
     fleet_view m_fleet;
+    allowance_service m_allowance;
     sidecar_entry m_entry;
     std::size_t m_membersListed = 0;
     server_report m_server; ///< The last report that was acted upon.
--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -240,7 +240,7 @@
     void refuse(error_kind kind)
     {
         m_keepAlive = false;
-        answer(internal::refusal(kind, run_state::not_run, duration::zero()));
+        answer(internal::refusal(kind, run_state::not_run));
     }
 
     void written(const error_code &error)
--- a/src/sidecar/peer_network.cpp
+++ b/src/sidecar/peer_network.cpp
@@ -18,7 +18,11 @@
 
 using boost::system::error_code;
 
-constexpr duration connectTime = std::chrono::seconds(1);
+// Several times the round trip between regions.
+constexpr duration connectTime = std::chrono::milliseconds(400);
+// A peer that takes this long to acknowledge is cut off, frozen or far behind: requests that may be
+// repeated are sent elsewhere.
+constexpr duration silenceTime = std::chrono::milliseconds(500);
 // A peer acknowledges within a round trip; one that takes this long does not read any more.
 constexpr duration acknowledgeTime = std::chrono::milliseconds(1500);
 constexpr duration firstRetry = std::chrono::milliseconds(50);
@@ -95,12 +99,12 @@
 
     const std::string &endpoint() const { return m_endpointText; }
 
-    void send(std::string bytes, incarnation receiver, duration timeToLive)
+    void send(std::string bytes, incarnation receiver, duration timeToLive, dispatch_id id)
     {
         const time_point now = monotonicNow();
         m_queuedBytes += bytes.size();
         m_frames.push_back(
-                {++m_network.m_lastNumber, receiver, now, now + timeToLive, std::move(bytes)});
+                {++m_network.m_lastNumber, receiver, now, now + timeToLive, id, std::move(bytes)});
         while (m_queuedBytes > mostQueuedBytes && m_frames.size() > 1)
             drop();
         if (m_open)
@@ -113,6 +117,8 @@
     {
         if (m_open) {
             const bool waits = !m_frames.empty() && m_frames.front().number <= m_written;
+            if (waits && now - m_progressAt > silenceTime)
+                reportSilence();
             if (waits && now - m_progressAt > acknowledgeTime)
                 fail(now);
             return;
@@ -140,6 +146,7 @@
         incarnation receiver = 0;
         time_point since;
         time_point until;
+        dispatch_id id; ///< Sequence 0 for anything but a dispatch.
         std::string bytes;
     };
 
@@ -150,6 +157,30 @@
         ++m_network.m_counts.framesExpired;
     }
 
+    void reportSilence()
+    {
+        if (std::exchange(m_silent, true))
+            return;
+        m_network.m_callbacks.silent(m_node);
+    }
+
+    /// Dispatches that no connection carried, not even in part, have certainly not arrived.
+    void takeBack()
+    {
+        std::vector<dispatch_id> unsent;
+        std::erase_if(m_frames, [this, &unsent](const frame &item) {
+            if (item.id.sequence == 0 || item.number <= m_everWritten)
+                return false;
+            unsent.push_back(item.id);
+            m_queuedBytes -= item.bytes.size();
+            return true;
+        });
+        const std::string node = m_node;
+        peer_network &network = m_network;
+        for (const dispatch_id &id : unsent)
+            network.m_callbacks.undelivered(node, id);
+    }
+
     void reset()
     {
         error_code ignored;
@@ -168,8 +199,14 @@
         reset();
         m_retryAt = now + m_retryPause;
         m_retryPause = std::min(2 * m_retryPause, longestRetry);
-        if (wasOpen)
+        if (wasOpen) {
             m_network.m_callbacks.changed(m_node, false);
+            return;
+        }
+        // A link that was lost is tried once more before its requests are given back.
+        const std::shared_ptr<outgoing> keep = shared_from_this();
+        reportSilence();
+        takeBack();
     }
 
     void connect(time_point now)
@@ -253,6 +290,7 @@
     void acknowledge(std::uint64_t number)
     {
         m_progressAt = monotonicNow();
+        m_silent = false;
         while (!m_frames.empty() && m_frames.front().number <= number) {
             m_queuedBytes -= m_frames.front().bytes.size();
             m_frames.pop_front();
@@ -273,6 +311,7 @@
         for (auto item = first; item != m_frames.end() && m_output.size() < mostWriteBytes;
              ++item) {
             m_written = item->number;
+            m_everWritten = std::max(m_everWritten, m_written);
             const auto held =
                     std::chrono::duration_cast<std::chrono::milliseconds>(now - item->since);
             put(static_cast<std::uint32_t>(item->bytes.size()), m_output);
@@ -324,6 +363,7 @@
     std::deque<frame> m_frames; ///< Not acknowledged, by number.
     std::size_t m_queuedBytes = 0;
     std::uint64_t m_written = 0; ///< Last number written to this connection.
+    std::uint64_t m_everWritten = 0; ///< Last number written to any connection.
     std::uint64_t m_session = 0; ///< Tells operations of earlier connections apart.
     incarnation m_peerLife = 0;
     time_point m_progressAt;
@@ -336,6 +376,7 @@
     bool m_connecting = false;
     bool m_writing = false;
     bool m_closed = false;
+    bool m_silent = false; ///< Reported as silent since the last acknowledgement.
 };
 
 /// The receiving side of a link from one peer.
@@ -515,7 +556,9 @@
     if (found == m_outgoing.end())
         return;
     const frame_header header{m_self, receiver, 0};
-    found->second->send(encodePeerMessage(header, message), receiver, timeToLive(message));
+    const dispatch *request = std::get_if<dispatch>(&message);
+    found->second->send(encodePeerMessage(header, message), receiver, timeToLive(message),
+                        request == nullptr ? dispatch_id() : request->id);
 }
 
 void peer_network::sweep(time_point now)
--- a/src/sidecar/peer_network.h
+++ b/src/sidecar/peer_network.h
@@ -22,6 +22,10 @@
     std::function<void(const node_ref &from, peer_message message)> received;
     /// The process behind a link is another one than before; what it had not read is lost.
     std::function<void(const std::string &node)> restarted;
+    /// A peer has not acknowledged a frame for a while.
+    std::function<void(const std::string &node)> silent;
+    /// A dispatch was taken back before any byte of it was sent.
+    std::function<void(const std::string &node, const dispatch_id &id)> undelivered;
     /// A link was opened or lost, for the log.
     std::function<void(const std::string &node, bool open)> changed;
 };
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -114,6 +114,14 @@
     callbacks.restarted = [this](const std::string &node) {
         post([&](time_point now, action_list &out) { m_core.peerRestarted(node, now, out); });
     };
+    callbacks.silent = [this](const std::string &node) {
+        post([&](time_point now, action_list &out) { m_core.peerSilent(node, now, out); });
+    };
+    callbacks.undelivered = [this](const std::string &node, const dispatch_id &id) {
+        post([&](time_point now, action_list &out) {
+            m_core.undelivered(node, id.sequence, now, out);
+        });
+    };
     callbacks.changed = [this](const std::string &node, bool open) {
         m_log.write(line_class::process, open ? "link opened" : "link lost",
                     json_line().add("peer", node));
