--- a/src/core/sidecar/caller_answer.cpp
+++ b/src/core/sidecar/caller_answer.cpp
@@ -9,6 +9,7 @@
 namespace tamarackridge::internal {
 namespace {
 
+constexpr int requestTimeout = 408;
 constexpr int badGateway = 502;
 constexpr int serviceUnavailable = 503;
 constexpr int gatewayTimeout = 504;
@@ -24,6 +25,8 @@
         return kind == error_kind::backend_timeout || kind == error_kind::deadline_exceeded
                        ? gatewayTimeout
                        : badGateway;
+    if (kind == error_kind::body_incomplete)
+        return requestTimeout;
     // Statuses that say what is wrong with the request itself stay as they are.
     constexpr std::array<error_kind, 7> aboutRequest{
             error_kind::bad_request,   error_kind::request_too_large, error_kind::headers_too_large,
--- /dev/null
+++ b/tests/fakes/sidecar_fleet.h
@@ -0,0 +1,287 @@
+#pragma once
+
+#include "tamarackridge/sidecar"
+#include "tamarackridge/src/base/seeded_random.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace tamarackridge::fakes {
+
+/// \brief Keeps what a core reported.
+class recording_observer final : public decision_observer
+{
+public:
+    void requestEnded(const ended_request &request) override
+    {
+        statuses.push_back(request.status);
+        errors.emplace_back(request.error);
+    }
+    void beliefChanged(std::string_view subject, std::string_view belief,
+                       std::string_view source) override
+    {
+        beliefs.push_back(std::string(subject) + ": " + std::string(belief) + " ("
+                          + std::string(source) + ")");
+    }
+
+    std::vector<int> statuses;
+    std::vector<std::string> errors;
+    std::vector<std::string> beliefs;
+};
+
+/// \brief A run that a backend server of the fake fleet was given.
+struct fake_run
+{
+    std::string node;
+    run_id run = 0;
+    http_request request;
+    bool cancelled = false;
+};
+
+inline header_names fakeHeaders()
+{
+    return {"Attempt-Id", "Time-Left", "Key", "Customer", "Caller", "Instance"};
+}
+
+inline published_route fakeRoute(std::string name, std::string service, bool idempotent = true)
+{
+    published_route route;
+    route.name = name;
+    route.host = "shop.example";
+    route.pathPrefix = "/" + name + "/";
+    route.targets = {{std::move(service), 1}};
+    route.idempotent = idempotent;
+    route.timeout = std::chrono::seconds(1);
+    route.attempts = 2;
+    return route;
+}
+
+/// \brief A set with routes `read` and `write` of service `orders`, and one customer.
+inline published_set fakeSet(std::int64_t version, double rate = 0)
+{
+    published_set set;
+    set.version = version;
+    set.routes = {fakeRoute("read", "orders"), fakeRoute("write", "orders", false)};
+    set.customers = {{"andina", {"key-1", "key-2"}, rate, rate, 0}};
+    set.services = {"orders"};
+    set.text = std::make_shared<const std::string>(std::to_string(version));
+    return set;
+}
+
+/// \brief Sidecar cores in virtual time, connected by messages that take no time.
+class sidecar_fleet
+{
+public:
+    explicit sidecar_fleet(const std::vector<std::pair<std::string, std::string>> &nodes)
+    {
+        for (const auto &[name, service] : nodes)
+            addNode(name, "zone-" + name.substr(0, 1), service);
+        listAll();
+    }
+
+    sidecar_core &core(const std::string &node) { return *m_nodes.at(node).core; }
+    recording_observer &observer(const std::string &node) { return *m_nodes.at(node).observer; }
+    time_point now() const { return m_now; }
+
+    /// \brief Makes a set known under its version and has \a node read it.
+    void publish(const published_set &set, const std::string &node)
+    {
+        m_sets[*set.text] = set;
+        act(node, [&](sidecar_core &core, action_list &out) {
+            core.configurationRead(*set.text, "store", m_now, out);
+        });
+    }
+    void publishAll(const published_set &set)
+    {
+        for (const auto &[name, state] : m_nodes)
+            publish(set, name);
+    }
+
+    bool report(const std::string &node, std::int64_t sequence, bool leaving = false,
+                std::int64_t startedAt = 1, const std::string &instance = "i-1")
+    {
+        server_report item{
+                instance, m_nodes.at(node).service, address(node), startedAt, sequence, 100,
+                leaving};
+        bool accepted = false;
+        act(node, [&](sidecar_core &core, action_list &out) {
+            accepted = core.serverReported(item, m_now, out);
+        });
+        return accepted;
+    }
+
+    call_id call(const std::string &node, const std::string &route,
+                 const std::string &key = "key-1", std::vector<http_header> more = {})
+    {
+        http_request request{"GET", "/" + route + "/1?x=2", std::move(more), nullptr};
+        const call_id id = ++m_lastCall;
+        request.headers.push_back({"Host", "shop.example"});
+        request.headers.push_back({"Attempt-Id", "a" + std::to_string(id)});
+        if (!key.empty())
+            request.headers.push_back({"Key", key});
+        act(node, [&](sidecar_core &core, action_list &out) {
+            core.callerRequest(id, std::move(request), m_now, out);
+        });
+        return id;
+    }
+    void leave(const std::string &node, call_id id)
+    {
+        act(node, [&](sidecar_core &core, action_list &out) { core.callerGone(id, m_now, out); });
+    }
+    void finish(std::size_t position, backend_result result)
+    {
+        const fake_run item = runs.at(position);
+        act(item.node, [&](sidecar_core &core, action_list &out) {
+            core.backendAnswer(item.run, std::move(result), m_now, out);
+        });
+    }
+    void finish(std::size_t position, int status = 200)
+    {
+        backend_result result;
+        result.bytesSent = true;
+        http_answer answer;
+        answer.status = status;
+        result.answer = answer;
+        finish(position, std::move(result));
+    }
+    void shed(std::size_t position)
+    {
+        backend_result result;
+        result.answer = tl::unexpected(error_kind::overloaded);
+        finish(position, std::move(result));
+    }
+
+    void act(const std::string &node,
+             const std::function<void(sidecar_core &core, action_list &out)> &event)
+    {
+        action_list out;
+        event(core(node), out);
+        carryOut(node, out);
+    }
+
+    void advance(duration time, duration step = std::chrono::milliseconds(20))
+    {
+        for (const time_point end = m_now + time; m_now < end;) {
+            m_now += step;
+            for (const auto &[name, state] : m_nodes)
+                act(name, [&](sidecar_core &core, action_list &out) { core.tick(m_now, out); });
+        }
+    }
+
+    /// \returns the status of a call's answer, 0 while there is none.
+    int status(call_id id) const
+    {
+        const auto found = answers.find(id);
+        return found == answers.end() ? 0 : found->second.status;
+    }
+
+    std::vector<fake_run> runs;
+    std::map<call_id, http_answer> answers;
+    std::set<std::string> cutOff; ///< Nodes that no message reaches or leaves.
+
+private:
+    struct node_state
+    {
+        std::string service;
+        node_ref self;
+        std::unique_ptr<recording_observer> observer;
+        std::unique_ptr<seeded_random> random;
+        std::unique_ptr<sidecar_core> core;
+    };
+
+    static std::string address(const std::string &node) { return node + ":1"; }
+
+    void addNode(const std::string &name, const std::string &zone, const std::string &service)
+    {
+        node_state &state = m_nodes[name];
+        state.service = service;
+        state.self = {zone, name, m_nodes.size()};
+        state.observer = std::make_unique<recording_observer>();
+        state.random = std::make_unique<seeded_random>(m_nodes.size());
+        sidecar_options options;
+        options.self = state.self;
+        options.peerEndpoint = name + ":7000";
+        options.service = service;
+        options.serverAddress = address(name);
+        options.headers = fakeHeaders();
+        const set_decoder decoder =
+                [this](std::string_view text) -> tl::expected<published_set, std::string> {
+            const auto found = m_sets.find(text);
+            if (found == m_sets.end())
+                return tl::unexpected(std::string("unknown text"));
+            return found->second;
+        };
+        state.core =
+                std::make_unique<sidecar_core>(options, decoder, *state.observer, *state.random);
+    }
+
+    void listAll()
+    {
+        std::vector<seed_peer> members;
+        for (const auto &[name, state] : m_nodes)
+            members.push_back({name, name + ":7000"});
+        for (const auto &[name, state] : m_nodes) {
+            act(name, [&](sidecar_core &core, action_list &out) {
+                core.membersListed(members, m_now, out);
+            });
+        }
+        advance(std::chrono::seconds(2));
+    }
+
+    void carryOut(const std::string &node, action_list &out)
+    {
+        for (action &item : out)
+            m_queue.emplace_back(node, std::move(item));
+        if (m_draining)
+            return;
+        m_draining = true;
+        while (!m_queue.empty()) {
+            const std::pair<std::string, action> next = std::move(m_queue.front());
+            m_queue.pop_front();
+            carryOut(next.first, next.second);
+        }
+        m_draining = false;
+    }
+
+    void carryOut(const std::string &node, const action &item)
+    {
+        if (const answer_caller *answer = std::get_if<answer_caller>(&item)) {
+            answers[answer->call] = answer->answer;
+        } else if (const run_backend *run = std::get_if<run_backend>(&item)) {
+            runs.push_back({node, run->run, run->request, false});
+        } else if (const cancel_run *cancel = std::get_if<cancel_run>(&item)) {
+            for (fake_run &known : runs)
+                known.cancelled =
+                        known.cancelled || (known.node == node && known.run == cancel->run);
+        } else if (const send_peer *send = std::get_if<send_peer>(&item)) {
+            const auto target = m_nodes.find(send->node);
+            const bool cut = cutOff.contains(node) || cutOff.contains(send->node);
+            if (target == m_nodes.end() || cut)
+                return;
+            if (send->receiver != 0 && send->receiver != target->second.self.life)
+                return;
+            action_list more;
+            target->second.core->peerMessage(m_nodes.at(node).self, send->message, m_now, more);
+            for (action &next : more)
+                m_queue.emplace_back(send->node, std::move(next));
+        }
+    }
+
+    std::map<std::string, node_state> m_nodes;
+    std::map<std::string, published_set, std::less<>> m_sets;
+    std::deque<std::pair<std::string, action>> m_queue;
+    time_point m_now{std::chrono::seconds(100)};
+    call_id m_lastCall = 0;
+    bool m_draining = false;
+};
+
+} // namespace tamarackridge::fakes
--- /dev/null
+++ b/tests/platform_store_gateway_test.cpp
@@ -0,0 +1,305 @@
+#include "fakes/loop_runner.h"
+#include "log/log_store.h"
+#include "platform/store_gateway.h"
+#include "sidecar/http_listener.h"
+#include "sidecar/store_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackridge::platform {
+namespace {
+
+using fakes::runUntil;
+
+std::string queryOf(const std::string &target, const std::string &name)
+{
+    const std::size_t begin = target.find(name + '=');
+    if (begin == std::string::npos)
+        return {};
+    const std::size_t from = begin + name.size() + 1;
+    return target.substr(from, target.find('&', from) - from);
+}
+
+std::string base64(const std::string &text)
+{
+    constexpr std::string_view digits =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t byte = 0; byte < 3; ++byte)
+            group = group << 8U
+                    | (at + byte < text.size() ? static_cast<unsigned char>(text[at + byte]) : 0U);
+        for (std::size_t digit = 0; digit < 4; ++digit)
+            out += at + digit > text.size() ? '=' : digits[group >> (18 - 6 * digit) & 63U];
+    }
+    return out;
+}
+
+/// \brief Stand-in of the platform's store: its calls over the records of a log_store.
+class store_stand_in
+{
+public:
+    store_stand_in(boost::asio::io_context &loop, const socket_address &address)
+        : m_listener(std::make_unique<http_listener>(
+                loop, address,
+                listener_callbacks{[this](call_id call, http_request request) {
+                                       calls.push_back(request.target);
+                                       handle(call, request);
+                                   },
+                                   [](call_id) {},
+                                   [this]() -> const caller_limits & { return m_limits; },
+                                   [] { return false; }},
+                m_lastCall))
+    { }
+
+    void put(const std::string &topic, const std::string &key, const std::string &value)
+    {
+        const std::string record = encodeRecord(key, value);
+        static_cast<void>(m_log.append(logName(topic), record.substr(4), monotonicNow()));
+        m_newest[topic][key] = value;
+        serveWaiting();
+    }
+    void forget(const std::string &topic) { m_log.trimBelow(logName(topic), end(topic)); }
+
+    std::vector<std::string> calls;
+    int failWith = 0; ///< Status of every answer, if not 0.
+    bool silent = false;
+    std::string garbage; ///< Body of every answer, if not empty.
+
+private:
+    static std::string logName(const std::string &topic)
+    {
+        return topic.substr(topic.find('.') + 1);
+    }
+    std::int64_t end(const std::string &topic)
+    {
+        return m_log.read(logName(topic), 0, 1, monotonicNow()).next;
+    }
+    static std::string bigEndian(std::int64_t value)
+    {
+        std::string out;
+        for (int shift = 56; shift >= 0; shift -= 8)
+            out.push_back(static_cast<char>(value >> shift & 0xff));
+        return out;
+    }
+
+    void answer(call_id call, int status, std::string body)
+    {
+        http_answer item;
+        item.status = status;
+        item.body =
+                std::make_shared<const std::string>(garbage.empty() ? std::move(body) : garbage);
+        m_listener->answer(call, std::move(item));
+    }
+
+    void handle(call_id call, const http_request &request)
+    {
+        if (silent)
+            return;
+        const std::string topic = queryOf(request.target, "topic");
+        if (failWith != 0)
+            answer(call, failWith, "{}");
+        else if (request.target.starts_with("/api/log-newest"))
+            answer(call, 200, newestPage(topic, queryOf(request.target, "after")));
+        else if (request.target.starts_with("/api/log-append"))
+            append(call, topic, std::string(bodyView(request.body)));
+        else if (!read(call, topic, std::stoll(queryOf(request.target, "from"))))
+            m_waiting.push_back({call, topic, std::stoll(queryOf(request.target, "from"))});
+    }
+
+    std::string newestPage(const std::string &topic, const std::string &after)
+    {
+        constexpr std::size_t pageSize = 2;
+        std::string items;
+        std::size_t count = 0;
+        bool more = false;
+        for (const auto &[key, value] : m_newest[topic]) {
+            if (key <= after && !after.empty())
+                continue;
+            more = count == pageSize;
+            if (more)
+                break;
+            items += (count++ == 0 ? "" : ",");
+            items += R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","offset":0})";
+        }
+        return R"({"items":[)" + items + R"(],"hasMore":)" + (more ? "true" : "false")
+               + R"(,"end":)" + std::to_string(m_ends[topic]) + "}";
+    }
+
+    void append(call_id call, const std::string &topic, const std::string &body)
+    {
+        const std::optional<record_page> page = decodeRecords(std::string(16, '\0') + body);
+        for (const keyed_record &record : page->records) {
+            if (record.value.empty())
+                m_newest[topic].erase(record.key);
+            else
+                put(topic, record.key, record.value);
+        }
+        answer(call, 200, R"({"offset":0,"end":1})");
+    }
+
+    bool read(call_id call, const std::string &topic, std::int64_t from)
+    {
+        const stream_page page = m_log.read(logName(topic), from, 100, monotonicNow());
+        if (from < page.first) {
+            answer(call, 410, R"({"first":)" + std::to_string(page.first) + "}");
+            return true;
+        }
+        if (page.records.empty())
+            return false;
+        std::string body = bigEndian(page.next) + bigEndian(page.first);
+        for (const log_record &record : page.records) {
+            body += bigEndian(static_cast<std::int64_t>(record.data.size())).substr(4);
+            body += record.data;
+        }
+        answer(call, 200, body);
+        return true;
+    }
+
+    void serveWaiting()
+    {
+        for (auto &[topic, records] : m_newest)
+            m_ends[topic] = m_log.read(logName(topic), 0, 1000, monotonicNow()).next;
+        std::erase_if(m_waiting, [this](const waiting_read &item) {
+            return read(item.call, item.topic, item.from);
+        });
+    }
+
+    struct waiting_read
+    {
+        call_id call = 0;
+        std::string topic;
+        std::int64_t from = 0;
+    };
+
+    call_id m_lastCall = 0;
+    caller_limits m_limits;
+    log_store m_log{log_limits{}};
+    std::map<std::string, std::map<std::string, std::string>> m_newest;
+    std::map<std::string, std::int64_t> m_ends;
+    std::vector<waiting_read> m_waiting;
+    std::unique_ptr<http_listener> m_listener;
+};
+
+struct platform_store_gateway : testing::Test
+{
+    boost::asio::io_context loop;
+    socket_address address = fakes::freeAddress();
+    std::unique_ptr<store_stand_in> store = std::make_unique<store_stand_in>(loop, address);
+    store_gateway gateway{loop, address};
+    std::vector<std::string> sets;
+    std::vector<seed_peer> members;
+    std::vector<bool> answers;
+    store_watch watch{loop,
+                      gateway,
+                      "n1",
+                      "10.0.0.1:7000",
+                      {[this](const std::string &text) { sets.push_back(text); },
+                       [this](const std::vector<seed_peer> &list) { members = list; },
+                       [this](bool answering, std::string_view) { answers.push_back(answering); },
+                       [] { return true; }}};
+
+    bool run(const std::function<bool()> &done)
+    {
+        return runUntil(loop, done, [this] { gateway.sweep(monotonicNow()); });
+    }
+};
+
+TEST_F(platform_store_gateway, the_newest_set_is_read_and_later_ones_follow)
+{
+    store->put("keyed.op", "other", "x");
+    store->put("keyed.op", "config", "one");
+    watch.start();
+    ASSERT_TRUE(run([&] { return sets.size() == 1; }));
+    store->put("keyed.op", "config", "two");
+    ASSERT_TRUE(run([&] { return sets.size() == 2; }));
+    EXPECT_EQ(sets, (std::vector<std::string>{"one", "two"}));
+}
+
+// Guards against a node that misses changes when the store drops its history.
+TEST_F(platform_store_gateway, a_position_that_has_expired_leads_to_the_newest_set)
+{
+    store->put("keyed.op", "config", "one");
+    std::optional<store_fault> fault;
+    store->put("keyed.op", "config", "two");
+    store->forget("keyed.op");
+    store->put("keyed.op", "config", "three");
+    gateway.awaitSet(0, [&](const tl::expected<stored_set, store_fault> &result) {
+        fault = result ? store_fault::malformed : result.error();
+    });
+    ASSERT_TRUE(run([&] { return fault.has_value(); }));
+    EXPECT_EQ(*fault, store_fault::expired);
+    watch.start();
+    ASSERT_TRUE(run([&] { return !sets.empty(); }));
+    EXPECT_EQ(sets.back(), "three");
+}
+
+TEST_F(platform_store_gateway, members_are_listed_over_several_pages)
+{
+    for (const char *name : {"n2", "n3", "n4", "n5"})
+        store->put("keyed.members", name, "10.0.0.9:7000");
+    watch.start();
+    ASSERT_TRUE(run([&] { return members.size() == 5; }));
+    EXPECT_EQ(members.front().node, "n1");
+    EXPECT_EQ(members.front().endpoint, "10.0.0.1:7000");
+    watch.leave();
+    std::optional<std::size_t> left;
+    ASSERT_TRUE(run([&] {
+        gateway.listMembers([&](const tl::expected<std::vector<seed_peer>, store_fault> &list) {
+            left = list ? list->size() : 0;
+        });
+        return left == std::size_t{4};
+    }));
+}
+
+// Guards against a node that gives up, or ends, while the store turns it away.
+TEST_F(platform_store_gateway, refusals_and_silence_are_tried_again)
+{
+    for (const int status : {503, 429, 500}) {
+        store->failWith = status;
+        std::optional<store_fault> fault;
+        gateway.readSet([&](const tl::expected<stored_set, store_fault> &result) {
+            fault = result ? store_fault::malformed : result.error();
+        });
+        ASSERT_TRUE(run([&] { return fault.has_value(); }));
+        EXPECT_EQ(*fault, store_fault::rejected) << status;
+    }
+    watch.start();
+    ASSERT_TRUE(run([&] { return !answers.empty(); }));
+    store->failWith = 0;
+    store->silent = true;
+    const std::size_t before = store->calls.size();
+    ASSERT_TRUE(run([&] { return store->calls.size() > before + 4; }));
+    store->silent = false;
+    store->put("keyed.op", "config", "one");
+    EXPECT_TRUE(run([&] { return sets.size() == 1; }));
+    EXPECT_EQ(answers.front(), false);
+    EXPECT_EQ(answers.back(), true);
+}
+
+// Guards against an answer that takes the node down.
+TEST_F(platform_store_gateway, answers_that_do_not_decode_are_faults)
+{
+    for (const char *text :
+         {"{", "[]", "\xff", R"({"items":[{"key":1}],"end":1})", R"({"items":7})"}) {
+        store->garbage = text;
+        std::optional<store_fault> fault;
+        gateway.listMembers([&](const tl::expected<std::vector<seed_peer>, store_fault> &result) {
+            fault = result ? store_fault::expired : result.error();
+        });
+        ASSERT_TRUE(run([&] { return fault.has_value(); }));
+        EXPECT_EQ(*fault, store_fault::malformed) << text;
+    }
+}
+
+} // namespace
+} // namespace tamarackridge::platform
--- /dev/null
+++ b/tests/sidecar_core_test.cpp
@@ -0,0 +1,351 @@
+#include "fakes/sidecar_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::fakeSet;
+using fakes::sidecar_fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Callers are beside `a1`, whose own server is of another service.
+sidecar_fleet smallFleet()
+{
+    return sidecar_fleet({{"a1", "front"}, {"a2", "orders"}, {"b1", "orders"}});
+}
+
+void start(sidecar_fleet &fleet)
+{
+    fleet.publishAll(fakeSet(5));
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+}
+
+// Guards against a node that answers 401 or 404 while it knows nothing yet.
+TEST(sidecar_core, without_a_configuration_every_request_is_refused_as_not_run)
+{
+    sidecar_fleet fleet = smallFleet();
+    EXPECT_FALSE(fleet.core("a1").ready());
+    const call_id call = fleet.call("a1", "read");
+    EXPECT_EQ(fleet.status(call), 503);
+    EXPECT_FALSE(headerValue(fleet.answers[call].headers, "Retry-After").empty());
+}
+
+// Guards against requests that leave the zone while its own server serves well, and against a
+// lost answer.
+TEST(sidecar_core, a_request_runs_in_its_own_zone_and_is_answered)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.runs[0].node, "a2");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against a backend server that sees a key or believes a caller's word on who it is.
+TEST(sidecar_core, a_server_sees_customer_and_caller_as_the_node_knows_them)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.call("a1", "read", "key-2",
+               {{"Customer", "somebody"},
+                {"Caller", "else"},
+                {"Connection", "X-Hop"},
+                {"X-Hop", "1"},
+                {"Time-Left", "300"},
+                {"X-Kept", "yes"}});
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    const std::vector<http_header> &headers = fleet.runs[0].request.headers;
+    EXPECT_EQ(headerValue(headers, "Key"), "");
+    EXPECT_EQ(headerValue(headers, "Customer"), "andina");
+    EXPECT_EQ(headerValue(headers, "Caller"), "front");
+    EXPECT_EQ(headerValue(headers, "X-Hop"), "");
+    EXPECT_EQ(headerValue(headers, "X-Kept"), "yes");
+    EXPECT_EQ(headerValue(headers, "Time-Left"), "300");
+    EXPECT_EQ(headerValue(headers, "Instance"), "i-1");
+    EXPECT_EQ(fleet.runs[0].request.target, "/read/1?x=2");
+    for (const char *name : {"Customer", "Caller", "Time-Left"}) {
+        EXPECT_EQ(std::count_if(headers.begin(), headers.end(),
+                                [name](const http_header &header) { return header.name == name; }),
+                  1)
+                << name;
+    }
+}
+
+// Guards against a withdrawn key that goes on working, and against a node that goes back.
+TEST(sidecar_core, a_newer_set_replaces_keys_and_an_older_one_is_dropped)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    published_set next = fakeSet(9);
+    next.customers[0].keys = {"key-2"};
+    fleet.publish(next, "a1");
+    EXPECT_EQ(fleet.status(fleet.call("a1", "read", "key-1")), 401);
+    fleet.publish(fakeSet(5), "a1");
+    EXPECT_EQ(fleet.status(fleet.call("a1", "read", "key-1")), 401);
+    EXPECT_EQ(fleet.core("a1").status(fleet.now()).configVersion, 9);
+}
+
+// Guards against a node that misses changes because the store turns it away.
+TEST(sidecar_core, a_set_reaches_nodes_that_cannot_read_the_store)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.publish(fakeSet(7), "b1");
+    fleet.advance(seconds(2));
+    for (const char *node : {"a1", "a2", "b1"})
+        EXPECT_EQ(fleet.core(node).status(fleet.now()).configVersion, 7) << node;
+}
+
+// Guards against 504 at half of the time, while the server is at work (LOST after SIGTERM in the
+// first scores): silence of a server is no reason to end an attempt.
+TEST(sidecar_core, an_attempt_may_take_all_of_its_time)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "read");
+    fleet.advance(milliseconds(900));
+    EXPECT_EQ(fleet.status(call), 0);
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_FALSE(fleet.runs[0].cancelled);
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against an answer that is held past the time that the operator set.
+TEST(sidecar_core, a_request_is_answered_when_its_time_is_over)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "write");
+    fleet.advance(milliseconds(1100));
+    EXPECT_EQ(fleet.status(call), 504) << "it may have run";
+}
+
+// Guards against a second run of a request that may run once at most.
+TEST(sidecar_core, a_non_idempotent_request_is_not_sent_again_when_it_may_have_run)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "write");
+    backend_result broken;
+    broken.bytesSent = true;
+    broken.connectionBroken = true;
+    broken.answer = tl::unexpected(error_kind::backend_failed);
+    fleet.finish(0, broken);
+    fleet.advance(milliseconds(200));
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.status(call), 502);
+}
+
+// Guards against giving up a request that a server rejected while another one has room.
+TEST(sidecar_core, a_rejected_request_is_sent_to_another_server)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    // Retries are earned by requests; twenty earn one.
+    for (int request = 0; request < 40; ++request) {
+        fleet.call("a1", "read");
+        fleet.finish(fleet.runs.size() - 1);
+    }
+    const std::size_t before = fleet.runs.size();
+    fleet.shed(0);
+    ASSERT_EQ(fleet.runs.size(), before + 1);
+    EXPECT_EQ(fleet.runs.back().node, "b1");
+    fleet.finish(before);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST(sidecar_core, an_idempotent_request_is_cancelled_when_its_caller_leaves)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.leave("a1", fleet.call("a1", "read"));
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_TRUE(fleet.runs[0].cancelled);
+    fleet.leave("a1", fleet.call("a1", "write"));
+    EXPECT_FALSE(fleet.runs[1].cancelled) << "it may have begun, and is not sent again";
+}
+
+// Guards against new work at a server whose leaving was acknowledged.
+TEST(sidecar_core, a_leaving_server_gets_no_new_work)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    ASSERT_TRUE(fleet.report("a2", 2, true));
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.runs[0].node, "b1");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against a report that was held up and makes a server that has left look ready.
+TEST(sidecar_core, reports_that_are_out_of_date_are_not_acted_upon)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    ASSERT_TRUE(fleet.report("a2", 6, true));
+    EXPECT_FALSE(fleet.report("a2", 5, false));
+    EXPECT_FALSE(fleet.report("a2", 6, false));
+    EXPECT_FALSE(fleet.report("a2", 90, false, 0, "i-0")) << "of an earlier start";
+    fleet.act("a2", [&](sidecar_core &core, action_list &out) {
+        core.serverLeft("i-1", fleet.now(), out);
+    });
+    EXPECT_FALSE(fleet.report("a2", 7, false));
+    EXPECT_TRUE(fleet.report("a2", 1, false, 2)) << "a new start counts anew";
+}
+
+// Guards against lost requests when a peer dies with them: what may be repeated runs elsewhere.
+TEST(sidecar_core, a_peer_that_does_not_read_loses_its_idempotent_requests)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    for (int request = 0; request < 60; ++request) {
+        fleet.call("a1", "read");
+        fleet.finish(fleet.runs.size() - 1);
+    }
+    const call_id read = fleet.call("a1", "read");
+    const call_id write = fleet.call("a1", "write");
+    const std::size_t before = fleet.runs.size();
+    fleet.cutOff.insert("a2");
+    fleet.act("a1", [&](sidecar_core &core, action_list &out) {
+        core.peerSilent("a2", fleet.now(), out);
+    });
+    ASSERT_EQ(fleet.runs.size(), before + 1);
+    EXPECT_EQ(fleet.runs.back().node, "b1");
+    fleet.finish(before);
+    EXPECT_EQ(fleet.status(read), 200);
+    EXPECT_EQ(fleet.status(write), 0);
+    fleet.advance(milliseconds(1200));
+    EXPECT_EQ(fleet.status(write), 504);
+}
+
+// Guards against a false "not run", and against giving up a request that was never sent.
+TEST(sidecar_core, a_dispatch_that_was_taken_back_goes_to_another_node)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.cutOff.insert("a2");
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_TRUE(fleet.runs.empty());
+    fleet.act("a1", [&](sidecar_core &core, action_list &out) {
+        core.undelivered("a2", 1, fleet.now(), out);
+    });
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.runs[0].node, "b1");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against the limit following the sheds of a faulty server: all 95 places stay usable.
+TEST(sidecar_core, sheds_do_not_lower_the_limit_below_the_announced_slots)
+{
+    sidecar_fleet fleet({{"a1", "front"}, {"a2", "orders"}});
+    fleet.publishAll(fakeSet(5));
+    fleet.report("a2", 1);
+    for (int round = 0; round < 40; ++round) {
+        for (int request = 0; request < 120; ++request)
+            fleet.call("a1", "read");
+        while (!fleet.runs.empty()) {
+            fleet.advance(milliseconds(20));
+            const std::size_t count = fleet.runs.size();
+            for (std::size_t run = 0; run < count; ++run)
+                run % 2 == 0 ? fleet.finish(run) : fleet.shed(run);
+            fleet.runs.erase(fleet.runs.begin(),
+                             fleet.runs.begin() + static_cast<std::ptrdiff_t>(count));
+        }
+    }
+    for (int request = 0; request < 300; ++request)
+        fleet.call("a1", "read");
+    fleet.advance(milliseconds(40));
+    EXPECT_EQ(fleet.core("a2").status(fleet.now()).load.limit, 95U);
+}
+
+// Guards against refusals inside the rate when a customer's callers are on one VM only (16 in 100
+// requests on the first quiet day).
+TEST(sidecar_core, a_customer_can_use_its_whole_rate_through_one_node)
+{
+    std::vector<std::pair<std::string, std::string>> nodes;
+    for (const char *name : {"a1", "a2", "a3", "a4", "b1", "b2", "b3", "b4"})
+        nodes.emplace_back(name, "orders");
+    sidecar_fleet fleet(nodes);
+    fleet.publishAll(fakeSet(5, 100));
+    for (const auto &[name, service] : nodes)
+        fleet.report(name, 1);
+    fleet.advance(seconds(3));
+    int served = 0;
+    int sent = 0;
+    for (int step = 0; step < 500; ++step) { // 80 requests a second for 10 s.
+        for (int request = 0; request < (step % 5 < 3 ? 2 : 1); ++request, ++sent) {
+            const call_id call = fleet.call("a1", "read");
+            if (!fleet.runs.empty())
+                fleet.finish(0);
+            fleet.runs.clear();
+            fleet.advance(milliseconds(0));
+            served += fleet.status(call) == 200 ? 1 : 0;
+        }
+        fleet.advance(milliseconds(20));
+    }
+    EXPECT_GT(served, sent * 9 / 10);
+}
+
+// Guards against more than rate and burst when every node serves the same customer.
+TEST(sidecar_core, all_nodes_together_keep_to_the_rate)
+{
+    sidecar_fleet fleet({{"a1", "orders"}, {"a2", "orders"}, {"b1", "orders"}, {"b2", "orders"}});
+    fleet.publishAll(fakeSet(5, 40));
+    for (const char *node : {"a1", "a2", "b1", "b2"})
+        fleet.report(node, 1);
+    fleet.advance(seconds(3));
+    std::size_t run = 0;
+    for (int step = 0; step < 250; ++step) { // 5 s at 400 requests a second.
+        for (const char *node : {"a1", "a2", "b1", "b2"}) {
+            fleet.call(node, "read");
+            fleet.call(node, "read");
+        }
+        while (!fleet.runs.empty()) {
+            ++run;
+            fleet.finish(0);
+            fleet.runs.erase(fleet.runs.begin());
+        }
+        fleet.advance(milliseconds(20));
+    }
+    EXPECT_LE(run, (40U * 5U + 40U) * 11U / 10U + 20U);
+    EXPECT_GT(run, 150U);
+}
+
+// Guards against a stop that cuts requests, and against callers that go on coming.
+TEST(sidecar_core, a_stop_finishes_what_runs_and_reports_not_ready_at_once)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id call = fleet.call("a1", "read");
+    fleet.act("a1",
+              [&](sidecar_core &core, action_list &out) { core.beginShutdown(fleet.now(), out); });
+    EXPECT_FALSE(fleet.core("a1").ready());
+    const call_id late = fleet.call("a1", "read");
+    fleet.advance(milliseconds(700));
+    EXPECT_FALSE(fleet.core("a1").drained(fleet.now()));
+    fleet.finish(0);
+    fleet.finish(1);
+    EXPECT_EQ(fleet.status(call), 200);
+    EXPECT_EQ(fleet.status(late), 200);
+    fleet.advance(seconds(3));
+    EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
+}
+
+} // namespace
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/sidecar_http_test.cpp
@@ -0,0 +1,363 @@
+#include "fakes/loop_runner.h"
+#include "sidecar/connection_pool.h"
+#include "sidecar/http_listener.h"
+#include "sidecar/server_runner.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::runUntil;
+
+/// A caller that writes and reads bytes as it likes.
+class raw_caller
+{
+public:
+    raw_caller(boost::asio::io_context &loop, const socket_address &address)
+        : m_socket(loop)
+    {
+        m_socket.connect(address.endpoint());
+        read();
+    }
+
+    void write(const std::string &text) { boost::asio::write(m_socket, boost::asio::buffer(text)); }
+    void close() { m_socket.close(); }
+
+    std::string received;
+    bool ended = false;
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_chunk),
+                                 [this](boost::system::error_code error, std::size_t count) {
+                                     received.append(m_chunk.data(), count);
+                                     if (error)
+                                         ended = true;
+                                     else
+                                         read();
+                                 });
+    }
+
+    tcp::socket m_socket;
+    std::array<char, 4096> m_chunk{};
+};
+
+http_answer answerOf(const std::string &body)
+{
+    http_answer answer;
+    answer.status = 200;
+    answer.body = std::make_shared<const std::string>(body);
+    return answer;
+}
+
+struct sidecar_listener : testing::Test
+{
+    boost::asio::io_context loop;
+    socket_address address = fakes::freeAddress();
+    call_id lastCall = 0;
+    caller_limits limits{1024, 2048, std::chrono::milliseconds(300),
+                         std::chrono::milliseconds(600)};
+    std::vector<std::pair<call_id, http_request>> requests;
+    std::vector<call_id> gone;
+    bool leaving = false;
+    std::unique_ptr<http_listener> listener = std::make_unique<http_listener>(
+            loop, address,
+            listener_callbacks{[this](call_id call, http_request request) {
+                                   requests.emplace_back(call, std::move(request));
+                               },
+                               [this](call_id call) { gone.push_back(call); },
+                               [this]() -> const caller_limits & { return limits; },
+                               [this] { return leaving; }},
+            lastCall);
+
+    bool run(const std::function<bool()> &done)
+    {
+        return runUntil(loop, done, [this] { listener->sweep(monotonicNow()); });
+    }
+};
+
+TEST_F(sidecar_listener, requests_of_one_connection_are_answered_in_order)
+{
+    raw_caller caller(loop, address);
+    caller.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2?q=1 HTTP/1.1\r\nHost: h\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    ASSERT_TRUE(run([&] { return requests.size() == 1; }));
+    listener->answer(requests[0].first, answerOf("one"));
+    ASSERT_TRUE(run([&] { return requests.size() == 2; }));
+    EXPECT_EQ(requests[1].second.target, "/2?q=1");
+    EXPECT_EQ(bodyView(requests[1].second.body), "abc");
+    listener->answer(requests[1].first, answerOf("two"));
+    ASSERT_TRUE(run([&] { return caller.received.ends_with("two"); }));
+    EXPECT_LT(caller.received.find("one"), caller.received.find("two"));
+}
+
+// Guards against work for a caller that has left: it is noticed while the request is decided.
+TEST_F(sidecar_listener, a_caller_that_leaves_is_noticed_before_the_answer)
+{
+    raw_caller caller(loop, address);
+    caller.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(run([&] { return requests.size() == 1; }));
+    caller.close();
+    ASSERT_TRUE(run([&] { return gone.size() == 1; }));
+    EXPECT_EQ(gone[0], requests[0].first);
+    listener->answer(requests[0].first, answerOf("late"));
+}
+
+// Guards against a second request that hides in the first.
+TEST_F(sidecar_listener, requests_with_two_lengths_or_hosts_are_refused)
+{
+    for (const char *text :
+         {"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n",
+          "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+          "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+          "GET /1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "GET /1 HTTP/1.1\r\n\r\n",
+          "GET /1 HTTP/1.1\r\nHost : h\r\n\r\n", "NONSENSE\r\n\r\n"}) {
+        raw_caller caller(loop, address);
+        caller.write(text);
+        EXPECT_TRUE(run([&] { return caller.ended; })) << text;
+        EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 400 ")) << text << caller.received;
+    }
+    EXPECT_TRUE(requests.empty());
+}
+
+// Guards against memory that callers fill: what is too large or too slow is refused.
+TEST_F(sidecar_listener, limits_of_the_configuration_hold)
+{
+    const std::vector<std::pair<std::string, std::string>> cases = {
+            {"GET /1 HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "431"},
+            {"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n", "413"},
+            {"GET /1 HTTP/1.1\r\nHost: h\r\n", "408"}};
+    for (const auto &[text, status] : cases) {
+        raw_caller caller(loop, address);
+        caller.write(text);
+        EXPECT_TRUE(run([&] { return caller.ended; })) << status;
+        EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 " + status)) << caller.received;
+    }
+    raw_caller idle(loop, address);
+    EXPECT_TRUE(run([&] { return idle.ended; }));
+    EXPECT_TRUE(requests.empty());
+}
+
+// Guards against requests that are cut by a stop: connections end after an answer that says so.
+TEST_F(sidecar_listener, a_leaving_process_closes_connections_after_their_answer)
+{
+    raw_caller caller(loop, address);
+    caller.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(run([&] { return requests.size() == 1; }));
+    leaving = true;
+    listener->answer(requests[0].first, answerOf("whole"));
+    EXPECT_TRUE(run([&] { return caller.ended; }));
+    EXPECT_NE(caller.received.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(caller.received.ends_with("whole"));
+}
+
+/// A backend server that answers each request with prepared bytes.
+class scripted_server
+{
+public:
+    scripted_server(boost::asio::io_context &loop, const socket_address &address)
+        : m_acceptor(loop, address.endpoint())
+    {
+        accept();
+    }
+
+    std::function<std::string(const std::string &request)> script;
+    bool closesAfterAnswer = false;
+    bool resets = false;
+    int connections = 0;
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            ++connections;
+            sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+            read(sockets.back(), std::make_shared<std::string>());
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<tcp::socket> &socket, const std::shared_ptr<std::string> &text)
+    {
+        const std::shared_ptr<std::array<char, 4096>> chunk =
+                std::make_shared<std::array<char, 4096>>();
+        socket->async_read_some(
+                boost::asio::buffer(*chunk),
+                [this, socket, text, chunk](boost::system::error_code error, std::size_t count) {
+                    if (error)
+                        return;
+                    text->append(chunk->data(), count);
+                    if (text->find("\r\n\r\n") != std::string::npos)
+                        respond(*socket, std::exchange(*text, {}));
+                    if (socket->is_open())
+                        read(socket, text);
+                });
+    }
+
+    void respond(tcp::socket &socket, const std::string &request)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(script(request)), ignored);
+        if (resets)
+            socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        if (resets || closesAfterAnswer)
+            socket.close(ignored);
+    }
+
+    tcp::acceptor m_acceptor;
+};
+
+std::string response(const std::string &id, const std::string &body, const std::string &more = {})
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\n" + more
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct sidecar_server_runner : testing::Test
+{
+    boost::asio::io_context loop;
+    socket_address address = fakes::freeAddress();
+    std::unique_ptr<scripted_server> server = std::make_unique<scripted_server>(loop, address);
+    std::vector<std::pair<backend_result, bool>> results;
+    server_runner runner{loop,
+                         address,
+                         {"Id", "Not-Run", "Seal"},
+                         [this](run_id, backend_result result, bool refused) {
+                             results.emplace_back(std::move(result), refused);
+                         }};
+    run_id lastRun = 0;
+
+    run_backend item(const std::string &id, duration timeout = std::chrono::seconds(3))
+    {
+        run_backend work;
+        work.run = ++lastRun;
+        work.request.method = "GET";
+        work.request.target = "/1";
+        work.request.headers = {{"Host", "h"}, {"Id", id}};
+        work.timeout = timeout;
+        return work;
+    }
+    const backend_result &run(run_backend work)
+    {
+        const std::size_t before = results.size();
+        runner.run(std::move(work));
+        EXPECT_TRUE(runUntil(
+                loop, [&] { return results.size() > before; },
+                [this] { runner.sweep(monotonicNow()); }));
+        return results.back().first;
+    }
+};
+
+TEST_F(sidecar_server_runner, connections_are_reused_and_answers_keep_their_headers)
+{
+    server->script = [](const std::string &) { return response("a", "body", "X: 1\r\n"); };
+    for (int request = 0; request < 3; ++request) {
+        const backend_result &result = run(item("a"));
+        ASSERT_TRUE(result.answer);
+        EXPECT_EQ(bodyView(result.answer->body), "body");
+        EXPECT_EQ(headerValue(result.answer->headers, "X"), "1");
+    }
+    EXPECT_EQ(server->connections, 1);
+}
+
+// Guards against the answer of another request, which comes late at the place of this one's.
+TEST_F(sidecar_server_runner, an_answer_with_another_id_is_skipped)
+{
+    server->script = [](const std::string &) { return response("old", "x") + response("a", "y"); };
+    const backend_result &result = run(item("a"));
+    ASSERT_TRUE(result.answer);
+    EXPECT_EQ(bodyView(result.answer->body), "y");
+    run(item("a"));
+    EXPECT_EQ(server->connections, 2) << "the connection is not trusted any more";
+}
+
+// Guards against surplus bytes that would be read as the next answer.
+TEST_F(sidecar_server_runner, a_connection_with_surplus_bytes_is_not_used_again)
+{
+    server->script = [](const std::string &) { return response("a", "y") + "surplus"; };
+    EXPECT_TRUE(run(item("a")).answer);
+    EXPECT_TRUE(run(item("a")).answer);
+    EXPECT_EQ(server->connections, 2);
+}
+
+// Guards against answers that look whole and are not.
+TEST_F(sidecar_server_runner, answers_that_are_cut_short_or_without_seal_are_failures)
+{
+    server->closesAfterAnswer = true;
+    server->script = [](const std::string &) {
+        return std::string("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 9\r\n\r\nabc");
+    };
+    EXPECT_EQ(run(item("a")).answer.error(), error_kind::backend_failed);
+    server->script = [](const std::string &) { return std::string("garbage\r\n\r\n"); };
+    EXPECT_EQ(run(item("a")).answer.error(), error_kind::backend_failed);
+    server->script = [](const std::string &) {
+        return std::string("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\nx");
+    };
+    EXPECT_EQ(run(item("a")).answer.error(), error_kind::backend_answer_incomplete);
+    EXPECT_TRUE(results.back().first.bytesSent);
+}
+
+// An answer may end with its connection; one that is reset on the way is not whole.
+TEST_F(sidecar_server_runner, an_answer_without_length_is_whole_only_after_an_orderly_end)
+{
+    server->script = [](const std::string &) {
+        return std::string("HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n\r\nrest");
+    };
+    server->closesAfterAnswer = true;
+    const backend_result &whole = run(item("a"));
+    ASSERT_TRUE(whole.answer);
+    EXPECT_EQ(bodyView(whole.answer->body), "rest");
+    server->resets = true;
+    EXPECT_FALSE(run(item("a")).answer);
+}
+
+// Guards against a false "may have run" or a false "not run".
+TEST_F(sidecar_server_runner, only_the_servers_word_and_refused_connections_mean_not_run)
+{
+    server->script = [](const std::string &) {
+        return std::string("HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    };
+    const backend_result &shed = run(item("a"));
+    EXPECT_FALSE(shed.bytesSent);
+    EXPECT_EQ(shed.answer.error(), error_kind::overloaded);
+    server->script = [](const std::string &) { return std::string(); };
+    const backend_result &silent = run(item("a", std::chrono::milliseconds(100)));
+    EXPECT_TRUE(silent.bytesSent);
+    EXPECT_EQ(silent.answer.error(), error_kind::backend_timeout);
+    server->sockets.clear();
+    server.reset();
+    const backend_result &refused = run(item("a"));
+    EXPECT_FALSE(refused.bytesSent);
+    EXPECT_TRUE(results.back().second);
+}
+
+// Guards against a server that goes on working for a request that nobody waits for.
+TEST_F(sidecar_server_runner, a_cancelled_run_closes_its_connection)
+{
+    server->script = [](const std::string &) { return std::string(); };
+    run_backend work = item("a");
+    const run_id run = work.run;
+    runner.run(std::move(work));
+    ASSERT_TRUE(runUntil(loop, [&] { return server->connections == 1; }));
+    runner.cancel(run);
+    ASSERT_TRUE(runUntil(loop, [&] { return results.size() == 1; }));
+    EXPECT_EQ(results[0].first.answer.error(), error_kind::cancelled);
+}
+
+} // namespace
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/sidecar_peer_network_test.cpp
@@ -0,0 +1,249 @@
+#include "fakes/loop_runner.h"
+#include "sidecar/peer_network.h"
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::runUntil;
+
+/// Forwards one address to another, and can reset or swallow what it carries.
+class link_proxy
+{
+public:
+    link_proxy(boost::asio::io_context &loop, const socket_address &from, socket_address to)
+        : m_loop(loop)
+        , m_to(std::move(to))
+        , m_acceptor(loop, from.endpoint())
+    {
+        accept();
+    }
+
+    void resetAll()
+    {
+        for (const std::shared_ptr<pair> &item : m_pairs) {
+            boost::system::error_code ignored;
+            item->front.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            item->back.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            item->front.close(ignored);
+            item->back.close(ignored);
+        }
+        m_pairs.clear();
+    }
+    /// From now on nothing is passed on over the present connections, which stay open.
+    void silence() { ++m_generation; }
+
+private:
+    struct pair
+    {
+        explicit pair(boost::asio::io_context &loop)
+            : front(loop)
+            , back(loop)
+        { }
+        tcp::socket front;
+        tcp::socket back;
+        std::array<std::array<char, 4096>, 2> chunks{};
+        int generation = 0;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            const std::shared_ptr<pair> item = std::make_shared<pair>(m_loop);
+            item->front = std::move(socket);
+            item->generation = m_generation;
+            item->back.connect(m_to.endpoint());
+            m_pairs.push_back(item);
+            pump(item, item->front, item->back, 0);
+            pump(item, item->back, item->front, 1);
+            accept();
+        });
+    }
+
+    void pump(const std::shared_ptr<pair> &item, tcp::socket &from, tcp::socket &to,
+              std::size_t side)
+    {
+        from.async_read_some(
+                boost::asio::buffer(item->chunks.at(side)),
+                [this, item, &from, &to, side](boost::system::error_code error, std::size_t count) {
+                    if (error)
+                        return;
+                    boost::system::error_code ignored;
+                    if (item->generation == m_generation)
+                        boost::asio::write(to, boost::asio::buffer(item->chunks.at(side), count),
+                                           ignored);
+                    pump(item, from, to, side);
+                });
+    }
+
+    boost::asio::io_context &m_loop;
+    socket_address m_to;
+    tcp::acceptor m_acceptor;
+    std::vector<std::shared_ptr<pair>> m_pairs;
+    int m_generation = 0;
+};
+
+/// A network and what its callbacks reported.
+struct endpoint
+{
+    endpoint(boost::asio::io_context &loop, const std::string &name, incarnation life,
+             const socket_address &address)
+        : self{"zone", name, life}
+    {
+        peer_callbacks callbacks;
+        callbacks.received = [this](const node_ref &, peer_message message) {
+            if (const config_fetch *fetch = std::get_if<config_fetch>(&message))
+                numbers.push_back(fetch->haveVersion);
+            if (const dispatch *request = std::get_if<dispatch>(&message))
+                times.push_back(request->context.deadlineLeft);
+        };
+        callbacks.restarted = [this](const std::string &node) { restarted.push_back(node); };
+        callbacks.silent = [this](const std::string &node) { silent.push_back(node); };
+        callbacks.undelivered = [this](const std::string &, const dispatch_id &id) {
+            undelivered.push_back(id.sequence);
+        };
+        callbacks.changed = [](const std::string &, bool) {};
+        network = std::make_unique<peer_network>(loop, address, self, std::move(callbacks));
+    }
+
+    node_ref self;
+    std::unique_ptr<peer_network> network;
+    std::vector<std::int64_t> numbers;
+    std::vector<duration> times;
+    std::vector<std::string> restarted;
+    std::vector<std::string> silent;
+    std::vector<std::uint64_t> undelivered;
+};
+
+dispatch requestOf(std::uint64_t sequence)
+{
+    dispatch request;
+    request.id = {1, sequence};
+    request.context.deadlineLeft = std::chrono::seconds(5);
+    return request;
+}
+
+struct sidecar_peer_network : testing::Test
+{
+    boost::asio::io_context loop;
+    socket_address address = fakes::freeAddress();
+    socket_address middle = fakes::freeAddress();
+    std::unique_ptr<endpoint> sender =
+            std::make_unique<endpoint>(loop, "s", 11, fakes::freeAddress());
+    std::unique_ptr<endpoint> receiver = std::make_unique<endpoint>(loop, "r", 22, address);
+
+    bool run(const std::function<bool()> &done)
+    {
+        return runUntil(loop, done, [this] {
+            sender->network->sweep(monotonicNow());
+            if (receiver)
+                receiver->network->sweep(monotonicNow());
+        });
+    }
+    void send(std::int64_t number) { sender->network->send("r", 0, config_fetch{number}); }
+};
+
+// Guards against messages that are lost or doubled when connections are reset.
+TEST_F(sidecar_peer_network, resets_neither_lose_nor_double_nor_reorder_messages)
+{
+    link_proxy proxy(loop, middle, address);
+    sender->network->connect("r", middle.text());
+    std::vector<std::int64_t> expected;
+    for (std::int64_t number = 0; number < 400; ++number) {
+        send(number);
+        expected.push_back(number);
+        if (number % 40 == 20) {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds(1));
+            proxy.resetAll();
+        }
+    }
+    EXPECT_TRUE(run([&] { return receiver->numbers.size() >= expected.size(); }));
+    EXPECT_EQ(receiver->numbers, expected);
+}
+
+// Guards against a link that stays silent for good without a reset.
+TEST_F(sidecar_peer_network, a_silent_connection_is_reported_and_replaced)
+{
+    link_proxy proxy(loop, middle, address);
+    sender->network->connect("r", middle.text());
+    send(1);
+    ASSERT_TRUE(run([&] { return receiver->numbers.size() == 1; }));
+    proxy.silence();
+    send(2);
+    EXPECT_TRUE(run([&] { return receiver->numbers.size() == 2; }));
+    EXPECT_EQ(sender->silent, std::vector<std::string>{"r"});
+}
+
+// Guards against a request that runs after its sender said that it has not run: what no connection
+// carried is taken back, and never sent later.
+TEST_F(sidecar_peer_network, requests_for_an_unreachable_peer_are_taken_back)
+{
+    const socket_address nobody = fakes::freeAddress();
+    sender->network->connect("r", nobody.text());
+    sender->network->send("r", 22, requestOf(7));
+    EXPECT_TRUE(run([&] { return !sender->undelivered.empty(); }));
+    EXPECT_EQ(sender->undelivered, std::vector<std::uint64_t>{7});
+    endpoint late(loop, "r", 22, nobody);
+    send(1);
+    EXPECT_TRUE(run([&] { return !late.numbers.empty(); }));
+    EXPECT_TRUE(late.times.empty());
+}
+
+// Guards against requests that run in a process that was not asked, after a restart.
+TEST_F(sidecar_peer_network, frames_for_an_earlier_process_are_not_delivered_to_the_next)
+{
+    sender->network->connect("r", address.text());
+    send(1);
+    ASSERT_TRUE(run([&] { return receiver->numbers.size() == 1; }));
+    receiver.reset();
+    sender->network->send("r", 22, requestOf(8));
+    receiver = std::make_unique<endpoint>(loop, "r", 33, address);
+    send(2);
+    EXPECT_TRUE(run([&] { return receiver->numbers.size() == 1; }));
+    EXPECT_TRUE(receiver->times.empty());
+    EXPECT_EQ(sender->restarted, std::vector<std::string>{"r"});
+}
+
+// Guards against servers that are given more time than the caller has.
+TEST_F(sidecar_peer_network, time_in_the_queue_shortens_the_deadline)
+{
+    receiver.reset();
+    sender->network->connect("r", address.text());
+    sender->network->send("r", 0, heartbeat{});
+    dispatch request = requestOf(9);
+    // Held back, not taken back: an earlier connection may have carried part of it.
+    ASSERT_TRUE(run([&] { return !sender->silent.empty(); }));
+    receiver = std::make_unique<endpoint>(loop, "r", 22, address);
+    sender->network->send("r", 22, request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(120));
+    EXPECT_TRUE(run([&] { return !receiver->times.empty(); }));
+    ASSERT_EQ(receiver->times.size(), 1U);
+    EXPECT_LT(receiver->times[0], std::chrono::milliseconds(4900));
+}
+
+// Guards against a process that ends because of bytes that are no frames.
+TEST_F(sidecar_peer_network, malformed_bytes_end_only_their_connection)
+{
+    tcp::socket stranger(loop);
+    stranger.connect(address.endpoint());
+    boost::asio::write(stranger,
+                       boost::asio::buffer(std::string(8, 'x') + std::string(64, '\xff')));
+    EXPECT_TRUE(run([&] { return receiver->network->counts().framesRefused == 1; }));
+    sender->network->connect("r", address.text());
+    send(5);
+    EXPECT_TRUE(run([&] { return receiver->numbers.size() == 1; }));
+}
+
+} // namespace
+} // namespace tamarackridge
--- /dev/null
+++ b/tests/sidecar_route_table_test.cpp
@@ -0,0 +1,65 @@
+#include "fakes/sidecar_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace tamarackridge {
+namespace {
+
+published_set setWith(std::vector<published_route> routes)
+{
+    published_set set = fakes::fakeSet(1);
+    set.routes = std::move(routes);
+    return set;
+}
+
+published_route routeFor(const std::string &host, const std::string &prefix)
+{
+    published_route route = fakes::fakeRoute(host + prefix, "orders");
+    route.host = host;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+// Guards against a request that runs under a shorter route than the operator meant.
+TEST(sidecar_route_table, longest_prefix_of_the_host_wins)
+{
+    const route_table table(
+            setWith({routeFor("a.example", "/"), routeFor("a.example", "/x/"),
+                     routeFor("a.example", "/x/y/"), routeFor("b.example", "/x/")}));
+    EXPECT_EQ(table.route("a.example", "/x/y/z")->name, "a.example/x/y/");
+    EXPECT_EQ(table.route("a.example", "/x/y")->name, "a.example/x/");
+    EXPECT_EQ(table.route("a.example", "/xy/")->name, "a.example/");
+    EXPECT_EQ(table.route("b.example", "/x/?q=/y/")->name, "b.example/x/");
+    EXPECT_EQ(table.route("b.example", "/"), nullptr);
+    EXPECT_EQ(table.route("c.example", "/x/"), nullptr);
+}
+
+// Guards against refusing callers that write the host in another case or with its port.
+TEST(sidecar_route_table, host_is_compared_without_case_and_port)
+{
+    const route_table table(setWith({routeFor("Shop.Example", "/")}));
+    EXPECT_NE(table.route("shop.example:8080", "/1"), nullptr);
+    EXPECT_NE(table.route("SHOP.EXAMPLE", "/1"), nullptr);
+}
+
+// Guards against shares that hold on average only: each hundred requests keeps to the weights.
+TEST(sidecar_route_table, services_get_their_weights)
+{
+    published_route split = routeFor("a.example", "/");
+    split.targets = {{"large", 90}, {"small", 10}};
+    route_table table(setWith({split}));
+    const published_route *route = table.route("a.example", "/");
+    for (int hundred = 0; hundred < 3; ++hundred) {
+        std::map<std::string, int> counts;
+        for (int request = 0; request < 100; ++request)
+            ++counts[table.nextService(*route)];
+        EXPECT_EQ(counts["large"], 90);
+        EXPECT_EQ(counts["small"], 10);
+    }
+}
+
+} // namespace
+} // namespace tamarackridge
