Spill when the own zone is full; a silent peer keeps requests that cannot be sent again

Suspicion now ends an attempt only when another one can begin. Test: without_a_retry_left_a_request_waits_for_a_silent_peer.

--- a/include/tamarackridge/src/overload/retry_budget.h
+++ b/include/tamarackridge/src/overload/retry_budget.h
@@ -35,6 +35,8 @@
     void onFirstAttempt(time_point now);
     /// \returns true and takes one retry when the budget allows it.
     bool tryRetry(time_point now);
+    /// \returns whether tryRetry() would take a retry.
+    bool canRetry(time_point now);
 
 private:
     void refill(time_point now);
--- a/include/tamarackridge/src/routing/executor_health.h
+++ b/include/tamarackridge/src/routing/executor_health.h
@@ -45,6 +45,11 @@
     bool probeDue(time_point now) const { return now >= m_ejectedUntil && m_inFlight == 0; }
     /// \returns true when no dispatch is waiting for an answer.
     bool idle() const { return m_inFlight == 0; }
+    /// \returns whether a further request would run at once, as far as the last load tells.
+    bool hasFreePlace() const
+    {
+        return m_load.limit == 0 || (m_load.queued == 0 && m_load.inFlight < m_load.limit);
+    }
     bool admits(std::uint8_t rank) const { return m_load.shedThreshold <= rank; }
 
     /// \param usualLatency of the service in nanoseconds, for an executor not yet known.
--- a/include/tamarackridge/src/routing/router.h
+++ b/include/tamarackridge/src/routing/router.h
@@ -29,6 +29,9 @@
     std::string zone; ///< Own availability zone.
     std::uint32_t subsetSize = 8; ///< Executors used per service and zone, at most 16.
     double clearlySlower = 2; ///< Delay in the own zone, over another zone's, that spills over.
+    /// Whether requests leave the own zone as soon as its executors have no free place, and then go
+    /// to the zones that have one.
+    bool spillsWhenFull = false;
     std::uint32_t probePercent = 1; ///< Share of early refusals that is sent nevertheless.
     ejection_options ejection;
 };
@@ -156,6 +159,8 @@
     option pickOfTwo(std::span<const index> list, time_point now, random_source &random) const;
     tl::expected<index, error_kind> chooseFrom(service_group &service, const request &wanted,
                                                random_source &random);
+    std::optional<index> withFreePlace(service_group &service, const request &wanted);
+    bool hasFreePlace(std::span<const index> list) const;
     index preferNear(service_group &service, const candidates &near, const request &wanted,
                      random_source &random);
 
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -237,16 +237,32 @@
     dispatchAnswer(node, std::move(unsent), now, out);
 }
 
-void dispatcher::executorLost(std::string_view node, time_point now, action_list &out)
+std::vector<dispatcher::owned_id> dispatcher::idempotentOn(std::string_view node) const
 {
-    std::vector<owned_id> affected;
+    std::vector<owned_id> found;
     for (const auto &[owned, work] : m_owned) {
         if (work.executorNode == node && work.request.context.idempotent
             && work.dispatchSequence != 0)
-            affected.push_back(owned);
+            found.push_back(owned);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+void dispatcher::executorSuspected(std::string_view node, time_point now, action_list &out)
+{
+    for (owned_id owned : idempotentOn(node)) {
+        const auto found = m_owned.find(owned);
+        if (found == m_owned.end() || found->second.attempts.remaining() == 0
+            || !m_retries.of(found->second.request.context.service).canRetry(now))
+            continue;
+        expireAttempt(owned, now, out);
     }
-    std::sort(affected.begin(), affected.end());
-    for (owned_id owned : affected)
+}
+
+void dispatcher::executorLost(std::string_view node, time_point now, action_list &out)
+{
+    for (owned_id owned : idempotentOn(node))
         expireAttempt(owned, now, out);
 }
 
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -70,7 +70,10 @@
     /// \brief The transport did not hand a dispatch over, and will not.
     void undelivered(std::string_view node, std::uint64_t sequence, time_point now,
                      action_list &out);
-    /// \brief A node died or became suspect: idempotent requests on it are sent elsewhere.
+    /// \brief A node became suspect or does not read: idempotent requests on it are sent elsewhere,
+    /// as far as the retry budget goes. The others keep waiting, since the node may be at work.
+    void executorSuspected(std::string_view node, time_point now, action_list &out);
+    /// \brief A node died with what it ran: its idempotent requests are sent elsewhere or end.
     void executorLost(std::string_view node, time_point now, action_list &out);
 
     void tick(time_point now, action_list &out);
@@ -78,6 +81,7 @@
     owned_id nextOwned() const { return m_nextOwned; }
     bool idle() const { return m_owned.empty(); }
     std::size_t size() const { return m_owned.size(); }
+    attempt_patience patience() const { return m_patience; }
 
 private:
     struct progress
@@ -102,6 +106,7 @@
     void settle(owned_map::iterator found, dispatch_answer answer, time_point now,
                 action_list &out);
     void endAttempt(progress &work, const dispatch_answer &answer, time_point now);
+    std::vector<owned_id> idempotentOn(std::string_view node) const;
     bool mayRetry(progress &work, const dispatch_answer &answer, time_point now);
     void fail(owned_id owned, error_kind kind, time_point now, action_list &out);
     void finish(owned_id owned, request_outcome outcome, time_point now, action_list &out);
--- a/src/core/node/fleet_view.cpp
+++ b/src/core/node/fleet_view.cpp
@@ -12,6 +12,15 @@
 
 } // namespace
 
+void fleet_view::lose(std::string_view node, time_point now, action_list &out)
+{
+    // A transport that tells whether a dispatch arrived leaves nothing to guess from suspicions.
+    if (m_dispatcher.patience() == attempt_patience::whole)
+        m_dispatcher.executorSuspected(node, now, out);
+    else
+        m_dispatcher.executorLost(node, now, out);
+}
+
 bool fleet_view::serves(const directory::record &record, time_point now) const
 {
     return record.info.state == member_state::serving && record.health == liveness::alive
@@ -50,7 +59,7 @@
                 continue;
             updateExecutor(name, now);
             if (!reachable)
-                m_dispatcher.executorLost(name, now, out);
+                lose(name, now, out);
         }
     }
 }
@@ -61,7 +70,7 @@
         updateExecutor(name, now);
         const directory::record *record = m_membership.members().find(name);
         if (record != nullptr && record->health != liveness::alive)
-            m_dispatcher.executorLost(name, now, out);
+            lose(name, now, out);
     }
 }
 
--- a/src/core/node/fleet_view.h
+++ b/src/core/node/fleet_view.h
@@ -30,6 +30,8 @@
     bool serves(const directory::record &record, time_point now) const;
 
 private:
+    void lose(std::string_view node, time_point now, action_list &out);
+
     overlay &m_membership;
     router &m_routes;
     dispatcher &m_dispatcher;
--- a/src/core/overload/retry_budget.cpp
+++ b/src/core/overload/retry_budget.cpp
@@ -19,10 +19,15 @@
     add(m_options.sharePercent * (partsPerRetry / 100));
 }
 
-bool retry_budget::tryRetry(time_point now)
+bool retry_budget::canRetry(time_point now)
 {
     refill(now);
-    if (m_parts < partsPerRetry)
+    return m_parts >= partsPerRetry;
+}
+
+bool retry_budget::tryRetry(time_point now)
+{
+    if (!canRetry(now))
         return false;
     m_parts -= partsPerRetry;
     return true;
--- a/src/core/routing/router_choice.cpp
+++ b/src/core/routing/router_choice.cpp
@@ -54,12 +54,37 @@
     return tl::unexpected(error_kind::no_backend_server);
 }
 
+bool router::hasFreePlace(std::span<const index> list) const
+{
+    return std::any_of(list.begin(), list.end(), [this](index executor) {
+        return m_records[executor].health.hasFreePlace();
+    });
+}
+
+std::optional<router::index> router::withFreePlace(service_group &service, const request &wanted)
+{
+    option best{0, std::numeric_limits<double>::max()};
+    for (zone_group &group : service.zones) {
+        const candidates found = gather(group, wanted);
+        for (index executor : found.admittingList()) {
+            const double delay = delayOf(executor, wanted.now);
+            if (m_records[executor].health.hasFreePlace() && delay < best.delay)
+                best = {executor, delay};
+        }
+    }
+    if (best.delay == std::numeric_limits<double>::max())
+        return std::nullopt;
+    return best.executor;
+}
+
 router::index router::preferNear(service_group &service, const candidates &near,
                                  const request &wanted, random_source &random)
 {
     const option own = pickOfTwo(near.admittingList(), wanted.now, random);
     if (service.zones.size() < 2)
         return own.executor;
+    if (m_options.spillsWhenFull && !hasFreePlace(near.admittingList()))
+        return withFreePlace(service, wanted).value_or(own.executor);
     // One other zone per decision bounds its cost; all zones have their turn.
     zone_group &otherGroup = service.zones[1 + random.below(service.zones.size() - 1)];
     const candidates far = gather(otherGroup, wanted);
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -14,6 +14,9 @@
 constexpr duration callersMoveOn = std::chrono::milliseconds(2500);
 // A newer configuration is asked for once in this time, whoever has it.
 constexpr duration fetchInterval = std::chrono::milliseconds(200);
+// Bytes between zones are priced, and sound servers of one service differ in speed by up to three
+// times; a faulty one is slower by more.
+constexpr double clearlySlower = 3.5;
 // Some backend servers slow down when all but a few of their slots are taken.
 constexpr double usableSlotShare = 0.95;
 // Retries are 5 in 100 requests of a service, so that all nodes together stay well below the bound
@@ -33,6 +36,8 @@
     router_options result;
     result.node = options.self.name;
     result.zone = options.self.zone;
+    result.clearlySlower = clearlySlower;
+    result.spillsWhenFull = true;
     return result;
 }
 
@@ -239,7 +244,7 @@
 void sidecar_state::peerSilent(std::string_view node, time_point now, action_list &out)
 {
     m_observer.beliefChanged(node, "does not read", "link");
-    m_dispatcher.executorLost(node, now, out);
+    m_dispatcher.executorSuspected(node, now, out);
 }
 
 void sidecar_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -233,6 +233,22 @@
     EXPECT_EQ(fleet.status(write), 504);
 }
 
+// Guards against an answer in place of a server's that is at work (LOST after SIGTERM in a run of
+// tasas-scl trouble-2): silence ends an attempt only when another one can begin.
+TEST(sidecar_core, without_a_retry_left_a_request_waits_for_a_silent_peer)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id read = fleet.call("a1", "read");
+    fleet.act("a1", [&](sidecar_core &core, action_list &out) {
+        core.peerSilent("a2", fleet.now(), out);
+    });
+    EXPECT_EQ(fleet.status(read), 0);
+    EXPECT_FALSE(fleet.runs[0].cancelled);
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(read), 200);
+}
+
 // Guards against a false "not run", and against giving up a request that was never sent.
 TEST(sidecar_core, a_dispatch_that_was_taken_back_goes_to_another_node)
 {
