--- a/src/sidecar/output_log.cpp
+++ b/src/sidecar/output_log.cpp
@@ -15,6 +15,7 @@
 // Enough to follow every failure of an ordinary day, and a few percent of a core at most.
 constexpr double processLines = 100;
 constexpr double failureLines = 60;
+constexpr double refusalLines = 30;
 constexpr double successLines = 5;
 constexpr double burstSeconds = 2;
 constexpr std::size_t mostBuffered = 256 * 1024;
@@ -22,9 +23,10 @@
 } // namespace
 
 output_log::output_log()
-    : m_budgets{{processLines, processLines * burstSeconds},
-                {failureLines, failureLines * burstSeconds},
-                {successLines, successLines * burstSeconds}}
+    : m_budgets{budget{processLines, processLines * burstSeconds},
+                budget{failureLines, failureLines * burstSeconds},
+                budget{refusalLines, refusalLines * burstSeconds},
+                budget{successLines, successLines * burstSeconds}}
 {
     const int flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
@@ -33,7 +35,7 @@
 
 bool output_log::take(line_class kind)
 {
-    budget &item = m_budgets[static_cast<std::size_t>(kind)];
+    budget &item = m_budgets.at(static_cast<std::size_t>(kind));
     if (item.left < 1 || m_buffer.size() > mostBuffered) {
         ++m_dropped;
         return false;
--- a/src/sidecar/output_log.h
+++ b/src/sidecar/output_log.h
@@ -3,6 +3,7 @@
 #include "process/json_line.h"
 #include "tamarackridge/src/base/time.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,7 +13,8 @@
 /// \brief How much a line is worth when there are too many.
 enum class line_class : std::uint8_t {
     process, ///< Start, stop, dependencies, beliefs.
-    failure, ///< A request that did not end with a backend server's answer.
+    failure, ///< A request that may have run and ended without a backend server's answer.
+    refusal, ///< A request that was refused before it ran.
     success,
 };
 
@@ -42,7 +44,7 @@
     void append(std::string_view event, json_line line);
     void reportDropped();
 
-    budget m_budgets[3];
+    std::array<budget, 4> m_budgets;
     std::string m_buffer;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_reported = 0;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -277,8 +277,10 @@
             .add("attempts", request.attempts)
             .add("configuration", request.configVersion)
             .add("took_us", microseconds(request.took));
-    m_log.write(request.error.empty() ? line_class::success : line_class::failure, "request ended",
-                std::move(line));
+    line_class kind = line_class::success;
+    if (!request.error.empty())
+        kind = request.state == run_state::not_run ? line_class::refusal : line_class::failure;
+    m_log.write(kind, "request ended", std::move(line));
 }
 
 void sidecar_app::beliefChanged(std::string_view subject, std::string_view belief,
