Mend findings of the linter in the sidecar, the platform adapter and their tests

No change of behaviour: widths of constants, parameters that were copied, one branch that stood twice, string literals of a test put together.

--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -126,6 +126,7 @@
 void sidecar_state::membersListed(const std::vector<seed_peer> &members, time_point now)
 {
     std::vector<std::pair<std::string, std::string>> seeds;
+    seeds.reserve(members.size());
     for (const seed_peer &item : members)
         seeds.emplace_back(item.node, item.endpoint);
     m_membersListed = seeds.size();
--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -14,7 +14,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t mostAnswerBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t mostAnswerBytes = std::uint64_t{64} * 1024 * 1024;
 constexpr std::uint32_t mostHeaderBytes = 64 * 1024;
 
 // Headers of an answer that concern its connection only, or its length, which is set again.
--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -19,8 +19,8 @@
 using boost::system::error_code;
 
 // Bytes of a next request that are read while the present one is being decided.
-constexpr std::size_t mostReadAhead = 64 * 1024;
-constexpr std::size_t readAheadStep = 4 * 1024;
+constexpr std::size_t mostReadAhead = std::size_t{64} * 1024;
+constexpr std::size_t readAheadStep = std::size_t{4} * 1024;
 // A caller that does not read its answer holds memory here.
 constexpr duration answerTime = std::chrono::seconds(15);
 // The other side closes first, so that bytes on their way do not reset the answer.
@@ -77,7 +77,7 @@
         await();
     }
 
-    void answer(http_answer answer)
+    void answer(const http_answer &answer)
     {
         m_phase = phase::writing;
         m_call = 0;
@@ -181,17 +181,15 @@
     {
         error_code error;
         const std::size_t count = m_socket.read_some(m_buffer.prepare(readAheadStep), error);
-        if (error == boost::asio::error::would_block) {
-            watch();
-        } else if (error) {
+        if (error && error != boost::asio::error::would_block) {
             close();
-        } else if (m_phase == phase::lingering) {
-            watch(); // Nothing more is answered on this connection.
-        } else {
-            m_buffer.commit(count);
-            if (m_buffer.size() < mostReadAhead)
-                watch();
+            return;
         }
+        // Nothing more is answered on a lingering connection, so its bytes are dropped.
+        if (!error && m_phase != phase::lingering)
+            m_buffer.commit(count);
+        if (m_buffer.size() < mostReadAhead)
+            watch();
     }
 
     void read()
@@ -308,14 +306,14 @@
     });
 }
 
-void http_listener::answer(call_id call, http_answer answer)
+void http_listener::answer(call_id call, const http_answer &answer)
 {
     const auto found = m_byCall.find(call);
     if (found == m_byCall.end())
         return;
     const std::shared_ptr<connection> item = found->second;
     m_byCall.erase(found);
-    item->answer(std::move(answer));
+    item->answer(answer);
 }
 
 void http_listener::sweep(time_point now)
--- a/src/sidecar/http_listener.h
+++ b/src/sidecar/http_listener.h
@@ -40,7 +40,7 @@
     ~http_listener();
 
     /// \brief Sends the answer of a request; the answer of a caller that has left is dropped.
-    void answer(call_id call, http_answer answer);
+    void answer(call_id call, const http_answer &answer);
     /// \brief Closes connections that are past their time limit; called a few times a second.
     void sweep(time_point now);
     std::size_t connections() const { return m_connections.size(); }
--- a/src/sidecar/output_log.cpp
+++ b/src/sidecar/output_log.cpp
@@ -18,7 +18,7 @@
 constexpr double refusalLines = 30;
 constexpr double successLines = 5;
 constexpr double burstSeconds = 2;
-constexpr std::size_t mostBuffered = 256 * 1024;
+constexpr std::size_t mostBuffered = std::size_t{256} * 1024;
 
 } // namespace
 
--- a/src/sidecar/peer_network.cpp
+++ b/src/sidecar/peer_network.cpp
@@ -30,11 +30,11 @@
 // What heartbeats and entries tell is told again by later ones.
 constexpr duration stateTime = std::chrono::seconds(2);
 constexpr duration answerTime = std::chrono::seconds(5);
-constexpr std::size_t mostQueuedBytes = 16 * 1024 * 1024; ///< For one peer.
-constexpr std::size_t mostWriteBytes = 128 * 1024;
-constexpr std::size_t mostFrameBytes = 96 * 1024 * 1024;
-constexpr std::size_t mostSenders = 16 * 1024;
-constexpr std::size_t readStep = 16 * 1024;
+constexpr std::size_t mostQueuedBytes = std::size_t{16} * 1024 * 1024; ///< For one peer.
+constexpr std::size_t mostWriteBytes = std::size_t{128} * 1024;
+constexpr std::size_t mostFrameBytes = std::size_t{96} * 1024 * 1024;
+constexpr std::size_t mostSenders = std::size_t{16} * 1024;
+constexpr std::size_t readStep = std::size_t{16} * 1024;
 constexpr int backlog = 256;
 
 // A frame begins with its length, the milliseconds for which it was held, and its number.
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void server_runner::run(run_backend item)
+void server_runner::run(const run_backend &item)
 {
     answer_match match;
     match.value = headerValue(item.request.headers, m_names.requestId);
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -32,7 +32,7 @@
         , m_done(std::move(done))
     { }
 
-    void run(run_backend item);
+    void run(const run_backend &item);
     void cancel(run_id run);
     void sweep(time_point now) { m_pool.sweep(now); }
     const connection_pool &pool() const { return m_pool; }
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -157,19 +157,19 @@
     m_carryingOut = true;
     // Carrying out an action can bring further events, whose actions are appended.
     for (std::size_t next = 0; next < m_actions.size(); ++next) {
-        action item = std::move(m_actions[next]);
+        const action item = std::move(m_actions[next]);
         carryOut(item);
     }
     m_actions.clear();
     m_carryingOut = false;
 }
 
-void sidecar_app::carryOut(action &item)
+void sidecar_app::carryOut(const action &item)
 {
-    if (answer_caller *answer = std::get_if<answer_caller>(&item))
-        m_callers.answer(answer->call, std::move(answer->answer));
-    else if (run_backend *run = std::get_if<run_backend>(&item))
-        m_server.run(std::move(*run));
+    if (const answer_caller *answer = std::get_if<answer_caller>(&item))
+        m_callers.answer(answer->call, answer->answer);
+    else if (const run_backend *run = std::get_if<run_backend>(&item))
+        m_server.run(*run);
     else if (const cancel_run *cancel = std::get_if<cancel_run>(&item))
         m_server.cancel(cancel->run);
     else if (const send_peer *send = std::get_if<send_peer>(&item))
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -44,7 +44,7 @@
     /// \brief Passes an event to the core and carries out what it decides.
     template <typename Event>
     void post(Event event);
-    void carryOut(action &item);
+    void carryOut(const action &item);
 
     void health(call_id call, const http_request &request);
     void control(call_id call, const http_request &request);
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -51,7 +51,7 @@
     store_stand_in(boost::asio::io_context &loop, const socket_address &address)
         : m_listener(std::make_unique<http_listener>(
                 loop, address,
-                listener_callbacks{[this](call_id call, http_request request) {
+                listener_callbacks{[this](call_id call, const http_request &request) {
                                        calls.push_back(request.target);
                                        handle(call, request);
                                    },
@@ -98,7 +98,7 @@
         item.status = status;
         item.body =
                 std::make_shared<const std::string>(garbage.empty() ? std::move(body) : garbage);
-        m_listener->answer(call, std::move(item));
+        m_listener->answer(call, item);
     }
 
     void handle(call_id call, const http_request &request)
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -117,13 +117,17 @@
 // Guards against a second request that hides in the first.
 TEST_F(sidecar_listener, requests_with_two_lengths_or_hosts_are_refused)
 {
-    for (const char *text :
-         {"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-          "0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n",
-          "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
-          "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
-          "GET /1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", "GET /1 HTTP/1.1\r\n\r\n",
-          "GET /1 HTTP/1.1\r\nHost : h\r\n\r\n", "NONSENSE\r\n\r\n"}) {
+    const std::string twoLengths = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                                   "5\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::string> texts = {
+            twoLengths + "0\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n",
+            "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+            "POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+            "GET /1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+            "GET /1 HTTP/1.1\r\n\r\n",
+            "GET /1 HTTP/1.1\r\nHost : h\r\n\r\n",
+            "NONSENSE\r\n\r\n"};
+    for (const std::string &text : texts) {
         raw_caller caller(loop, address);
         caller.write(text);
         EXPECT_TRUE(run([&] { return caller.ended; })) << text;
@@ -252,10 +256,10 @@
         work.timeout = timeout;
         return work;
     }
-    const backend_result &run(run_backend work)
+    const backend_result &run(const run_backend &work)
     {
         const std::size_t before = results.size();
-        runner.run(std::move(work));
+        runner.run(work);
         EXPECT_TRUE(runUntil(
                 loop, [&] { return results.size() > before; },
                 [this] { runner.sweep(monotonicNow()); }));
@@ -352,7 +356,7 @@
     server->script = [](const std::string &) { return std::string(); };
     run_backend work = item("a");
     const run_id run = work.run;
-    runner.run(std::move(work));
+    runner.run(work);
     ASSERT_TRUE(runUntil(loop, [&] { return server->connections == 1; }));
     runner.cancel(run);
     ASSERT_TRUE(runUntil(loop, [&] { return results.size() == 1; }));
