Log each run's end and late answers with their request id; operators' page for the sidecar

Cause: an operator could follow a 502 to the sidecar beside the server, but not what happened there. Test: every_run_is_reported_with_its_request_id.

--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -65,6 +65,7 @@
     std::string_view error; ///< Empty for an answer of the backend server.
     std::int64_t configVersion = -1;
     duration took{};
+    duration objective{}; ///< Latency objective of the route; 0 when it has none.
     std::uint32_t attempts = 0;
 };
 
--- a/src/core/sidecar/sidecar_entry.cpp
+++ b/src/core/sidecar/sidecar_entry.cpp
@@ -132,6 +132,7 @@
         return tl::unexpected(error_kind::unknown_route);
     item.route = route->name;
     item.idempotent = route->idempotent;
+    item.objective = route->objective;
     const tl::expected<const published_customer *, error_kind> customer =
             customerOf(*route, request);
     if (!customer)
@@ -240,6 +241,7 @@
     ended.state = result.state;
     ended.configVersion = m_table ? m_table->set().version : -1;
     ended.took = now - item.began;
+    ended.objective = item.objective;
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = answerFor(*result.error).name;
--- a/src/core/sidecar/sidecar_entry.h
+++ b/src/core/sidecar/sidecar_entry.h
@@ -46,6 +46,7 @@
         std::string service;
         std::string customer;
         bool idempotent = false;
+        duration objective{};
         std::uint32_t attempts = 0; ///< Allowed by the route.
         time_point began;
     };
--- a/src/sidecar/output_log.h
+++ b/src/sidecar/output_log.h
@@ -13,7 +13,8 @@
 /// \brief How much a line is worth when there are too many.
 enum class line_class : std::uint8_t {
     process, ///< Start, stop, dependencies, beliefs.
-    failure, ///< A request that may have run and ended without a backend server's answer.
+    /// A request that may have run and ended without a backend server's answer, or late.
+    failure,
     refusal, ///< A request that was refused before it ran.
     success,
 };
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -28,22 +28,23 @@
     if (!match.value.empty())
         match.header = m_names.requestId;
     const run_id run = item.run;
-    const connection_pool::exchange_id exchange = m_pool.exchange(
-            item.request, std::move(match), monotonicNow() + item.timeout,
+    running work{0, match.value, monotonicNow()};
+    work.exchange = m_pool.exchange(
+            item.request, std::move(match), work.began + item.timeout,
             [this, run](exchange_result result) { finished(run, std::move(result)); });
-    m_running.emplace(run, exchange);
+    m_running.emplace(run, std::move(work));
 }
 
 void server_runner::cancel(run_id run)
 {
     const auto found = m_running.find(run);
     if (found != m_running.end())
-        m_pool.cancel(found->second);
+        m_pool.cancel(found->second.exchange);
 }
 
 void server_runner::finished(run_id run, exchange_result result)
 {
-    m_running.erase(run);
+    const running work = std::move(m_running.extract(run).mapped());
     backend_result outcome;
     outcome.bytesSent = result.bytesSent;
     if (result.end != exchange_end::answered) {
@@ -59,6 +60,7 @@
     } else {
         outcome.answer = std::move(result.answer);
     }
+    m_ended(work.requestId, outcome, monotonicNow() - work.began);
     m_done(run, std::move(outcome), result.end == exchange_end::refused);
 }
 
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace tamarackridge {
@@ -22,6 +23,8 @@
 class server_runner
 {
 public:
+    using ended_handler = std::function<void(std::string_view requestId,
+                                             const backend_result &result, duration took)>;
     /// \param refused is set when no connection could be opened.
     using done_handler = std::function<void(run_id run, backend_result result, bool refused)>;
 
@@ -32,18 +35,29 @@
         , m_done(std::move(done))
     { }
 
+    /// \brief Calls \a handler with each run's request id, outcome and time, for the log.
+    void onEnded(ended_handler handler) { m_ended = std::move(handler); }
+
     void run(const run_backend &item);
     void cancel(run_id run);
     void sweep(time_point now) { m_pool.sweep(now); }
     const connection_pool &pool() const { return m_pool; }
 
 private:
+    struct running
+    {
+        connection_pool::exchange_id exchange = 0;
+        std::string requestId;
+        time_point began;
+    };
+
     void finished(run_id run, exchange_result result);
 
     connection_pool m_pool;
     server_answer_names m_names;
     done_handler m_done;
-    std::unordered_map<run_id, connection_pool::exchange_id> m_running;
+    ended_handler m_ended = [](std::string_view, const backend_result &, duration) {};
+    std::unordered_map<run_id, running> m_running;
 };
 
 } // namespace tamarackridge
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -61,7 +61,10 @@
     , m_tickTimer(loop)
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
-{ }
+{
+    m_server.onEnded([this](std::string_view requestId, const backend_result &result,
+                            duration took) { runEnded(requestId, result, took); });
+}
 
 sidecar_options sidecar_app::coreOptions() const
 {
@@ -276,13 +279,28 @@
             .add("error", request.error)
             .add("attempts", request.attempts)
             .add("configuration", request.configVersion)
-            .add("took_us", microseconds(request.took));
-    line_class kind = line_class::success;
+            .add("took_us", microseconds(request.took))
+            .add("objective_us", microseconds(request.objective));
+    const bool late = request.objective > duration::zero() && request.took > request.objective;
+    line_class kind = late ? line_class::failure : line_class::success;
     if (!request.error.empty())
         kind = request.state == run_state::not_run ? line_class::refusal : line_class::failure;
     m_log.write(kind, "request ended", std::move(line));
 }
 
+void sidecar_app::runEnded(std::string_view requestId, const backend_result &result, duration took)
+{
+    json_line line;
+    line.add("request", requestId)
+            .add("status", result.answer ? result.answer->status : 0)
+            .add("error",
+                 result.answer ? std::string_view() : answerFor(result.answer.error()).name)
+            .add("bytes_sent", result.bytesSent)
+            .add("took_us", microseconds(took));
+    m_log.write(result.answer ? line_class::success : line_class::failure, "run ended",
+                std::move(line));
+}
+
 void sidecar_app::beliefChanged(std::string_view subject, std::string_view belief,
                                 std::string_view source)
 {
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -46,6 +46,8 @@
     void post(Event event);
     void carryOut(const action &item);
 
+    /// \brief A run on the own backend server ended.
+    void runEnded(std::string_view requestId, const backend_result &result, duration took);
     void health(call_id call, const http_request &request);
     void control(call_id call, const http_request &request);
     void serveMetrics(call_id call, const http_request &request);
--- a/tests/docs_pages_test.cpp
+++ b/tests/docs_pages_test.cpp
@@ -16,7 +16,7 @@
     return {std::istreambuf_iterator<char>(input), {}};
 }
 
-// The start of a kind's row in the table of docs/operations.md.
+// The start of a kind's row in the table of docs/OPERATIONS.md.
 std::string rowOf(const error_answer &answer)
 {
     return "\n| `" + std::string(answer.name) + "` | " + std::to_string(answer.httpStatus) + " | `"
@@ -29,7 +29,7 @@
 // Guards against a page that tells callers another status, run state or order than the code.
 TEST(DocsPages, ErrorTableMatchesTheCode)
 {
-    const std::string page = textOf("operations.md");
+    const std::string page = textOf("OPERATIONS.md");
     std::size_t position = page.find("\n## Errors");
     ASSERT_NE(position, std::string::npos);
     for (const error_answer &answer : errorAnswers()) {
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -350,6 +350,20 @@
     EXPECT_TRUE(results.back().second);
 }
 
+// Guards against a failure on a server that leaves no line with the request's id.
+TEST_F(sidecar_server_runner, every_run_is_reported_with_its_request_id)
+{
+    std::vector<std::string> ended;
+    runner.onEnded([&ended](std::string_view id, const backend_result &result, duration) {
+        ended.push_back(std::string(id) + (result.answer ? " ran" : " failed"));
+    });
+    server->script = [](const std::string &) { return response("a", "y"); };
+    run(item("a"));
+    server->script = [](const std::string &) { return std::string("garbage\r\n\r\n"); };
+    run(item("b"));
+    EXPECT_EQ(ended, (std::vector<std::string>{"a ran", "b failed"}));
+}
+
 // Guards against a server that goes on working for a request that nobody waits for.
 TEST_F(sidecar_server_runner, a_cancelled_run_closes_its_connection)
 {
