Close a test's connection once the run has begun, not after a fixed time

Its caller left after 200 ms, and on a busy machine the onward call had not begun by then. Ruled out: the cancellation itself (no run ever ended wrongly), the sidecar (not linked here). What: the caller leaves when the run is seen to have begun; the same for the test beside it, which had 100 ms.

--- a/tests/backend_execution_test.cpp
+++ b/tests/backend_execution_test.cpp
@@ -1,5 +1,6 @@
 #include "backend/http_client.h"
 #include "backend/http_server.h"
+#include "fakes/raw_server.h"
 #include "load/echo_body.h"
 #include "load/execution_history.h"
 
@@ -51,6 +52,9 @@
             std::chrono::milliseconds(timeoutMs)};
 }
 
+constexpr std::string_view rawRequest =
+        "POST /write HTTP/1.1\r\nHost: h\r\nX-Load-Id: w1\r\nContent-Length: 4\r\n\r\nbody";
+
 /// Waits, for a bounded time, until \a wanted requests run.
 bool reachesRunning(const request_handler &handler, std::uint32_t wanted)
 {
@@ -87,8 +91,10 @@
     slow.serviceTime.medianMs = 60'000.0;
     request_handler handler(slow);
     const http_server server(0, 10, handler);
-    http_client client;
-    EXPECT_FALSE(client.send(requestTo(server, "w1", 100)));
+    fakes::raw_connection caller(fakes::raw_connection::connectTo(server.port()));
+    caller.write(rawRequest);
+    ASSERT_TRUE(reachesRunning(handler, 1));
+    caller.close();
     EXPECT_TRUE(reachesRunning(handler, 0));
     EXPECT_EQ(historyOf("w1").starts, 1U);
     EXPECT_EQ(historyOf("w1").completed, 0U);
@@ -105,8 +111,11 @@
     calling.onward = {"http://127.0.0.1:" + std::to_string(deep.port()), {{"POST", "/deep"}}, 3};
     request_handler handler(calling);
     const http_server server(0, 10, handler);
-    http_client client;
-    EXPECT_FALSE(client.send(requestTo(server, "w1", 200)));
+    fakes::raw_connection caller(fakes::raw_connection::connectTo(server.port()));
+    caller.write(rawRequest);
+    // A connection that is closed before the onward call has begun would show nothing.
+    ASSERT_TRUE(reachesRunning(deepHandler, 1));
+    caller.close();
     EXPECT_TRUE(reachesRunning(deepHandler, 0));
     EXPECT_TRUE(reachesRunning(handler, 0));
     // Neither the call nor one of its three retries ran again.
