Remember a server's leave notice also when nothing was known of it

Trace: the sidecar had restarted 0.1 s before, the server's notice came before its first report and was dropped as that of an unknown server, though acknowledged; 2 s later the server, which goes on serving, reported 'ready' and got new work. Ruled out: a late report (its sequence was the next one), peers' views (the sidecar beside the server decides). What: departures are remembered by instance and start for two minutes; a notice that does not say which start it is about belongs to the one that reports next. Test: a_leave_notice_before_the_first_report_is_remembered.

--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -135,7 +136,9 @@
     /// \returns false when it is out of date or about another server; it is not acted upon then.
     bool serverReported(const server_report &report, time_point now, action_list &out);
     /// \brief The backend server says that it leaves; it may go on serving for some seconds.
-    void serverLeft(std::string_view instance, time_point now, action_list &out);
+    /// \param startedAt tells starts under the same id apart, if known.
+    void serverLeft(std::string_view instance, std::optional<std::int64_t> startedAt,
+                    time_point now, action_list &out);
     void backendAnswer(run_id run, backend_result result, time_point now, action_list &out);
     /// \brief New connections to the backend server are refused.
     void backendCrashed(time_point now, action_list &out);
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -70,9 +70,10 @@
     return m_implementation->serverReported(report, now, out);
 }
 
-void sidecar_core::serverLeft(std::string_view instance, time_point now, action_list &out)
+void sidecar_core::serverLeft(std::string_view instance, std::optional<std::int64_t> startedAt,
+                              time_point now, action_list &out)
 {
-    m_implementation->serverLeft(instance, now, out);
+    m_implementation->serverLeft(instance, startedAt, now, out);
 }
 
 void sidecar_core::backendAnswer(run_id run, backend_result result, time_point now,
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -14,6 +14,8 @@
 constexpr duration callersMoveOn = std::chrono::milliseconds(2500);
 // A newer configuration is asked for once in this time, whoever has it.
 constexpr duration fetchInterval = std::chrono::milliseconds(200);
+// A server that has said that it leaves ends well within this time.
+constexpr duration departureMemory = std::chrono::minutes(2);
 // Bytes between zones are priced, and sound servers of one service differ in speed by up to three
 // times; a faulty one is slower by more.
 constexpr double clearlySlower = 3.5;
@@ -270,6 +272,26 @@
     }
 }
 
+void sidecar_state::noteDeparture(std::string_view instance, std::optional<std::int64_t> startedAt,
+                                  time_point now)
+{
+    std::erase_if(m_departures, [now](const auto &entry) { return now >= entry.second.until; });
+    if (!startedAt && instance == m_server.instance)
+        startedAt = m_server.startedAt;
+    m_departures[std::string(instance)] = {startedAt, now + departureMemory};
+}
+
+bool sidecar_state::hasDeparted(const server_report &report, time_point now)
+{
+    const auto found = m_departures.find(report.instance);
+    if (found == m_departures.end() || now >= found->second.until)
+        return false;
+    // A notice that does not say which start it is about comes from the one that reports next.
+    if (!found->second.startedAt)
+        found->second.startedAt = report.startedAt;
+    return report.startedAt <= *found->second.startedAt;
+}
+
 bool sidecar_state::isCurrent(const server_report &report) const
 {
     if (report.startedAt != m_server.startedAt)
@@ -281,6 +303,9 @@
 {
     const bool ours =
             report.service == m_options.service && report.address == m_options.serverAddress;
+    // A server that leaves may go on reporting that it is ready; that takes nothing back.
+    if (ours && hasDeparted(report, now))
+        return true;
     if (!ours || !isCurrent(report))
         return false;
     const bool restarted =
@@ -307,11 +332,15 @@
     return true;
 }
 
-void sidecar_state::serverLeft(std::string_view instance, time_point now, action_list &out)
+void sidecar_state::serverLeft(std::string_view instance, std::optional<std::int64_t> startedAt,
+                               time_point now, action_list &out)
 {
-    if (instance != m_server.instance)
-        return;
+    noteDeparture(instance, startedAt, now);
     m_observer.beliefChanged("backend server", std::string(instance) + " gone", "its notice");
+    // A notice can come before the first report, to a process that has just started.
+    if (instance != m_server.instance
+        || startedAt.value_or(m_server.startedAt) < m_server.startedAt)
+        return;
     m_server.leaving = true;
     // Reports of this start that are still on their way are older than the notice.
     m_server.sequence = std::numeric_limits<std::int64_t>::max();
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -11,6 +11,8 @@
 #include "tamarackridge/src/routing/router.h"
 #include "tamarackridge/src/sidecar/sidecar_core.h"
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,7 +55,8 @@
     void peerSilent(std::string_view node, time_point now, action_list &out);
     dispatcher &dispatches() { return m_dispatcher; }
     bool serverReported(const server_report &report, time_point now, action_list &out);
-    void serverLeft(std::string_view instance, time_point now, action_list &out);
+    void serverLeft(std::string_view instance, std::optional<std::int64_t> startedAt,
+                    time_point now, action_list &out);
     void backendCrashed(time_point now, action_list &out);
 
     void tick(time_point now, action_list &out);
@@ -69,6 +72,17 @@
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
     void applyChanges(const overlay_changes &changes, time_point now, action_list &out);
+    /// A start of a server that has said that it leaves.
+    struct departure
+    {
+        std::optional<std::int64_t> startedAt; ///< Absent until a report names it.
+        time_point until; ///< When it is forgotten.
+    };
+
+    /// \brief Notes that a start of \a instance leaves, also if nothing was known of it.
+    void noteDeparture(std::string_view instance, std::optional<std::int64_t> startedAt,
+                       time_point now);
+    bool hasDeparted(const server_report &report, time_point now);
     bool isCurrent(const server_report &report) const;
     void announceSelf(time_point now, action_list &out);
     void countNodes(time_point now);
@@ -88,6 +102,7 @@
     sidecar_entry m_entry;
     std::size_t m_membersListed = 0;
     server_report m_server; ///< The last report that was acted upon.
+    std::map<std::string, departure, std::less<>> m_departures; ///< By instance.
     bool m_serverUp = false;
     bool m_leaving = false;
     time_point m_shutdownBegan;
--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -36,6 +36,7 @@
 struct leave_notice
 {
     std::string instance;
+    std::optional<std::int64_t> startedAt; ///< As in server_report, if the notice says so.
 };
 
 /// \brief A call that names no backend server to use.
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -214,7 +214,7 @@
         if (const server_report *report = std::get_if<server_report>(&notice))
             accepted = m_core.serverReported(*report, now, out);
         else if (const leave_notice *leave = std::get_if<leave_notice>(&notice))
-            m_core.serverLeft(leave->instance, now, out);
+            m_core.serverLeft(leave->instance, leave->startedAt, now, out);
     });
     if (!accepted) {
         const server_report &report = std::get<server_report>(notice);
--- a/tests/platform_decoder_test.cpp
+++ b/tests/platform_decoder_test.cpp
@@ -81,6 +81,16 @@
     const server_notice left = decodeNotice({"DELETE", "/api/instances/i-8", {}, nullptr});
     ASSERT_TRUE(std::holds_alternative<leave_notice>(left));
     EXPECT_EQ(std::get<leave_notice>(left).instance, "i-8");
+    EXPECT_FALSE(std::get<leave_notice>(left).startedAt);
+    const server_notice dated =
+            decodeNotice({"DELETE",
+                          "/api/instances/i-8",
+                          {},
+                          std::make_shared<const std::string>(R"({"born":1700000000123})")});
+    EXPECT_EQ(std::get<leave_notice>(dated).startedAt, 1700000000123);
+    const server_notice odd = decodeNotice(
+            {"DELETE", "/api/instances/i-8", {}, std::make_shared<const std::string>("{odd")});
+    EXPECT_FALSE(std::get<leave_notice>(odd).startedAt);
 }
 
 // Guards against a server that is used on the word of a report that does not decode.
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -202,10 +202,37 @@
     EXPECT_FALSE(fleet.report("a2", 6, false));
     EXPECT_FALSE(fleet.report("a2", 90, false, 0, "i-0")) << "of an earlier start";
     fleet.act("a2", [&](sidecar_core &core, action_list &out) {
-        core.serverLeft("i-1", fleet.now(), out);
+        core.serverLeft("i-1", std::nullopt, fleet.now(), out);
     });
-    EXPECT_FALSE(fleet.report("a2", 7, false));
+    fleet.report("a2", 7, false);
+    fleet.call("a1", "read");
+    EXPECT_EQ(fleet.runs.back().node, "b1");
     EXPECT_TRUE(fleet.report("a2", 1, false, 2)) << "a new start counts anew";
+    fleet.advance(milliseconds(100));
+    fleet.call("a1", "read");
+    EXPECT_EQ(fleet.runs.back().node, "a2");
+}
+
+// Guards against new work after a leave notice that came to a process which had just started and
+// knew nothing of its server (DRAIN in a hunt, tasas-scl trouble-3 --seed 853849742534): the server
+// goes on reporting that it is ready.
+TEST(sidecar_core, a_leave_notice_before_the_first_report_is_remembered)
+{
+    sidecar_fleet fleet = smallFleet();
+    fleet.publishAll(fakeSet(5));
+    ASSERT_TRUE(fleet.report("b1", 1));
+    fleet.act("a2", [&](sidecar_core &core, action_list &out) {
+        core.serverLeft("i-1", std::nullopt, fleet.now(), out);
+    });
+    fleet.report("a2", 25);
+    fleet.advance(seconds(1));
+    fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.runs[0].node, "b1");
+    EXPECT_TRUE(fleet.report("a2", 1, false, 2)) << "the next start is used";
+    fleet.advance(milliseconds(100));
+    fleet.call("a1", "read");
+    EXPECT_EQ(fleet.runs.back().node, "a2");
 }
 
 // Guards against lost requests when a peer dies with them: what may be repeated runs elsewhere.
