Split the links between nodes by side; wait before accepting again after a fault

The sending and the receiving side are files of their own now, and the shared state is link_context; behaviour is unchanged.

The accept loops of http_listener and peer_network were copies of each other, and both tried again at once when no descriptor was free: 246,963 events in 0.3 s, all of the processor time. They are one connection_acceptor now, which waits 50 ms after a fault.

Test that failed before: sidecar_listener.without_descriptors_accepting_waits_and_goes_on_later.

--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -276,14 +276,13 @@
                              listener_callbacks callbacks, call_id &lastCall)
     : m_callbacks(std::move(callbacks))
     , m_lastCall(lastCall)
-    , m_acceptor(loop)
-{
-    m_acceptor.open(tcp::v4());
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(address.endpoint());
-    m_acceptor.listen(backlog);
-    accept();
-}
+    , m_acceptor(loop, address, backlog, [this](tcp::socket socket) {
+        const std::shared_ptr<connection> item =
+                std::make_shared<connection>(*this, std::move(socket));
+        m_connections.insert(item);
+        item->start();
+    })
+{ }
 
 http_listener::~http_listener()
 {
@@ -291,21 +290,6 @@
         item->abandon();
 }
 
-void http_listener::accept()
-{
-    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (!error) {
-            const std::shared_ptr<connection> item =
-                    std::make_shared<connection>(*this, std::move(socket));
-            m_connections.insert(item);
-            item->start();
-        }
-        accept();
-    });
-}
-
 void http_listener::answer(call_id call, const http_answer &answer)
 {
     const auto found = m_byCall.find(call);
--- a/src/sidecar/http_listener.h
+++ b/src/sidecar/http_listener.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "sidecar/event_loop.h"
+#include "sidecar/connection_acceptor.h"
 #include "tamarackridge/src/base/http_message.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/sidecar/published_set.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -48,11 +46,9 @@
 private:
     class connection;
 
-    void accept();
-
     listener_callbacks m_callbacks;
     call_id &m_lastCall;
-    tcp::acceptor m_acceptor;
+    connection_acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<connection>> m_connections;
     std::unordered_map<call_id, std::shared_ptr<connection>> m_byCall;
 };
--- a/src/sidecar/peer_network.h
+++ b/src/sidecar/peer_network.h
@@ -1,43 +1,18 @@
 #pragma once
 
-#include "sidecar/event_loop.h"
-#include "tamarackridge/src/base/identity.h"
-#include "tamarackridge/src/node/peer_message.h"
+#include "sidecar/connection_acceptor.h"
+#include "sidecar/link_context.h"
 
-#include <boost/asio/ip/tcp.hpp>
-
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace tamarackridge {
 
-/// \brief What happens on the links to peers.
-struct peer_callbacks
-{
-    std::function<void(const node_ref &from, peer_message message)> received;
-    /// The process behind a link is another one than before; what it had not read is lost.
-    std::function<void(const std::string &node)> restarted;
-    /// A peer has not acknowledged a frame for a while.
-    std::function<void(const std::string &node)> silent;
-    /// A dispatch was taken back before any byte of it was sent.
-    std::function<void(const std::string &node, const dispatch_id &id)> undelivered;
-    /// A link was opened or lost, for the log.
-    std::function<void(const std::string &node, bool open)> changed;
-};
-
-/// \brief Counts of one process's links.
-struct peer_counts
-{
-    std::uint64_t framesSent = 0;
-    std::uint64_t bytesSent = 0;
-    std::uint64_t framesExpired = 0; ///< Dropped unsent, or unacknowledged, past their time.
-    std::uint64_t framesRefused = 0; ///< Received, but malformed or for another process.
-};
+class peer_receiver;
+class peer_sender;
 
 /// \brief Links to the other nodes, over TCP.
 ///
@@ -62,24 +37,15 @@
     /// \brief Finds connections that went silent; called a few times a second.
     void sweep(time_point now);
 
-    const peer_counts &counts() const { return m_counts; }
+    const peer_counts &counts() const { return m_context.counts; }
 
 private:
-    class outgoing;
-    class incoming;
-
-    void accept();
-    void deliver(const std::string &bytes, duration held);
+    void receive(tcp::socket socket);
 
-    boost::asio::io_context &m_loop;
-    node_ref m_self;
-    peer_callbacks m_callbacks;
-    peer_counts m_counts;
-    std::uint64_t m_lastNumber = 0; ///< Of all links, so that a link that is opened anew goes on.
-    tcp::acceptor m_acceptor;
-    std::map<std::string, std::shared_ptr<outgoing>, std::less<>> m_outgoing;
-    std::unordered_set<std::shared_ptr<incoming>> m_incoming;
-    std::unordered_map<incarnation, std::uint64_t> m_received; ///< Last number from each sender.
+    link_context m_context;
+    connection_acceptor m_acceptor;
+    std::map<std::string, std::shared_ptr<peer_sender>, std::less<>> m_senders;
+    std::unordered_set<std::shared_ptr<peer_receiver>> m_receivers;
 };
 
 } // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/peer_receiver.cpp
@@ -0,0 +1,142 @@
+#include "sidecar/peer_receiver.h"
+
+#include "sidecar/link_format.h"
+#include "wire/frame.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <span>
+#include <string_view>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+using boost::system::error_code;
+
+constexpr std::size_t mostFrameBytes = std::size_t{96} * 1024 * 1024;
+constexpr std::size_t mostSenders = std::size_t{16} * 1024;
+
+} // namespace
+
+peer_receiver::peer_receiver(link_context &context, tcp::socket socket, ended_callback ended)
+    : m_context(context)
+    , m_socket(std::move(socket))
+    , m_ended(std::move(ended))
+{ }
+
+void peer_receiver::start()
+{
+    setKeepAlive(m_socket);
+    read();
+}
+
+void peer_receiver::close()
+{
+    m_closed = true;
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+void peer_receiver::end()
+{
+    const std::shared_ptr<peer_receiver> keep = shared_from_this();
+    close();
+    m_ended(keep);
+}
+
+void peer_receiver::read()
+{
+    m_socket.async_read_some(
+            boost::asio::buffer(m_chunk),
+            [this, keep = shared_from_this()](error_code error, std::size_t count) {
+                if (m_closed)
+                    return;
+                if (error) {
+                    end();
+                    return;
+                }
+                m_input.append(m_chunk.data(), count);
+                if (!consume()) {
+                    ++m_context.counts.framesRefused;
+                    end();
+                    return;
+                }
+                if (!m_closed)
+                    read();
+            });
+}
+
+bool peer_receiver::consume()
+{
+    std::size_t position = 0;
+    if (m_sender == 0) {
+        if (m_input.size() < helloSize)
+            return true;
+        m_sender = get<incarnation>(m_input);
+        position = helloSize;
+        if (m_context.received.size() >= mostSenders)
+            m_context.received.clear();
+        put(m_context.self.life, m_output);
+        put(m_context.received[m_sender], m_output);
+    }
+    std::uint64_t &last = m_context.received[m_sender];
+    const std::uint64_t before = last;
+    while (m_input.size() - position >= frameHeaderSize) {
+        const std::string_view header(m_input.data() + position, frameHeaderSize);
+        const std::size_t size = get<std::uint32_t>(header);
+        if (size > mostFrameBytes)
+            return false;
+        if (m_input.size() - position < frameHeaderSize + size)
+            break;
+        const std::uint64_t number = get<std::uint64_t>(header.substr(8));
+        if (number > last) {
+            last = number;
+            deliver(m_input.substr(position + frameHeaderSize, size),
+                    std::chrono::milliseconds(get<std::uint32_t>(header.substr(4))));
+        }
+        position += frameHeaderSize + size;
+    }
+    m_input.erase(0, position);
+    if (last != before)
+        put(last, m_output);
+    acknowledge();
+    return true;
+}
+
+void peer_receiver::acknowledge()
+{
+    if (m_output.empty() || m_writing || m_closed)
+        return;
+    m_writing = true;
+    std::shared_ptr<std::string> bytes = std::make_shared<std::string>(std::move(m_output));
+    m_output.clear();
+    boost::asio::async_write(
+            m_socket, boost::asio::buffer(*bytes),
+            [this, bytes, keep = shared_from_this()](error_code error, std::size_t) {
+                m_writing = false;
+                if (!error && !m_closed)
+                    acknowledge();
+            });
+}
+
+void peer_receiver::deliver(const std::string &bytes, duration held)
+{
+    tl::expected<decoded_frame, error_kind> frame =
+            decodePeerMessage(std::as_bytes(std::span(bytes.data(), bytes.size())));
+    const bool isHere =
+            frame && (frame->header.receiver == 0 || frame->header.receiver == m_context.self.life);
+    if (!isHere) {
+        ++m_context.counts.framesRefused;
+        return;
+    }
+    if (dispatch *request = std::get_if<dispatch>(&frame->message)) {
+        request->context.deadlineLeft -= held;
+        request->context.chainAge += held;
+    }
+    m_context.callbacks.received(frame->header.sender, std::move(frame->message));
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/peer_receiver.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "sidecar/link_context.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tamarackridge {
+
+/// \brief The receiving side of a link from one peer: acknowledges frames and drops repeated ones.
+class peer_receiver : public std::enable_shared_from_this<peer_receiver>
+{
+public:
+    using ended_callback = std::function<void(const std::shared_ptr<peer_receiver> &link)>;
+
+    /// \param ended called when the connection has ended by itself.
+    peer_receiver(link_context &context, tcp::socket socket, ended_callback ended);
+    void start();
+    void close();
+
+private:
+    static constexpr std::size_t readStep = std::size_t{16} * 1024; ///< Bytes.
+
+    void end();
+    void read();
+    bool consume();
+    void acknowledge();
+    void deliver(const std::string &bytes, duration held);
+
+    link_context &m_context;
+    tcp::socket m_socket;
+    ended_callback m_ended;
+    incarnation m_sender = 0;
+    std::string m_input;
+    std::string m_output;
+    std::array<char, readStep> m_chunk{};
+    bool m_writing = false;
+    bool m_closed = false;
+};
+
+} // namespace tamarackridge
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <array>
 #include <functional>
 #include <memory>
@@ -87,6 +90,41 @@
     }
 };
 
+/// Leaves this process no free descriptor while it lives.
+class exhausted_descriptors
+{
+public:
+    exhausted_descriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int lowestFree = dup(STDOUT_FILENO);
+        ::close(lowestFree);
+        rlimit lowered = m_before;
+        lowered.rlim_cur = static_cast<rlim_t>(lowestFree);
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    exhausted_descriptors(const exhausted_descriptors &) = delete;
+    exhausted_descriptors &operator=(const exhausted_descriptors &) = delete;
+    ~exhausted_descriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
+
+private:
+    rlimit m_before{};
+};
+
+// Guards against a process that uses all of its processor time because it cannot accept.
+TEST_F(sidecar_listener, without_descriptors_accepting_waits_and_goes_on_later)
+{
+    raw_caller caller(loop, address);
+    std::size_t events = 0;
+    {
+        const exhausted_descriptors none;
+        events = loop.run_for(std::chrono::milliseconds(300));
+    }
+    EXPECT_LT(events, 100U);
+    caller.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_TRUE(run([this] { return !requests.empty(); }));
+}
+
 TEST_F(sidecar_listener, requests_of_one_connection_are_answered_in_order)
 {
     raw_caller caller(loop, address);
