Send what may not run twice over connections in recent use only

A request that may not be repeated is then lost, since a reset does not say that it has not run. Ruled out: sending it again after the reset, which would be right only if the server said that it did not run.

After a failure on a rested connection no request uses rested ones for 30 s.

Tests that failed before: sidecar_server_runner.a_request_that_may_not_run_twice_uses_no_rested_connection, after_one_forgotten_connection_rested_ones_are_not_used.

--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -31,6 +31,7 @@
     run_id run = 0;
     http_request request; ///< With handle, deadline, customer and trace headers set.
     duration timeout{};
+    bool idempotent = false; ///< Whether it could be run again if its connection failed.
 };
 
 /// \brief Closes the connection of a running request.
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -119,7 +119,8 @@
     work.span = work.context.trace;
     work.span.spanId = newSpanId(m_random);
     m_counters.add(node_counter::runs);
-    out.push_back(run_backend{run, backendRequest(run, work, now), work.deadline - now});
+    out.push_back(run_backend{run, backendRequest(run, work, now), work.deadline - now,
+                              work.context.idempotent});
 }
 
 http_request executor::backendRequest(run_id run, execution &work, time_point now)
--- a/src/sidecar/connection_pool.cpp
+++ b/src/sidecar/connection_pool.cpp
@@ -11,6 +11,9 @@
 constexpr duration longestIdleTime = std::chrono::seconds(30);
 // A request that is sent while the server closes the connection is lost; closing first avoids it.
 constexpr duration closeEarlier = std::chrono::milliseconds(1500);
+// A connection has rested after this time; well below what servers are known to forget (300 ms).
+constexpr duration restTime = std::chrono::milliseconds(100);
+constexpr duration distrustTime = std::chrono::seconds(30);
 
 } // namespace
 
@@ -25,21 +28,27 @@
 
 connection_pool::exchange_id connection_pool::exchange(const http_request &request,
                                                        answer_match match, time_point deadline,
+                                                       connection_reuse reuse,
                                                        http_connection::done_handler done)
 {
     const exchange_id id = ++m_lastId;
-    std::shared_ptr<http_connection> connection = take(monotonicNow());
+    const time_point now = monotonicNow();
+    const bool hasRested = !m_idle.empty() && now - m_idle.back().since > restTime;
+    std::shared_ptr<http_connection> connection = take(reuse, now);
+    const bool onRested = connection != nullptr && hasRested;
     if (!connection) {
         connection = http_connection::create(m_loop, m_server);
         ++m_opened;
     }
     m_busy.emplace(id, connection);
     connection->exchange(request, std::move(match), deadline,
-                         [this, id, connection, alive = m_alive,
+                         [this, id, connection, onRested, alive = m_alive,
                           done = std::move(done)](exchange_result result) {
                              if (!*alive)
                                  return;
                              m_busy.erase(id);
+                             if (onRested && result.end == exchange_end::broken)
+                                 m_distrustUntil = monotonicNow() + distrustTime;
                              if (result.reusable)
                                  keep(connection, result.idleTime);
                              done(std::move(result));
@@ -47,9 +56,13 @@
     return id;
 }
 
-std::shared_ptr<http_connection> connection_pool::take(time_point now)
+std::shared_ptr<http_connection> connection_pool::take(connection_reuse reuse, time_point now)
 {
+    const bool recentOnly = reuse == connection_reuse::recently_used || now < m_distrustUntil;
     while (!m_idle.empty()) {
+        // The others have rested for longer.
+        if (recentOnly && now - m_idle.back().since > restTime)
+            return nullptr;
         const idle_connection item = std::move(m_idle.back());
         m_idle.pop_back();
         if (now < item.until)
@@ -67,7 +80,8 @@
         connection->close(exchange_end::cancelled);
         return;
     }
-    m_idle.push_back({connection, monotonicNow() + open - closeEarlier});
+    const time_point now = monotonicNow();
+    m_idle.push_back({connection, now, now + open - closeEarlier});
     http_connection *const watched = connection.get();
     connection->watchIdle([this, watched, alive = m_alive] {
         if (*alive)
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -31,6 +31,7 @@
     running work{0, match.value, monotonicNow()};
     work.exchange = m_pool.exchange(
             item.request, std::move(match), work.began + item.timeout,
+            item.idempotent ? connection_reuse::any : connection_reuse::recently_used,
             [this, run](exchange_result result) { finished(run, std::move(result)); });
     m_running.emplace(run, std::move(work));
 }
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -218,6 +219,8 @@
     std::function<std::string(const std::string &request)> script;
     bool closesAfterAnswer = false;
     bool resets = false;
+    /// A connection that rests for longer is forgotten: what is sent on it next is reset.
+    duration forgetsAfter = std::chrono::hours(1);
     int connections = 0;
     std::vector<std::shared_ptr<tcp::socket>> sockets;
 
@@ -254,14 +257,19 @@
     void respond(tcp::socket &socket, const std::string &request)
     {
         boost::system::error_code ignored;
-        boost::asio::write(socket, boost::asio::buffer(script(request)), ignored);
-        if (resets)
+        const time_point now = monotonicNow();
+        const auto used = m_used.try_emplace(&socket, now).first;
+        const bool forgotten = now - std::exchange(used->second, now) > forgetsAfter;
+        if (!forgotten)
+            boost::asio::write(socket, boost::asio::buffer(script(request)), ignored);
+        if (resets || forgotten)
             socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-        if (resets || closesAfterAnswer)
+        if (resets || forgotten || closesAfterAnswer)
             socket.close(ignored);
     }
 
     tcp::acceptor m_acceptor;
+    std::map<tcp::socket *, time_point> m_used;
 };
 
 std::string response(const std::string &id, const std::string &body, const std::string &more = {})
@@ -317,6 +325,35 @@
     EXPECT_EQ(server->connections, 1);
 }
 
+// Guards against a write that is lost, and may not be sent again, because its server had forgotten
+// the connection.
+TEST_F(sidecar_server_runner, a_request_that_may_not_run_twice_uses_no_rested_connection)
+{
+    server->script = [](const std::string &) { return response("a", "body"); };
+    server->forgetsAfter = std::chrono::milliseconds(300);
+    for (int request = 0; request < 3; ++request) {
+        EXPECT_TRUE(run(item("a")).answer);
+        loop.run_for(std::chrono::milliseconds(350));
+    }
+    EXPECT_EQ(server->connections, 3);
+}
+
+// Guards against one lost request for each connection that a server has forgotten.
+TEST_F(sidecar_server_runner, after_one_forgotten_connection_rested_ones_are_not_used)
+{
+    server->script = [](const std::string &) { return response("a", "body"); };
+    server->forgetsAfter = std::chrono::milliseconds(300);
+    run_backend read = item("a");
+    read.idempotent = true;
+    std::vector<bool> answered;
+    for (int request = 0; request < 4; ++request) {
+        read.run = ++lastRun;
+        answered.push_back(run(read).answer.has_value());
+        loop.run_for(std::chrono::milliseconds(350));
+    }
+    EXPECT_EQ(answered, (std::vector<bool>{true, false, true, true}));
+}
+
 // Guards against the answer of another request, which comes late at the place of this one's.
 TEST_F(sidecar_server_runner, an_answer_with_another_id_is_skipped)
 {
