--- a/include/tamarackridge/src/sidecar/published_set.h
+++ b/include/tamarackridge/src/sidecar/published_set.h
@@ -56,7 +56,6 @@
     std::int64_t version = -1;
     std::vector<published_route> routes;
     std::vector<published_customer> customers; ///< Empty: no route needs a key.
-    std::vector<std::string> services;
     caller_limits limits;
     std::shared_ptr<const std::string> text; ///< As read, for handing on to peers.
 };
--- /dev/null
+++ b/src/core/sidecar/instance_headers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/node/run_headers.h"
+#include "tamarackridge/src/sidecar/sidecar_core.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarackridge::internal {
+
+/// \brief Tells a backend server the deadline and which instance the request is meant for.
+class instance_headers final : public run_headers
+{
+public:
+    explicit instance_headers(const header_names &names)
+        : m_names(names)
+    { }
+
+    void setInstance(std::string instance) { m_instance = std::move(instance); }
+    void open(const starting_run &run, time_point now, std::vector<http_header> &headers) override;
+    std::uint32_t close(run_id run, std::uint32_t attempts) override;
+
+private:
+    const header_names &m_names;
+    std::string m_instance;
+};
+
+} // namespace tamarackridge::internal
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -4,8 +4,8 @@
 #include "core/node/executor.h"
 #include "core/node/fleet_view.h"
 #include "core/node/node_counters.h"
-#include "core/node/run_headers.h"
 #include "core/sidecar/allowance_service.h"
+#include "core/sidecar/instance_headers.h"
 #include "core/sidecar/sidecar_entry.h"
 #include "tamarackridge/src/membership/overlay.h"
 #include "tamarackridge/src/routing/router.h"
@@ -18,23 +18,6 @@
 
 namespace tamarackridge::internal {
 
-/// \brief Tells a backend server the deadline and which instance the request is meant for.
-class instance_headers final : public run_headers
-{
-public:
-    explicit instance_headers(const header_names &names)
-        : m_names(names)
-    { }
-
-    void setInstance(std::string instance) { m_instance = std::move(instance); }
-    void open(const starting_run &run, time_point now, std::vector<http_header> &headers) override;
-    std::uint32_t close(run_id run, std::uint32_t attempts) override;
-
-private:
-    const header_names &m_names;
-    std::string m_instance;
-};
-
 /// \brief The parts of a sidecar and the connections between them.
 class sidecar_state
 {
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -72,7 +72,6 @@
     set.version = version;
     set.routes = {fakeRoute("read", "orders"), fakeRoute("write", "orders", false)};
     set.customers = {{"andina", {"key-1", "key-2"}, rate, rate, 0}};
-    set.services = {"orders"};
     set.text = std::make_shared<const std::string>(std::to_string(version));
     return set;
 }
