Ask other zones for tokens only for what the own zone lacks

Cause: a request that waited for a token asked three holders at once, and each set one token aside for two seconds, so that two of three tokens lay where nobody needed them while the customer was at its rate. The sidecar asks one holder, its own zone's first, and the next one as soon as the answer falls short. The node keeps asking three: its holders' parts are smaller.

--- a/src/core/quota/token_exchange.cpp
+++ b/src/core/quota/token_exchange.cpp
@@ -19,9 +19,6 @@
 // Below this demand a node holds no tokens ahead and asks for each request.
 constexpr double idleDemand = 1.0;
 constexpr duration demandWindow = std::chrono::milliseconds(500);
-// While a request waits there is time for few attempts, since the answer of another zone takes
-// most of its patience; asking several holders at once finds tokens more often.
-constexpr std::size_t holdersWhenUnmet = 3;
 // How far ahead of demand a customer asks after an answer that was too small.
 constexpr duration shortHorizon = std::chrono::milliseconds(500);
 // Tokens that lapse this soon are returned rather than spent.
@@ -199,7 +196,7 @@
     const std::size_t holders = m_holders.size();
     const micro_tokens perSlot = std::max<micro_tokens>(
             customer.burst / static_cast<micro_tokens>(holderCount(customer)), 1);
-    const std::size_t ask = customer.unmetAsked > 0 ? holdersWhenUnmet : 1;
+    const std::size_t ask = customer.unmetAsked > 0 ? m_options.holdersWhenUnmet : 1;
     std::size_t asked = 0;
     micro_tokens left = want;
     for (std::size_t step = 0; step < holders && (left > 0 || asked < ask); ++step) {
--- a/src/core/sidecar/allowance_service.cpp
+++ b/src/core/sidecar/allowance_service.cpp
@@ -33,6 +33,7 @@
     pool_options options;
     options.drainedMax = longestPause;
     options.bytesPerSecond = exchangeBytesPerSecond;
+    options.holdersWhenUnmet = 1; // Other zones only for what the own one lacks: bytes are priced.
     return options;
 }
 
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -160,6 +160,7 @@
 {
     m_allowance.onGrant(from, message, now);
     m_entry.tokensArrived(now, out);
+    m_allowance.tick(now, out); // What the own zone lacks is asked of another one at once.
 }
 
 template <>
