--- a/tests/sidecar_settings_test.cpp
+++ b/tests/sidecar_settings_test.cpp
@@ -16,7 +16,7 @@
     std::vector<settings_fault> read(const std::string &zones)
     {
         std::ofstream(fileName) << R"({"node": {"zone": "bilbao", "name": "n1", "zones": )" << zones
-                              << R"(}, "callers": {"address": "10.0.0.1:1"},
+                                << R"(}, "callers": {"address": "10.0.0.1:1"},
                                   "health": {"address": "10.0.0.1:2"},
                                   "backend": {"service": "agenda", "address": "10.0.0.1:3",
                                               "control": "10.0.0.1:4"},
