--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -17,19 +17,22 @@
 // A tick that comes later than this says that this process itself was paused.
 constexpr duration ownPause = std::chrono::seconds(1);
 
+using seed_entry = std::pair<std::string, std::string>; ///< Name and endpoint.
+
 /// Moves \a count seeds to the front, others at each time and for each node.
-template <typename Seeds>
-void moveSomeToFront(Seeds &seeds, std::size_t count, std::string_view node, time_point now)
+void moveSomeToFront(std::vector<seed_entry> &seeds, std::size_t count, std::string_view node,
+                     time_point now)
 {
     const std::uint64_t base = XXH3_64bits_withSeed(
             node.data(), node.size(), static_cast<std::uint64_t>(now.time_since_epoch().count()));
-    const auto place = [base](const auto &seed) {
+    const auto place = [base](const seed_entry &seed) {
         return XXH3_64bits_withSeed(seed.first.data(), seed.first.size(), base);
     };
     const auto middle = seeds.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(
-            seeds.begin(), middle, seeds.end(),
-            [&place](const auto &one, const auto &other) { return place(one) < place(other); });
+    std::partial_sort(seeds.begin(), middle, seeds.end(),
+                      [&place](const seed_entry &one, const seed_entry &other) {
+                          return place(one) < place(other);
+                      });
 }
 
 } // namespace
--- a/src/core/sidecar/allowance_service.cpp
+++ b/src/core/sidecar/allowance_service.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iterator>
+#include <functional>
 #include <utility>
 
 namespace tamarackridge::internal {
@@ -28,6 +28,12 @@
     return static_cast<micro_tokens>(requests * static_cast<double>(tokensPerRequest));
 }
 
+customer_rate partOf(const customer_rate &whole, std::size_t parts)
+{
+    const auto count = static_cast<micro_tokens>(parts);
+    return {whole.name, whole.rate / count, whole.burst / count};
+}
+
 pool_options poolOptions()
 {
     pool_options options;
@@ -157,22 +163,19 @@
     std::vector<node_ref> holders;
     std::vector<std::vector<std::string>> names(m_rates.size());
     for (std::size_t index = 0; index < m_rates.size(); ++index) {
-        customer_rate part = m_rates[index];
+        const customer_rate &whole = m_rates[index];
         for (const auto &[zone, nodes] : zones) {
-            const std::vector<node_ref> minters = mintersOf(m_rates[index], nodes);
-            const auto parts = static_cast<micro_tokens>(m_zones * minters.size());
+            const std::vector<node_ref> minters = mintersOf(whole, nodes);
             for (const node_ref &minter : minters) {
                 names[index].push_back(minter.name);
                 if (minter.name == m_self.name && isolatedShare == 0)
-                    own.push_back({part.name, part.rate / parts, part.burst / parts});
+                    own.push_back(partOf(whole, m_zones * minters.size()));
                 else
                     holders.push_back(minter);
             }
         }
-        if (isolatedShare > 0) {
-            const auto parts = static_cast<micro_tokens>(isolatedShare);
-            own.push_back({part.name, part.rate / parts, part.burst / parts});
-        }
+        if (isolatedShare > 0)
+            own.push_back(partOf(whole, isolatedShare));
     }
     std::sort(holders.begin(), holders.end());
     holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
