Keep attempts that were sent to a peer's new process when its link reports the restart

Cause: the membership can learn of a restarted process before the link does. Each attempt now remembers the incarnation that it was sent to. Found beside it: dispatches that were queued for the earlier process were dropped without a report, so that a request of which no byte had been sent waited until its deadline and was told that it may have run; they are returned as not sent.

Ruled out: the overlay's order of events alone, since the core test shows the loss with the link's report only.

Before: sidecar_core.a_restart_ends_only_attempts_sent_to_the_earlier_process and sidecar_peer_network.requests_queued_for_an_earlier_incarnation_are_returned_as_unsent failed. After: both pass, with the other tests of the two programs.

--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -132,8 +132,9 @@
     void peerMessage(const node_ref &from, peer_message message, time_point now, action_list &out);
 
     /// \brief Must be called when the process behind the link to a peer has been replaced by a new
-    /// one.
-    void peerRestarted(std::string_view node, time_point now, action_list &out);
+    /// one. Ends the attempts that were sent to an earlier process.
+    void peerRestarted(std::string_view node, incarnation_id incarnation, time_point now,
+                       action_list &out);
 
     /// \brief Must be called when a peer does not acknowledge what was sent to it.
     void peerUnresponsive(std::string_view node, time_point now, action_list &out);
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -94,6 +94,8 @@
     progress &work = m_requests.at(requestNumber);
     work.dispatchSequence = m_nextSequence++;
     work.executorNode = std::string(node);
+    const directory::record *known = m_membership.members().find(node);
+    work.executorIncarnation = known == nullptr ? 0 : known->info.node.incarnation;
     work.sent = now;
     work.attemptDeadline = work.request.deadline + responseGrace;
     // The other half of the time remains for another executor if this one does not respond.
@@ -276,6 +278,16 @@
         expireAttempt(requestNumber, now, out);
 }
 
+void dispatcher::executorRestarted(std::string_view node, incarnation_id current, time_point now,
+                                   action_list &out)
+{
+    for (request_number requestNumber : idempotentRequestsOn(node)) {
+        const auto found = m_requests.find(requestNumber);
+        if (found != m_requests.end() && found->second.executorIncarnation != current)
+            expireAttempt(requestNumber, now, out);
+    }
+}
+
 void dispatcher::expireAttempt(request_number requestNumber, time_point now, action_list &out)
 {
     const auto found = m_requests.find(requestNumber);
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -81,6 +81,10 @@
     /// \brief Ends the attempts of idempotent requests on a dead node: retries them elsewhere or
     /// fails them.
     void executorLost(std::string_view node, time_point now, action_list &out);
+    /// \brief Like executorLost(), but keeps the attempts that were sent to \a current, the
+    /// incarnation that now runs.
+    void executorRestarted(std::string_view node, incarnation_id current, time_point now,
+                           action_list &out);
 
     void tick(time_point now, action_list &out);
     /// \returns the number that the next start() will assign.
@@ -97,6 +101,7 @@
         std::vector<std::string> tried;
         std::uint64_t dispatchSequence = 0; ///< 0 while there is no attempt in flight.
         std::string executorNode;
+        incarnation_id executorIncarnation = 0; ///< Process that the attempt was sent to.
         std::uint32_t attemptShare = 0; ///< Attempts that the current dispatch may use.
         time_point sent;
         time_point attemptDeadline;
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -49,9 +49,10 @@
     m_implementation->peerMessage(from, std::move(message), now, out);
 }
 
-void sidecar_core::peerRestarted(std::string_view node, time_point now, action_list &out)
+void sidecar_core::peerRestarted(std::string_view node, incarnation_id incarnation, time_point now,
+                                 action_list &out)
 {
-    m_implementation->peerRestarted(node, now, out);
+    m_implementation->peerRestarted(node, incarnation, now, out);
 }
 
 void sidecar_core::peerUnresponsive(std::string_view node, time_point now, action_list &out)
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -223,10 +223,11 @@
     std::visit([&](auto &content) { handle(from, content, now, out); }, message);
 }
 
-void sidecar_state::peerRestarted(std::string_view node, time_point now, action_list &out)
+void sidecar_state::peerRestarted(std::string_view node, incarnation_id incarnation, time_point now,
+                                  action_list &out)
 {
     m_observer.knownStateChanged(node, "restarted", "link");
-    m_dispatcher.executorLost(node, now, out);
+    m_dispatcher.executorRestarted(node, incarnation, now, out);
     m_membership.sendMembershipTo(node, out);
 }
 
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -34,7 +34,8 @@
     void configurationRead(std::string_view text, std::string_view source, time_point now);
     void membersListed(const std::vector<seed_peer> &members, time_point now);
     void peerMessage(const node_ref &from, peer_message message, time_point now, action_list &out);
-    void peerRestarted(std::string_view node, time_point now, action_list &out);
+    void peerRestarted(std::string_view node, incarnation_id incarnation, time_point now,
+                       action_list &out);
     void peerUnresponsive(std::string_view node, time_point now, action_list &out);
     dispatcher &dispatches() { return m_dispatcher; }
     bool serverReported(const server_report &report, time_point now, action_list &out);
--- a/src/sidecar/link_context.h
+++ b/src/sidecar/link_context.h
@@ -15,9 +15,9 @@
 struct peer_callbacks
 {
     std::function<void(const node_ref &from, peer_message message)> received;
-    /// The peer has restarted: a connection to a new incarnation was opened. Frames that the
-    /// earlier incarnation had not read are lost.
-    std::function<void(const std::string &node)> restarted;
+    /// The peer has restarted: a connection to \a incarnation was opened. Frames that the earlier
+    /// incarnation had not read are lost.
+    std::function<void(const std::string &node, incarnation_id incarnation)> restarted;
     /// The peer has not acknowledged a frame in time, or a connection attempt failed.
     std::function<void(const std::string &node)> unresponsive;
     /// A dispatch was removed from the queue before any byte of it was sent.
--- a/src/sidecar/peer_sender.cpp
+++ b/src/sidecar/peer_sender.cpp
@@ -217,19 +217,29 @@
     m_progressAt = monotonicNow();
     const bool restarted = m_peerIncarnation != 0 && m_peerIncarnation != incarnation;
     m_peerIncarnation = incarnation;
-    if (restarted) {
-        // Frames addressed to the earlier incarnation would be refused by this one.
-        std::erase_if(m_frames, [this](const frame &item) {
-            if (item.receiver == 0 || item.receiver == m_peerIncarnation)
-                return false;
-            m_queuedBytes -= item.bytes.size();
-            return true;
-        });
-    }
+    const std::vector<dispatch_id> unsent =
+            restarted ? dropFramesForEarlierIncarnation() : std::vector<dispatch_id>();
     m_context.callbacks.linkChanged(m_node, true);
     removeAcknowledged(received);
+    const std::shared_ptr<peer_sender> keep = shared_from_this();
+    for (const dispatch_id &id : unsent)
+        m_context.callbacks.dispatchNotSent(m_node, id);
     if (restarted)
-        m_context.callbacks.restarted(m_node);
+        m_context.callbacks.restarted(m_node, incarnation);
+}
+
+std::vector<dispatch_id> peer_sender::dropFramesForEarlierIncarnation()
+{
+    std::vector<dispatch_id> unsent;
+    std::erase_if(m_frames, [this, &unsent](const frame &item) {
+        if (item.receiver == 0 || item.receiver == m_peerIncarnation)
+            return false;
+        if (item.id.sequence != 0 && item.number > m_maxWritten)
+            unsent.push_back(item.id);
+        m_queuedBytes -= item.bytes.size();
+        return true;
+    });
+    return unsent;
 }
 
 void peer_sender::removeAcknowledged(std::uint64_t number)
--- a/src/sidecar/peer_sender.h
+++ b/src/sidecar/peer_sender.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tamarackridge {
 
@@ -46,6 +47,9 @@
     /// \brief Removes dispatches of which no byte was written to any connection, and reports them
     /// as not sent: they can't have reached the peer.
     void returnUnsentDispatches();
+    /// \brief Drops the frames that the present incarnation of the peer would refuse.
+    /// \returns the dispatches among them of which no byte was written to any connection.
+    std::vector<dispatch_id> dropFramesForEarlierIncarnation();
     void resetConnection();
     void connectionFailed(time_point now);
     void connect(time_point now);
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -115,8 +115,10 @@
             m_core.peerMessage(from, std::move(message), now, out);
         });
     };
-    callbacks.restarted = [this](const std::string &node) {
-        post([&](time_point now, action_list &out) { m_core.peerRestarted(node, now, out); });
+    callbacks.restarted = [this](const std::string &node, incarnation_id incarnation) {
+        post([&](time_point now, action_list &out) {
+            m_core.peerRestarted(node, incarnation, now, out);
+        });
     };
     callbacks.unresponsive = [this](const std::string &node) {
         post([&](time_point now, action_list &out) { m_core.peerUnresponsive(node, now, out); });
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -124,6 +124,31 @@
     EXPECT_EQ(fleet.status(call), 200);
 }
 
+// Guards against cutting off requests that a restarted process has already begun: the link can
+// report the restart after the membership did, when attempts have been sent to the new process.
+TEST(sidecar_core, a_restart_ends_only_attempts_sent_to_the_earlier_process)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const call_id sentToCurrent = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    const incarnation_id current = fleet.core("a2").status(fleet.now()).self.incarnation;
+    fleet.runEvent("a1", [&](sidecar_core &core, action_list &out) {
+        core.peerRestarted("a2", current, fleet.now(), out);
+    });
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_FALSE(fleet.runs[0].cancelled);
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(sentToCurrent), 200);
+
+    const call_id sentToEarlier = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 2U);
+    fleet.runEvent("a1", [&](sidecar_core &core, action_list &out) {
+        core.peerRestarted("a2", current + 100, fleet.now(), out);
+    });
+    EXPECT_EQ(fleet.status(sentToEarlier), 504); // The retry budget is still empty.
+}
+
 // Guards against a response that comes later than the timeout of the route.
 TEST(sidecar_core, a_request_is_answered_when_its_timeout_expires)
 {
--- a/tests/sidecar_peer_network_test.cpp
+++ b/tests/sidecar_peer_network_test.cpp
@@ -107,12 +107,14 @@
             if (const dispatch *request = std::get_if<dispatch>(&message))
                 receivedDeadlines.push_back(request->context.deadlineLeft);
         };
-        callbacks.restarted = [this](const std::string &node) { restarted.push_back(node); };
+        callbacks.restarted = [this](const std::string &node, incarnation_id) {
+            restarted.push_back(node);
+        };
         callbacks.unresponsive = [this](const std::string &node) { unresponsive.push_back(node); };
         callbacks.dispatchNotSent = [this](const std::string &, const dispatch_id &id) {
             dispatchNotSent.push_back(id.sequence);
         };
-        callbacks.linkChanged = [](const std::string &, bool) {};
+        callbacks.linkChanged = [this](const std::string &, bool open) { linkLosses += !open; };
         network = std::make_unique<peer_network>(loop, address, self, std::move(callbacks));
     }
 
@@ -123,6 +125,7 @@
     std::vector<std::string> restarted;
     std::vector<std::string> unresponsive;
     std::vector<std::uint64_t> dispatchNotSent;
+    int linkLosses = 0;
 };
 
 dispatch requestOf(std::uint64_t sequence)
@@ -215,6 +218,22 @@
     EXPECT_EQ(sender->restarted, std::vector<std::string>{"r"});
 }
 
+// Guards against a caller that waits until its deadline, and is told that its request may have run,
+// although no byte of the request was sent: the peer restarted while the request was queued.
+TEST_F(sidecar_peer_network, requests_queued_for_an_earlier_incarnation_are_returned_as_unsent)
+{
+    sender->network->connect("r", address.text());
+    send(1);
+    ASSERT_TRUE(run([&] { return receiver->receivedVersions.size() == 1; }));
+    receiver.reset();
+    ASSERT_TRUE(run([&] { return sender->linkLosses == 1; }));
+    sender->network->send("r", 22, requestOf(8));
+    receiver = std::make_unique<endpoint>(loop, "r", 33, address);
+    EXPECT_TRUE(run([&] { return !sender->dispatchNotSent.empty(); }));
+    EXPECT_EQ(sender->dispatchNotSent, std::vector<std::uint64_t>{8});
+    EXPECT_TRUE(receiver->receivedDeadlines.empty());
+}
+
 // Guards against giving a server more time than the caller has left: the time that a dispatch was
 // queued at the sender must be subtracted from its deadline.
 TEST_F(sidecar_peer_network, time_in_the_queue_shortens_the_deadline)
