Bound the memory and time that endless bytes of servers and callers can take

Cause: one response could take 64 MB and the sum over all connections was not bounded; the receive buffers of servers and callers had no limit, so chunk extensions and trailers were kept until the deadline; interim responses and responses to other requests were skipped without an end. A server in trouble could so end a process of 160 MB, or keep it busy until the deadline.

Now a response has 16 MiB of body at most, all responses that are being received 32 MiB together (the longest is ended first), the buffers 128 and 256 KiB, and an exchange skips 16 responses.

--- a/src/sidecar/connection_pool.cpp
+++ b/src/sidecar/connection_pool.cpp
@@ -16,6 +16,9 @@
 // idle for 300 ms, so it is well below that.
 constexpr duration recentUseWindow = std::chrono::milliseconds(100);
 constexpr duration recentOnlyPeriod = std::chrono::seconds(30);
+// Of all responses that are being received. A server in trouble may send bytes on many connections
+// without end, and the smallest VMs have 160 MB.
+constexpr std::size_t maxHeldBytes = std::size_t{32} * 1024 * 1024;
 
 } // namespace
 
@@ -39,7 +42,7 @@
     std::shared_ptr<http_connection> connection = takeIdle(reuse, now);
     const bool reusedStale = connection != nullptr && lastUsedIsStale;
     if (!connection) {
-        connection = http_connection::create(m_loop, m_server);
+        connection = open();
         ++m_opened;
     }
     m_busy.emplace(id, connection);
@@ -58,6 +61,28 @@
     return id;
 }
 
+std::shared_ptr<http_connection> connection_pool::open()
+{
+    return http_connection::create(m_loop, m_server, [this, alive = m_alive](std::int64_t change) {
+        if (!*alive)
+            return;
+        m_heldBytes += static_cast<std::size_t>(change);
+        if (change > 0)
+            limitHeldBytes();
+    });
+}
+
+void connection_pool::limitHeldBytes()
+{
+    while (m_heldBytes > maxHeldBytes) {
+        const auto longest = std::max_element(
+                m_busy.begin(), m_busy.end(), [](const auto &left, const auto &right) {
+                    return left.second->heldBytes() < right.second->heldBytes();
+                });
+        longest->second->close(exchange_outcome::broken);
+    }
+}
+
 std::shared_ptr<http_connection> connection_pool::takeIdle(connection_reuse reuse, time_point now)
 {
     const bool recentOnly = reuse == connection_reuse::recently_used || now < m_recentOnlyUntil;
--- a/src/sidecar/connection_pool.h
+++ b/src/sidecar/connection_pool.h
@@ -21,7 +21,8 @@
 ///
 /// Reuses the most recently used connection first, so that the others become idle and are closed
 /// early. Does not reuse a connection that the server has closed or is about to close. After a
-/// failure on a connection that had been idle, only recently used ones are reused for a while.
+/// failure on a connection that had been idle, only recently used ones are reused for a while. The
+/// responses that are being received hold 32 MiB at most, over all connections.
 class connection_pool
 {
 public:
@@ -44,6 +45,8 @@
     /// \brief Ends exchanges that are past their deadline and closes connections idle for too long.
     void sweep(time_point now);
 
+    /// \returns the bytes of the responses that are being received, over all connections.
+    std::size_t heldBytes() const { return m_heldBytes; }
     std::size_t idle() const { return m_idle.size(); }
     std::size_t busy() const { return m_busy.size(); }
     std::uint64_t opened() const { return m_opened; }
@@ -56,6 +59,9 @@
         time_point usableUntil;
     };
 
+    std::shared_ptr<http_connection> open();
+    /// \brief Ends exchanges, those with the longest responses first, until the sum is in bounds.
+    void limitHeldBytes();
     std::shared_ptr<http_connection> takeIdle(connection_reuse reuse, time_point now);
     void keepIdle(const std::shared_ptr<http_connection> &connection,
                   const std::optional<duration> &idleTimeout);
@@ -67,6 +73,7 @@
     time_point m_recentOnlyUntil; ///< Until then only recently used connections are reused.
     exchange_id m_lastId = 0;
     std::uint64_t m_opened = 0;
+    std::size_t m_heldBytes = 0;
     /// Shared with pending handlers; false once the pool is destroyed.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -14,8 +14,12 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t maxResponseBytes = std::uint64_t{64} * 1024 * 1024;
+constexpr std::uint64_t maxResponseBytes = std::uint64_t{16} * 1024 * 1024;
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+// Bounds what the parser's own limits do not cover: chunk extensions and trailers.
+constexpr std::size_t maxBufferedBytes = std::size_t{128} * 1024;
+// Interim responses and responses to other requests that one exchange skips.
+constexpr std::size_t maxSkippedResponses = 16;
 
 // Hop-by-hop headers and Content-Length: not forwarded, since the caller's response gets its own.
 bool isConnectionHeader(std::string_view name)
@@ -48,9 +52,11 @@
 class beast_connection final : public http_connection
 {
 public:
-    beast_connection(boost::asio::io_context &loop, const socket_address &address)
+    beast_connection(boost::asio::io_context &loop, const socket_address &address,
+                     growth_handler grown)
         : m_socket(loop)
         , m_endpoint(address.endpoint())
+        , m_grown(std::move(grown))
     { }
 
     void exchange(const http_request &request, response_match match, time_point deadline,
@@ -61,6 +67,7 @@
         m_done = std::move(done);
         m_requestWritten = false;
         m_skippedResponse = false;
+        m_skippedCount = 0;
         m_sendStarted = false;
         http::request<http::string_body> &message = m_request.emplace();
         message.method_string(request.method);
@@ -80,6 +87,7 @@
     {
         error_code ignored;
         m_socket.close(ignored);
+        setHeldBytes(0);
         if (m_done)
             finish(end);
     }
@@ -92,6 +100,7 @@
     }
 
     time_point deadline() const override { return m_done ? m_deadline : time_point::max(); }
+    std::size_t heldBytes() const override { return m_heldBytes; }
 
 private:
     std::shared_ptr<beast_connection> self()
@@ -133,21 +142,47 @@
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
         m_parser->header_limit(maxHeaderBytes);
+        m_parser->eager(true);
         if (m_request->method() == http::verb::head)
             m_parser->skip(true);
-        http::async_read(m_socket, m_buffer, *m_parser,
-                         [this, keep = self()](const error_code &error, std::size_t) {
-                             if (m_done)
-                                 received(error);
-                         });
+        readSome();
     }
 
-    void received(const error_code &error)
+    void readSome()
+    {
+        http::async_read_some(m_socket, m_buffer, *m_parser,
+                              [this, keep = self()](const error_code &error, std::size_t) {
+                                  if (m_done)
+                                      partReceived(error);
+                              });
+    }
+
+    void partReceived(const error_code &error)
     {
         if (error) {
             close(exchange_outcome::broken);
             return;
         }
+        if (m_parser->is_done()) {
+            setHeldBytes(0);
+            received();
+            return;
+        }
+        // A response with a length reserves its memory when the head has arrived.
+        setHeldBytes(m_parser->get().body().capacity());
+        if (m_done) // The growth handler may have closed the connection.
+            readSome();
+    }
+
+    void setHeldBytes(std::size_t bytes)
+    {
+        const std::size_t before = std::exchange(m_heldBytes, bytes);
+        if (bytes != before)
+            m_grown(static_cast<std::int64_t>(bytes) - static_cast<std::int64_t>(before));
+    }
+
+    void received()
+    {
         const http::response<http::string_body> &message = m_parser->get();
         const boost::beast::string_view id =
                 m_match.header.empty() ? boost::beast::string_view() : message[m_match.header];
@@ -156,7 +191,8 @@
                 !m_match.header.empty() && std::string_view(id.data(), id.size()) != m_match.value;
         if (interim || mismatched) {
             m_skippedResponse = m_skippedResponse || mismatched;
-            if (!m_parser->keep_alive() && !interim)
+            const bool endless = ++m_skippedCount > maxSkippedResponses;
+            if (endless || (!m_parser->keep_alive() && !interim))
                 close(exchange_outcome::broken);
             else
                 receive();
@@ -214,13 +250,16 @@
 
     tcp::socket m_socket;
     tcp::endpoint m_endpoint;
-    boost::beast::flat_buffer m_buffer;
+    growth_handler m_grown;
+    boost::beast::flat_buffer m_buffer{maxBufferedBytes};
     std::optional<http::request<http::string_body>> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     response_match m_match;
     time_point m_deadline;
     done_handler m_done;
     std::function<void()> m_idleClosed;
+    std::size_t m_heldBytes = 0;
+    std::size_t m_skippedCount = 0;
     bool m_watching = false;
     bool m_requestWritten = false;
     bool m_skippedResponse = false; ///< A response to another request arrived first.
@@ -230,9 +269,10 @@
 } // namespace
 
 std::shared_ptr<http_connection> http_connection::create(boost::asio::io_context &loop,
-                                                         const socket_address &address)
+                                                         const socket_address &address,
+                                                         growth_handler grown)
 {
-    return std::make_shared<beast_connection>(loop, address);
+    return std::make_shared<beast_connection>(loop, address, std::move(grown));
 }
 
 } // namespace tamarackridge
--- a/src/sidecar/http_connection.h
+++ b/src/sidecar/http_connection.h
@@ -14,7 +14,7 @@
 enum class exchange_outcome : std::uint8_t {
     completed, ///< A complete response to this request arrived.
     refused, ///< No connection could be opened; nothing was sent.
-    broken, ///< The connection broke, or the bytes received are no HTTP response.
+    broken, ///< The connection broke, or the bytes received are no HTTP response within the limits.
     timeout,
     cancelled,
 };
@@ -39,15 +39,19 @@
 
 /// \brief One HTTP/1.1 client connection, which carries one request at a time.
 ///
-/// Skips late responses to earlier requests. A connection on which such a response or any byte
-/// after the response arrived is not reused.
+/// Skips a few late responses to earlier requests. A connection on which such a response or any
+/// byte after the response arrived is not reused. An exchange ends as `broken` when the response
+/// exceeds a limit: 64 KiB of headers, 16 MiB of body, 16 skipped responses.
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
 public:
     using done_handler = std::function<void(exchange_result result)>;
+    /// \brief Receives each change of heldBytes(). May close the connection.
+    using growth_handler = std::function<void(std::int64_t change)>;
 
-    static std::shared_ptr<http_connection> create(boost::asio::io_context &loop,
-                                                   const socket_address &address);
+    static std::shared_ptr<http_connection> create(
+            boost::asio::io_context &loop, const socket_address &address,
+            growth_handler grown = [](std::int64_t) {});
     http_connection() = default;
     http_connection(const http_connection &) = delete;
     http_connection &operator=(const http_connection &) = delete;
@@ -64,6 +68,8 @@
     virtual void watchIdle(std::function<void()> closed) = 0;
     /// \returns the deadline of the pending exchange; time_point::max() when none is pending.
     virtual time_point deadline() const = 0;
+    /// \returns the memory of the response that is being received, in bytes.
+    virtual std::size_t heldBytes() const = 0;
 };
 
 } // namespace tamarackridge
--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -21,6 +21,8 @@
 // Bytes of the next requests that are read while the current one is being processed.
 constexpr std::size_t maxReadAhead = std::size_t{64} * 1024;
 constexpr std::size_t readAheadStep = std::size_t{4} * 1024;
+// Bounds what the parser's own limits do not cover: chunk extensions and trailers.
+constexpr std::size_t maxBufferedBytes = std::size_t{256} * 1024;
 // Time limit for writing a response: one that the caller does not read stays in memory.
 constexpr duration responseTimeout = std::chrono::seconds(15);
 // After the last response, the caller gets this time to close first: closing with unread bytes
@@ -201,6 +203,7 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
         m_parser->body_limit(limits.maxBodyBytes);
+        m_buffer.max_size(maxBufferedBytes + limits.maxHeaderBytes);
         http::async_read(m_socket, m_buffer, *m_parser,
                          [self = shared_from_this()](const error_code &error, std::size_t) {
                              self->received(error);
@@ -239,6 +242,7 @@
     void refuse(error_kind kind)
     {
         m_keepAlive = false;
+        m_buffer.clear(); // No further request of this connection is served.
         respond(internal::refusal(kind, run_state::not_run));
     }
 
