Acknowledge peer frames once per tick instead of once per read

Cause: each message between sidecars was answered by a packet with its acknowledgement, so a dispatched request cost two packets and two wake-ups more on both sides.

Before: 50 messages a millisecond apart cost 50 acknowledgements. After: one, shown by one_acknowledgement_covers_the_frames_between_two_calls.

--- a/src/sidecar/link_context.h
+++ b/src/sidecar/link_context.h
@@ -33,6 +33,7 @@
     std::uint64_t bytesSent = 0;
     std::uint64_t framesExpired = 0; ///< Dropped when they expired or the queue was full.
     std::uint64_t framesRefused = 0; ///< Received, but malformed or for another incarnation.
+    std::uint64_t acknowledgementsSent = 0;
 };
 
 /// \brief State that all links of one process share.
--- a/src/sidecar/peer_network.cpp
+++ b/src/sidecar/peer_network.cpp
@@ -80,6 +80,12 @@
                         request == nullptr ? dispatch_id() : request->id);
 }
 
+void peer_network::acknowledge()
+{
+    for (const std::shared_ptr<peer_receiver> &link : m_receivers)
+        link->acknowledge();
+}
+
 void peer_network::sweep(time_point now)
 {
     for (const auto &[node, link] : m_senders)
--- a/src/sidecar/peer_network.h
+++ b/src/sidecar/peer_network.h
@@ -20,7 +20,8 @@
 /// the receiver has acknowledged them. When a connection is reset or stops responding,
 /// unacknowledged frames that have not expired are sent again over the next connection, and the
 /// receiver drops frames that it has already received. So no message is duplicated, and none is
-/// lost before it expires. Each frame states how long it was queued at the sender; the receiver
+/// lost before it expires. Acknowledgements are delayed, so that one covers several frames. Each
+/// frame states how long it was queued at the sender; the receiver
 /// subtracts this from a dispatch's deadline.
 class peer_network
 {
@@ -39,6 +40,9 @@
     void send(const std::string &node, incarnation_id receiver, const peer_message &message);
     /// \brief Checks all links for time-outs and reconnects; must be called a few times a second.
     void sweep(time_point now);
+    /// \brief Acknowledges what was received since the last call; must be called well within the
+    /// 500 ms after which a sender considers this node unresponsive.
+    void acknowledge();
 
     const peer_counts &counts() const { return m_context.counts; }
 
--- a/src/sidecar/peer_receiver.cpp
+++ b/src/sidecar/peer_receiver.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t maxFrameBytes = std::size_t{96} * 1024 * 1024;
 constexpr std::size_t maxSenders = std::size_t{16} * 1024;
+// Frames stay in the sender's memory until they are acknowledged.
+constexpr std::size_t maxUnacknowledgedBytes = std::size_t{256} * 1024;
 
 } // namespace
 
@@ -80,10 +82,12 @@
         if (m_context.lastReceived.size() >= maxSenders)
             m_context.lastReceived.clear();
         appendInteger(m_context.self.incarnation, m_output);
-        appendInteger(m_context.lastReceived[m_senderIncarnation], m_output);
+        m_lastReceived = m_context.lastReceived[m_senderIncarnation];
+        m_lastAcknowledged = m_lastReceived;
+        appendInteger(m_lastReceived, m_output);
+        sendOutput();
     }
     std::uint64_t &last = m_context.lastReceived[m_senderIncarnation];
-    const std::uint64_t before = last;
     while (m_input.size() - position >= frameHeaderSize) {
         const std::string_view header(m_input.data() + position, frameHeaderSize);
         const std::size_t size = readInteger<std::uint32_t>(header);
@@ -100,12 +104,24 @@
         position += frameHeaderSize + size;
     }
     m_input.erase(0, position);
-    if (last != before)
-        appendInteger(last, m_output);
-    sendOutput();
+    m_lastReceived = last;
+    m_unacknowledgedBytes += position;
+    if (m_unacknowledgedBytes >= maxUnacknowledgedBytes)
+        acknowledge();
     return true;
 }
 
+void peer_receiver::acknowledge()
+{
+    if (m_lastReceived == m_lastAcknowledged)
+        return;
+    m_lastAcknowledged = m_lastReceived;
+    m_unacknowledgedBytes = 0;
+    ++m_context.counts.acknowledgementsSent;
+    appendInteger(m_lastReceived, m_output);
+    sendOutput();
+}
+
 void peer_receiver::sendOutput()
 {
     if (m_output.empty() || m_writing || m_closed)
--- a/src/sidecar/peer_receiver.h
+++ b/src/sidecar/peer_receiver.h
@@ -22,6 +22,8 @@
     peer_receiver(link_context &context, tcp::socket socket, ended_callback ended);
     void start();
     void close();
+    /// \brief Acknowledges the frames that were received since the last acknowledgement.
+    void acknowledge();
 
 private:
     static constexpr std::size_t readStep = std::size_t{16} * 1024; ///< Bytes.
@@ -37,6 +39,9 @@
     tcp::socket m_socket;
     ended_callback m_ended;
     incarnation_id m_senderIncarnation = 0;
+    std::uint64_t m_lastReceived = 0; ///< Number of the last frame.
+    std::uint64_t m_lastAcknowledged = 0;
+    std::size_t m_unacknowledgedBytes = 0;
     std::string m_input;
     std::string m_output;
     std::array<char, readStep> m_chunk{};
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -259,6 +259,7 @@
     add("caller_connections", m_callers.connections());
     add("peer_frames_sent_total", m_peers.counts().framesSent);
     add("peer_bytes_sent_total", m_peers.counts().bytesSent);
+    add("peer_acknowledgements_sent_total", m_peers.counts().acknowledgementsSent);
     add("peer_frames_expired_total", m_peers.counts().framesExpired);
     add("peer_frames_refused_total", m_peers.counts().framesRefused);
     add("store_faults_total", m_store.errors());
@@ -316,6 +317,7 @@
 void sidecar_app::tick()
 {
     post([&](time_point now, action_list &out) { m_core.tick(now, out); });
+    m_peers.acknowledge();
     m_tickTimer.expires_at(
             std::chrono::steady_clock::time_point(m_core.nextTick().time_since_epoch()));
     m_tickTimer.async_wait([this](const boost::system::error_code &error) {
--- a/tests/sidecar_peer_network_test.cpp
+++ b/tests/sidecar_peer_network_test.cpp
@@ -149,8 +149,10 @@
     {
         return runUntil(loop, done, [this] {
             sender->network->sweep(monotonicNow());
-            if (receiver)
+            if (receiver) {
                 receiver->network->sweep(monotonicNow());
+                receiver->network->acknowledge();
+            }
         });
     }
     void send(std::int64_t number) { sender->network->send("r", 0, config_fetch{number}); }
@@ -175,6 +177,37 @@
     EXPECT_EQ(receiver->receivedVersions, expected);
 }
 
+// Guards against a packet in return for each message, which costs as much as the message itself.
+TEST_F(sidecar_peer_network, one_acknowledgement_covers_the_frames_between_two_calls)
+{
+    sender->network->connect("r", address.text());
+    send(0);
+    ASSERT_TRUE(run([&] { return receiver->receivedVersions.size() == 1; }));
+    const std::uint64_t before = receiver->network->counts().acknowledgementsSent;
+    constexpr std::size_t frames = 50;
+    for (std::size_t number = 1; number <= frames; ++number) {
+        send(static_cast<std::int64_t>(number));
+        loop.restart();
+        loop.run_for(std::chrono::milliseconds(1));
+    }
+    ASSERT_TRUE(runUntil(loop, [&] { return receiver->receivedVersions.size() == frames + 1; }));
+    EXPECT_EQ(receiver->network->counts().acknowledgementsSent, before);
+    receiver->network->acknowledge();
+    EXPECT_EQ(receiver->network->counts().acknowledgementsSent, before + 1);
+}
+
+// Guards against memory that grows with the delay of acknowledgements: large frames are
+// acknowledged without waiting for the next call.
+TEST_F(sidecar_peer_network, large_frames_are_acknowledged_immediately)
+{
+    sender->network->connect("r", address.text());
+    dispatch request = requestOf(5);
+    request.request.body = std::make_shared<const std::string>(512 * 1024, 'b');
+    sender->network->send("r", 0, request);
+    ASSERT_TRUE(runUntil(loop, [&] { return receiver->receivedDeadlines.size() == 1; }));
+    EXPECT_EQ(receiver->network->counts().acknowledgementsSent, 1U);
+}
+
 // Guards against a link that hangs forever because its connection stops responding without a reset.
 TEST_F(sidecar_peer_network, an_unresponsive_connection_is_reported_and_replaced)
 {
