Bound the membership traffic of restarts and partitions at hundreds of nodes

Cause, from counting the messages of 192 sidecars in six zones in virtual time: every peer with a link to a restarted process sent it the whole directory; while directories differed, all neighbours exchanged summaries at every heartbeat; relays sent summaries to every node of a zone that could not be reached; each entry was a message of its own to every neighbour, those included that had sent it.

Now only the ring neighbours and relays restore a restarted node's directory, a node sends one summary per heartbeat interval, six seeds are contacted at a time, and entries of members that are not leaving are passed on with the next tick, together, and not to nodes that sent them meanwhile. Leaving nodes and quarantine entries are passed on at once as before.

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -59,8 +59,10 @@
 
     /// \brief Replaces the seeds, given as names and endpoints, and contacts them at the next tick.
     void setSeeds(std::vector<std::pair<std::string, std::string>> seeds, time_point now);
-    /// \brief Sends this node's entry and a summary of the directory to a node that has restarted.
-    void sendMembershipTo(std::string_view node, action_list &out);
+    /// \brief Sends this node's entry and a summary of the directory to a neighbour that has
+    /// restarted. Does nothing for other nodes: the summary grows with the fleet, and the
+    /// neighbours of the restarted node are enough.
+    void restoreMembershipOf(std::string_view node, action_list &out);
     /// \brief Updates this node's own entry and disseminates it.
     void setSelf(std::string_view service, std::uint32_t slots, member_state state,
                  std::string_view successor, action_list &out);
@@ -107,6 +109,12 @@
         std::uint64_t lastDigest = 0; ///< Directory digest in the neighbour's last heartbeat.
     };
 
+    /// A member's entry that is passed on with the next tick.
+    struct relayed_entry
+    {
+        overlay_entry entry;
+        std::set<std::string, std::less<>> knownBy; ///< Nodes that have sent it.
+    };
     struct zone_activity
     {
         time_point lastContact;
@@ -129,10 +137,18 @@
     void applySuspicion(const overlay_entry &entry, std::string_view from, time_point now,
                         overlay_changes &changes, action_list &out);
     void announceNewVersion(action_list &out);
+    /// \brief Passes an entry on: at once when a node leaves, otherwise with the next tick, so that
+    /// entries share messages and don't go to neighbours that have sent them meanwhile.
+    void relay(const member &update, const overlay_entry &entry, std::string_view from,
+               action_list &out);
+    void flushRelayedEntries(action_list &out);
     void updateNeighbours(time_point now);
     void addRingNeighbours(std::set<std::string> &wanted) const;
     void addRelayNeighbours(std::set<std::string> &wanted) const;
     void joinSeeds(time_point now, action_list &out);
+    /// \returns the names and endpoints of the seeds that are neither alive nor in a zone that this
+    /// node has contact with.
+    std::vector<std::pair<std::string, std::string>> unreachableSeeds(time_point now) const;
     void suspectUnresponsive(time_point now, overlay_changes &changes, action_list &out);
     void sendHeartbeats(const heartbeat_state &state, time_point now, action_list &out);
     void excludeLocalPause(time_point now);
@@ -164,7 +180,9 @@
     time_point m_lastTick;
     time_point m_nextHeartbeat;
     time_point m_nextJoin;
+    std::map<std::string, relayed_entry, std::less<>> m_relayedEntries; ///< By node name.
     bool m_neighboursOutdated = true;
+    bool m_mayRequestSummary = true; ///< Set at each heartbeat: one summary is sent per interval.
 };
 
 } // namespace tamarackridge
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -1,6 +1,7 @@
 #include "tamarackridge/src/membership/overlay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamarackridge {
 overlay::overlay(member self, std::vector<std::pair<std::string, std::string>> seeds,
@@ -23,10 +24,10 @@
     m_nextJoin = now;
 }
 
-void overlay::sendMembershipTo(std::string_view node, action_list &out)
+void overlay::restoreMembershipOf(std::string_view node, action_list &out)
 {
     const directory::record *known = m_directory.find(node);
-    if (known == nullptr)
+    if (known == nullptr || !m_neighbours.contains(node))
         return;
     const std::string endpoint = known->info.endpoint;
     // Sends the node's earlier entry as well, so that it raises its counter above that of the
@@ -134,9 +135,12 @@
     neighbour->second.lastContact = now;
     // Digests differ for a moment while an entry is being flooded. A summary is sent only if the
     // neighbour's digest is the same as in its last heartbeat and still differs from the local one.
+    // After many changes at once the digests of all neighbours differ, and one summary per interval
+    // bounds the traffic.
     const bool isRepeated = neighbour->second.lastDigest == message.directoryDigest;
     neighbour->second.lastDigest = message.directoryDigest;
-    if (message.directoryDigest != m_directory.digest() && isRepeated)
+    if (message.directoryDigest != m_directory.digest() && isRepeated
+        && std::exchange(m_mayRequestSummary, false))
         send(from.name, summary(true), out);
 }
 
@@ -185,14 +189,43 @@
         return;
     }
     if (!m_directory.merge(*update, now)) {
+        const auto relayed = m_relayedEntries.find(update->node.name);
+        if (relayed != m_relayedEntries.end() && relayed->second.entry.version == entry.version)
+            relayed->second.knownBy.insert(from.name);
         sendEarlierEntry(*update, from, out);
         return;
     }
     m_neighboursOutdated = true;
-    flood(entry, from.name, out);
+    relay(*update, entry, from.name, out);
     changes.members.push_back(update->node.name);
 }
 
+void overlay::relay(const member &update, const overlay_entry &entry, std::string_view from,
+                    action_list &out)
+{
+    m_relayedEntries.erase(update.node.name);
+    if (update.state == member_state::leaving || update.state == member_state::left)
+        flood(entry, from, out);
+    else
+        m_relayedEntries[update.node.name] = {entry, {std::string(from)}};
+}
+
+void overlay::flushRelayedEntries(action_list &out)
+{
+    if (m_relayedEntries.empty())
+        return;
+    for (const auto &[neighbour, state] : m_neighbours) {
+        entries message;
+        for (const auto &[name, relayed] : m_relayedEntries) {
+            if (name != neighbour && !relayed.knownBy.contains(neighbour))
+                message.list.push_back(relayed.entry);
+        }
+        if (!message.list.empty())
+            send(neighbour, std::move(message), out);
+    }
+    m_relayedEntries.clear();
+}
+
 void overlay::sendEarlierEntry(const member &update, const node_ref &from, action_list &out)
 {
     const directory::record *known = m_directory.find(update.node.name);
--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -9,13 +9,13 @@
 
 constexpr duration joinInterval = std::chrono::seconds(1);
 // Used by a node that knows other nodes. Longer than joinInterval, since a summary of the entire
-// directory goes to each unreachable seed.
+// directory goes to each contacted seed.
 constexpr duration rejoinInterval = std::chrono::seconds(10);
-// Number of seeds that a node contacts at a time while it knows no other node. Each seed responds
-// with its entire directory, so if all nodes of a fleet start at once and contact every seed, the
-// traffic grows with the square of the number of nodes. With six links from each node the fleet is
-// connected, and entries reach all nodes over these links.
-constexpr std::size_t maxSeedsWhileAlone = 6;
+// Number of seeds that a node contacts at a time. Each seed responds with its entire directory, so
+// if all nodes of a fleet start at once and contact every seed, or all relays contact every node of
+// a partitioned zone, the traffic grows with the square of the number of nodes. With six links from
+// each node the fleet is connected, and entries reach all nodes over these links.
+constexpr std::size_t maxSeedsAtOnce = 6;
 // A gap of at least this length between two ticks means that this process itself was paused.
 constexpr duration minLocalPause = std::chrono::seconds(1);
 
@@ -46,6 +46,7 @@
     excludeLocalPause(now);
     m_lastTick = now;
     updateNeighbours(now);
+    flushRelayedEntries(out);
     joinSeeds(now, out);
     suspectUnresponsive(now, changes, out);
     for (std::string &name : m_directory.expireSuspects(m_options.deadTimeout, now)) {
@@ -54,6 +55,7 @@
     }
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + m_options.heartbeatInterval;
+        m_mayRequestSummary = true;
         sendHeartbeats(state, now, out);
         closeLinks(m_directory.prune(m_options.retention, now), out);
         pruneEntries(now);
@@ -119,21 +121,28 @@
         return;
     const bool alone = m_directory.records().size() == 1;
     m_nextJoin = now + (alone ? joinInterval : rejoinInterval);
-    const std::size_t count = alone ? std::min(maxSeedsWhileAlone, m_seeds.size()) : m_seeds.size();
-    if (count < m_seeds.size())
-        moveSelectionToFront(m_seeds, count, m_self.node.name, now);
+    std::vector<seed_entry> targets = unreachableSeeds(now);
+    const std::size_t count = std::min(maxSeedsAtOnce, targets.size());
+    moveSelectionToFront(targets, count, m_self.node.name, now);
     for (std::size_t index = 0; index < count; ++index) {
-        const auto &[name, endpoint] = m_seeds[index];
+        const auto &[name, endpoint] = targets[index];
+        sendTo(name, endpoint, 0, entries{{encodeMember(m_self)}}, out);
+        sendTo(name, endpoint, 0, summary(true), out);
+    }
+}
+
+std::vector<std::pair<std::string, std::string>> overlay::unreachableSeeds(time_point now) const
+{
+    std::vector<seed_entry> found;
+    for (const auto &[name, endpoint] : m_seeds) {
         const directory::record *known = m_directory.find(name);
         const bool reachable =
                 known != nullptr && known->health == liveness::alive
                 && timeSinceContact(known->info.node.zone, now) < m_options.suspectTimeout;
-        if (reachable || name == m_self.node.name)
-            continue;
-        const std::string &target = known == nullptr ? endpoint : known->info.endpoint;
-        sendTo(name, target, 0, entries{{encodeMember(m_self)}}, out);
-        sendTo(name, target, 0, summary(true), out);
+        if (!reachable && name != m_self.node.name)
+            found.emplace_back(name, known == nullptr ? endpoint : known->info.endpoint);
     }
+    return found;
 }
 
 duration overlay::zonePartitionTimeout() const
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -228,7 +228,7 @@
 {
     m_observer.knownStateChanged(node, "restarted", "link");
     m_dispatcher.executorRestarted(node, incarnation, now, out);
-    m_membership.sendMembershipTo(node, out);
+    m_membership.restoreMembershipOf(node, out);
 }
 
 void sidecar_state::peerUnresponsive(std::string_view node, time_point now, action_list &out)
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -181,6 +181,26 @@
         }
     }
 
+    /// \brief Replaces the process of \a node by a new one, which reads the list of nodes; all
+    /// other nodes have links to it, which report the restart.
+    void restart(const std::string &node)
+    {
+        replaceProcess(node);
+        for (const auto &[name, state] : m_nodes) {
+            if (name == node)
+                continue;
+            runEvent(name, [&](sidecar_core &core, action_list &out) {
+                core.peerRestarted(node, m_nodes.at(node).self.incarnation, m_now, out);
+            });
+        }
+    }
+    /// \brief Replaces all processes at the same moment.
+    void restartAll()
+    {
+        for (const auto &[name, state] : m_nodes)
+            replaceProcess(name);
+    }
+
     /// \returns the status of the response to a call, or 0 if there is none yet.
     int status(call_id id) const
     {
@@ -190,6 +210,9 @@
 
     std::vector<fake_run> runs;
     std::map<call_id, http_response> responses;
+    /// Called for each message between two nodes, before it is delivered or lost.
+    std::function<void(const std::string &from, const send_peer &message)> messageSent =
+            [](const std::string &, const send_peer &) {};
     std::set<std::string> isolatedNodes; ///< Nodes whose messages are lost in both directions.
 
 private:
@@ -209,9 +232,9 @@
     {
         node_state &state = m_nodes[name];
         state.service = service;
-        state.self = {zone, name, m_nodes.size()};
+        state.self = {zone, name, ++m_lastIncarnation};
         state.observer = std::make_unique<recording_observer>();
-        state.random = std::make_unique<seeded_random>(m_nodes.size());
+        state.random = std::make_unique<seeded_random>(m_lastIncarnation);
         sidecar_options options;
         options.self = state.self;
         options.peerEndpoint = name + ":7000";
@@ -230,18 +253,27 @@
                 std::make_unique<sidecar_core>(options, decoder, *state.observer, *state.random);
     }
 
-    void announceMembers()
+    void listMembersTo(const std::string &node)
     {
         std::vector<seed_peer> members;
         for (const auto &[name, state] : m_nodes)
             members.push_back({name, name + ":7000"});
-        for (const auto &[name, state] : m_nodes) {
-            runEvent(name, [&](sidecar_core &core, action_list &out) {
-                core.membersListed(members, m_now, out);
-            });
-        }
+        runEvent(node, [&](sidecar_core &core, action_list &out) {
+            core.membersListed(members, m_now, out);
+        });
+    }
+    void announceMembers()
+    {
+        for (const auto &[name, state] : m_nodes)
+            listMembersTo(name);
         advance(std::chrono::seconds(2));
     }
+    void replaceProcess(const std::string &node)
+    {
+        const std::string service = m_nodes.at(node).service;
+        addNode(node, zoneOf(node), service);
+        listMembersTo(node);
+    }
 
     void perform(const std::string &node, action_list &out)
     {
@@ -269,6 +301,7 @@
                 known.cancelled =
                         known.cancelled || (known.node == node && known.run == cancel->run);
         } else if (const send_peer *send = std::get_if<send_peer>(&item)) {
+            messageSent(node, *send);
             const auto target = m_nodes.find(send->node);
             const bool cut = isolatedNodes.contains(node) || isolatedNodes.contains(send->node);
             if (target == m_nodes.end() || cut)
@@ -288,6 +321,7 @@
     std::deque<std::pair<std::string, action>> m_queue;
     time_point m_now{std::chrono::seconds(100)};
     call_id m_lastCall = 0;
+    incarnation_id m_lastIncarnation = 0;
     bool m_draining = false;
 };
 
--- a/tests/sidecar_endless_bytes_test.cpp
+++ b/tests/sidecar_endless_bytes_test.cpp
@@ -59,10 +59,9 @@
             const std::shared_ptr<connection> item =
                     std::make_shared<connection>(std::move(socket));
             ++open;
-            item->socket.async_read_some(boost::asio::buffer(item->request),
-                                         [this, item](boost::system::error_code, std::size_t) {
-                                             send(item, m_start);
-                                         });
+            item->socket.async_read_some(
+                    boost::asio::buffer(item->request),
+                    [this, item](boost::system::error_code, std::size_t) { send(item, m_start); });
             accept();
         });
     }
@@ -143,8 +142,7 @@
                              "5\r\nbytes\r\n"},
                 endless_case{"chunk_extension",
                              responseStart + "Transfer-Encoding: chunked\r\n\r\n5;a=", "bbbbbbbb"},
-                endless_case{"trailers",
-                             responseStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                endless_case{"trailers", responseStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
                              "X-More: 1\r\n"},
                 endless_case{"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
                 endless_case{"responses_to_others", "",
@@ -198,8 +196,7 @@
     call_id lastCall = 0;
     caller_limits limits{8 * 1024, megabyte, seconds(5), seconds(5)};
     http_listener listener{loop, address,
-                           listener_callbacks{[](call_id, const http_request &) {},
-                                              [](call_id) {},
+                           listener_callbacks{[](call_id, const http_request &) {}, [](call_id) {},
                                               [this]() -> const caller_limits & { return limits; },
                                               [] { return false; }},
                            lastCall};
@@ -240,9 +237,10 @@
                 endless_case{"chunk_extension",
                              "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;a=",
                              "bbbbbbbb"},
-                endless_case{"trailers",
-                             "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
-                             "X-More: 1\r\n"}),
+                endless_case{
+                        "trailers",
+                        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                        "X-More: 1\r\n"}),
         caseName);
 
 } // namespace
