Count the time that a VM is suspended in all leases, grants and deadlines

Cause: both data paths read std::chrono::steady_clock, which stands still while a VM is suspended. A node that was suspended for seconds would spend token grants that had expired at their holder, and send requests after their deadline. The clock is now CLOCK_BOOTTIME, read in one place (src/process/monotonic_time); the function stood in two libraries before.

Not shown: a run on a VM that is really suspended.

--- a/src/node/node_runtime.cpp
+++ b/src/node/node_runtime.cpp
@@ -13,11 +13,6 @@
 
 } // namespace
 
-time_point monotonicNow()
-{
-    return time_point(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 node_runtime::node_runtime(node_options options, random_source &random, action_executor &executor)
     : m_executor(executor)
     , m_core(std::move(options), random)
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "process/monotonic_time.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
 
@@ -11,9 +12,6 @@
 
 class child_context;
 
-/// \returns the current time of the node's monotonic clock.
-time_point monotonicNow();
-
 /// \brief Executes the actions that node_core emits, with one overload for each kind of action.
 ///
 /// node_runtime calls these functions while it holds its mutex, so an implementation must only
--- a/src/sidecar/event_loop.h
+++ b/src/sidecar/event_loop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tamarackridge/src/base/time.h"
+#include "process/monotonic_time.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,12 +23,6 @@
     tcp::endpoint endpoint() const { return {boost::asio::ip::make_address(host), port}; }
 };
 
-/// \returns the current time of the monotonic clock, which all decisions use.
-inline time_point monotonicNow()
-{
-    return time_point(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 /// \brief Sets TCP options so that a connection whose other side stops responding fails within
 /// about three seconds; also disables Nagle's algorithm.
 void setKeepAlive(tcp::socket &socket);
