--- a/src/sidecar/connection_pool.cpp
+++ b/src/sidecar/connection_pool.cpp
@@ -85,6 +85,8 @@
 
 std::shared_ptr<http_connection> connection_pool::takeIdle(connection_reuse reuse, time_point now)
 {
+    if (reuse == connection_reuse::none)
+        return nullptr;
     const bool recentOnly = reuse == connection_reuse::recently_used || now < m_recentOnlyUntil;
     while (!m_idle.empty()) {
         // All other connections have been idle for longer.
--- a/src/sidecar/connection_pool.h
+++ b/src/sidecar/connection_pool.h
@@ -15,6 +15,9 @@
     /// Only connections that were used a moment ago, for requests that must not be sent twice: a
     /// server can drop an idle connection without notice, and resets what is sent on it next.
     recently_used,
+    /// A new connection only, for requests without an id: a late response to an earlier request
+    /// could not be told from theirs.
+    none,
 };
 
 /// \brief Pool of connections to one server, each of which carries one request at a time.
--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -128,6 +128,12 @@
         m_listener.m_connections.erase(shared_from_this());
     }
 
+    bool busy() const
+    {
+        return m_phase == phase::reading || m_phase == phase::processing
+               || m_phase == phase::writing;
+    }
+
     /// \brief Closes the connection without using the listener, which is being destroyed.
     void detach()
     {
@@ -305,6 +311,12 @@
     item->respond(response);
 }
 
+bool http_listener::busy() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const std::shared_ptr<connection> &item) { return item->busy(); });
+}
+
 void http_listener::sweep(time_point now)
 {
     const std::vector<std::shared_ptr<connection>> openConnections(m_connections.begin(),
--- a/src/sidecar/http_listener.h
+++ b/src/sidecar/http_listener.h
@@ -41,6 +41,8 @@
     void respond(call_id call, const http_response &response);
     /// \brief Ends connections that are past their deadline; must be called a few times a second.
     void sweep(time_point now);
+    /// \returns whether a request is being read or processed, or a response being sent.
+    bool busy() const;
     std::size_t connections() const { return m_connections.size(); }
 
 private:
--- a/src/sidecar/link_context.h
+++ b/src/sidecar/link_context.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "sidecar/event_loop.h"
+#include "sidecar/received_frames.h"
 #include "tamarackridge/src/base/identity.h"
 #include "tamarackridge/src/node/peer_message.h"
 
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <unordered_map>
 
 namespace tamarackridge {
 
@@ -45,7 +45,7 @@
     peer_counts counts;
     /// Over all links, so that numbers keep rising when a link is replaced.
     std::uint64_t lastFrameNumber = 0;
-    std::unordered_map<incarnation_id, std::uint64_t> lastReceived; ///< Frame number by sender.
+    received_frames received;
 };
 
 } // namespace tamarackridge
--- a/src/sidecar/peer_network.cpp
+++ b/src/sidecar/peer_network.cpp
@@ -4,31 +4,20 @@
 #include "sidecar/peer_sender.h"
 #include "wire/frame.h"
 
-#include <chrono>
+#include <algorithm>
 #include <utility>
 
 namespace tamarackridge {
 namespace {
 
-// Heartbeats and entries may expire unsent: later ones carry the same state again.
-constexpr duration stateTimeToLive = std::chrono::seconds(2);
-constexpr duration responseTimeToLive = std::chrono::seconds(5);
 constexpr int backlog = 256;
-
-duration timeToLive(const peer_message &message)
-{
-    if (const dispatch *request = std::get_if<dispatch>(&message))
-        return request->context.deadlineLeft;
-    if (std::holds_alternative<dispatch_response>(message))
-        return responseTimeToLive;
-    return stateTimeToLive;
-}
+constexpr std::size_t maxSenders = std::size_t{16} * 1024;
 
 } // namespace
 
 peer_network::peer_network(boost::asio::io_context &loop, const socket_address &address,
                            node_ref self, peer_callbacks callbacks)
-    : m_context{loop, std::move(self), std::move(callbacks), {}, 0, {}}
+    : m_context{loop, std::move(self), std::move(callbacks), {}, 0, received_frames(maxSenders)}
     , m_acceptor(loop, address, backlog, [this](tcp::socket socket) { receive(std::move(socket)); })
 { }
 
@@ -75,9 +64,13 @@
     if (found == m_senders.end())
         return;
     const frame_header header{m_context.self, receiver, 0};
-    const dispatch *request = std::get_if<dispatch>(&message);
-    found->second->send(encodePeerMessage(header, message), receiver, timeToLive(message),
-                        request == nullptr ? dispatch_id() : request->id);
+    found->second->send(encodePeerMessage(header, message), message, receiver);
+}
+
+bool peer_network::awaitsResponseDelivery() const
+{
+    return std::any_of(m_senders.begin(), m_senders.end(),
+                       [](const auto &entry) { return entry.second->awaitsResponseDelivery(); });
 }
 
 void peer_network::acknowledge()
--- a/src/sidecar/peer_network.h
+++ b/src/sidecar/peer_network.h
@@ -44,6 +44,10 @@
     /// 500 ms after which a sender considers this node unresponsive.
     void acknowledge();
 
+    /// \returns whether a response is on its way to the node that sent the request; a process that
+    /// ends now could cut it off.
+    bool awaitsResponseDelivery() const;
+
     const peer_counts &counts() const { return m_context.counts; }
 
 private:
--- a/src/sidecar/peer_receiver.cpp
+++ b/src/sidecar/peer_receiver.cpp
@@ -17,7 +17,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t maxFrameBytes = std::size_t{96} * 1024 * 1024;
-constexpr std::size_t maxSenders = std::size_t{16} * 1024;
 // Frames stay in the sender's memory until they are acknowledged.
 constexpr std::size_t maxUnacknowledgedBytes = std::size_t{256} * 1024;
 
@@ -79,15 +78,13 @@
             return true;
         m_senderIncarnation = readInteger<incarnation_id>(m_input);
         position = helloSize;
-        if (m_context.lastReceived.size() >= maxSenders)
-            m_context.lastReceived.clear();
         appendInteger(m_context.self.incarnation, m_output);
-        m_lastReceived = m_context.lastReceived[m_senderIncarnation];
+        m_lastReceived = m_context.received.lastOf(m_senderIncarnation);
         m_lastAcknowledged = m_lastReceived;
         appendInteger(m_lastReceived, m_output);
         sendOutput();
     }
-    std::uint64_t &last = m_context.lastReceived[m_senderIncarnation];
+    const time_point now = monotonicNow();
     while (m_input.size() - position >= frameHeaderSize) {
         const std::string_view header(m_input.data() + position, frameHeaderSize);
         const std::size_t size = readInteger<std::uint32_t>(header);
@@ -96,15 +93,14 @@
         if (m_input.size() - position < frameHeaderSize + size)
             break;
         const std::uint64_t number = readInteger<std::uint64_t>(header.substr(8));
-        if (number > last) {
-            last = number;
+        if (m_context.received.advance(m_senderIncarnation, number, now)) {
             deliver(m_input.substr(position + frameHeaderSize, size),
                     std::chrono::milliseconds(readInteger<std::uint32_t>(header.substr(4))));
         }
         position += frameHeaderSize + size;
     }
     m_input.erase(0, position);
-    m_lastReceived = last;
+    m_lastReceived = m_context.received.lastOf(m_senderIncarnation);
     m_unacknowledgedBytes += position;
     if (m_unacknowledgedBytes >= maxUnacknowledgedBytes)
         acknowledge();
--- a/src/sidecar/peer_sender.cpp
+++ b/src/sidecar/peer_sender.cpp
@@ -25,9 +25,21 @@
 constexpr duration acknowledgementTimeout = std::chrono::milliseconds(1500);
 constexpr duration initialRetryDelay = std::chrono::milliseconds(50);
 constexpr duration maxRetryDelay = std::chrono::milliseconds(800);
+// Heartbeats and entries may expire unsent: later ones carry the same state again.
+constexpr duration stateTimeToLive = std::chrono::seconds(2);
+constexpr duration responseTimeToLive = std::chrono::seconds(5);
 constexpr std::size_t maxQueuedBytes = std::size_t{16} * 1024 * 1024; ///< For one peer.
 constexpr std::size_t maxWriteBytes = std::size_t{128} * 1024;
 
+duration timeToLive(const peer_message &message)
+{
+    if (const dispatch *request = std::get_if<dispatch>(&message))
+        return request->context.deadlineLeft;
+    if (std::holds_alternative<dispatch_response>(message))
+        return responseTimeToLive;
+    return stateTimeToLive;
+}
+
 tcp::endpoint parseEndpoint(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
@@ -52,13 +64,20 @@
     , m_retryDelay(initialRetryDelay)
 { }
 
-void peer_sender::send(std::string bytes, incarnation_id receiver, duration timeToLive,
-                       dispatch_id id)
+void peer_sender::send(std::string bytes, const peer_message &message, incarnation_id receiver)
 {
     const time_point now = monotonicNow();
     m_queuedBytes += bytes.size();
-    m_frames.push_back(
-            {++m_context.lastFrameNumber, receiver, now, now + timeToLive, id, std::move(bytes)});
+    frame item;
+    item.isResponse = std::holds_alternative<dispatch_response>(message);
+    item.number = ++m_context.lastFrameNumber;
+    item.receiver = receiver;
+    item.queuedAt = now;
+    item.expiresAt = now + timeToLive(message);
+    if (const dispatch *request = std::get_if<dispatch>(&message))
+        item.id = request->id;
+    item.bytes = std::move(bytes);
+    m_frames.push_back(std::move(item));
     while (m_queuedBytes > maxQueuedBytes && m_frames.size() > 1)
         dropOldest();
     if (m_open)
@@ -94,6 +113,12 @@
     resetConnection();
 }
 
+bool peer_sender::awaitsResponseDelivery() const
+{
+    return std::any_of(m_frames.begin(), m_frames.end(),
+                       [](const frame &item) { return item.isResponse; });
+}
+
 void peer_sender::dropOldest()
 {
     m_queuedBytes -= m_frames.front().bytes.size();
--- a/src/sidecar/peer_sender.h
+++ b/src/sidecar/peer_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sidecar/link_context.h"
+#include "tamarackridge/src/node/peer_message.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -25,16 +26,19 @@
 
     const std::string &endpoint() const { return m_endpointText; }
 
-    /// \brief Queues a frame, which expires unless it is written within \a timeToLive.
-    /// \param id of a dispatch; sequence 0 for any other message.
-    void send(std::string bytes, incarnation_id receiver, duration timeToLive, dispatch_id id);
+    /// \brief Queues the frame of \a message, which expires unless it is written in time.
+    /// \param bytes the encoded message.
+    void send(std::string bytes, const peer_message &message, incarnation_id receiver);
     /// \brief Checks the connection for time-outs, and reconnects after the retry delay.
     void sweep(time_point now);
     void close();
+    /// \returns whether a response is queued that the peer has not acknowledged.
+    bool awaitsResponseDelivery() const;
 
 private:
     struct frame
     {
+        bool isResponse = false;
         std::uint64_t number = 0;
         incarnation_id receiver = 0;
         time_point queuedAt;
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -25,13 +25,16 @@
 {
     response_match match;
     match.value = headerValue(item.request.headers, m_names.requestId);
-    if (!match.value.empty())
+    connection_reuse reuse =
+            item.idempotent ? connection_reuse::any : connection_reuse::recently_used;
+    if (match.value.empty())
+        reuse = connection_reuse::none;
+    else
         match.header = m_names.requestId;
     const run_id run = item.run;
     running_request work{0, match.value, monotonicNow()};
     work.exchange = m_pool.exchange(
-            item.request, std::move(match), work.startedAt + item.timeout,
-            item.idempotent ? connection_reuse::any : connection_reuse::recently_used,
+            item.request, std::move(match), work.startedAt + item.timeout, reuse,
             [this, run](exchange_result result) { exchangeEnded(run, std::move(result)); });
     m_running.emplace(run, std::move(work));
 }
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -318,8 +318,7 @@
 {
     post([&](time_point now, action_list &out) { m_core.tick(now, out); });
     m_peers.acknowledge();
-    m_tickTimer.expires_at(
-            std::chrono::steady_clock::time_point(m_core.nextTick().time_since_epoch()));
+    m_tickTimer.expires_after(m_core.nextTick() - monotonicNow());
     m_tickTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
             tick();
@@ -337,7 +336,9 @@
     m_peers.sweep(now);
     m_platform.sweep(now);
     m_log.flush(now);
-    if (m_core.drained(now) || now >= m_stopDeadline) {
+    const bool complete =
+            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery();
+    if (complete || now >= m_stopDeadline) {
         m_loop.stop();
         return;
     }
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -196,6 +196,36 @@
 
 // Guards against requests cut off by a planned stop: a connection is closed only after a response
 // with `Connection: close`.
+// Guards against a planned stop that cuts off a request that is half read, or a response that the
+// caller has not taken yet.
+TEST_F(sidecar_listener, is_busy_until_requests_are_read_and_responses_are_taken)
+{
+    EXPECT_FALSE(listener->busy());
+    tcp::socket caller(loop);
+    caller.connect(address.endpoint());
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+    ASSERT_TRUE(run([this] { return listener->busy(); }));
+    boost::asio::write(caller, boost::asio::buffer(std::string("Host: h\r\n\r\n")));
+    ASSERT_TRUE(run([this] { return requests.size() == 1; }));
+    EXPECT_TRUE(listener->busy());
+    const std::string body(std::size_t{16} * 1024 * 1024, 'b');
+    listener->respond(requests[0].first, responseOf(body));
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(50));
+    EXPECT_TRUE(listener->busy());
+    caller.non_blocking(true);
+    std::size_t taken = 0;
+    std::vector<char> chunk(64 * 1024);
+    EXPECT_TRUE(runUntil(
+            loop, [&] { return taken >= body.size(); },
+            [&] {
+                boost::system::error_code error;
+                while (!error)
+                    taken += caller.read_some(boost::asio::buffer(chunk), error);
+            }));
+    EXPECT_TRUE(run([this] { return !listener->busy(); }));
+}
+
 TEST_F(sidecar_listener, a_leaving_process_closes_connections_after_the_response)
 {
     raw_caller caller(loop, address);
@@ -372,6 +402,21 @@
 }
 
 // Guards against reading surplus bytes as the next response.
+// Guards against a caller that gets another request's response: the server sends a second copy
+// late, when the connection is in use again, and the new request has no id to compare.
+TEST_F(sidecar_server_runner, a_request_without_an_id_gets_a_connection_of_its_own)
+{
+    server->script = [](const std::string &request) {
+        const bool first = request.find("Id: a") != std::string::npos;
+        return first ? rawResponse("a", "one") : rawResponse("a", "one") + rawResponse("", "two");
+    };
+    ASSERT_TRUE(run(item("a")).response);
+    run_backend anonymous = item("");
+    anonymous.request.headers = {{"Host", "h"}};
+    run(anonymous);
+    EXPECT_EQ(server->connections, 2);
+}
+
 TEST_F(sidecar_server_runner, a_connection_with_surplus_bytes_is_not_reused)
 {
     server->script = [](const std::string &) { return rawResponse("a", "y") + "surplus"; };
--- a/tests/sidecar_peer_network_test.cpp
+++ b/tests/sidecar_peer_network_test.cpp
@@ -208,6 +208,20 @@
     EXPECT_EQ(receiver->network->counts().acknowledgementsSent, 1U);
 }
 
+// Guards against a planned stop that ends the process while a response is on its way to a peer:
+// closing a connection with unread acknowledgements resets it, and the response is lost.
+TEST_F(sidecar_peer_network, a_response_is_on_its_way_until_the_peer_acknowledges_it)
+{
+    sender->network->connect("r", address.text());
+    sender->network->send("r", 0, heartbeat{});
+    EXPECT_FALSE(sender->network->awaitsResponseDelivery());
+    sender->network->send("r", 0, dispatch_response{});
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(50));
+    EXPECT_TRUE(sender->network->awaitsResponseDelivery());
+    EXPECT_TRUE(run([&] { return !sender->network->awaitsResponseDelivery(); }));
+}
+
 // Guards against a link that hangs forever because its connection stops responding without a reset.
 TEST_F(sidecar_peer_network, an_unresponsive_connection_is_reported_and_replaced)
 {
