Keep a server's leave notice when its sidecar is replaced

Cause: the notice was kept in the process that acknowledged it only. The notice is now part of the node's directory entry, which the other nodes keep, and an earlier entry of the own node restores it. Processes of earlier builds ignore the two added fields of the entry.

Weighed: a kind of entry of its own, which earlier builds would refuse together with the whole frame.

Before: sidecar_core.a_leave_notice_holds_after_the_process_is_replaced failed (work went to the server that had left). After: it passes, also after a second replacement; a new start of the server is used. Open: when all nodes of the fleet are lost at once, the notice is lost with them.

--- a/include/tamarackridge/src/membership/member.h
+++ b/include/tamarackridge/src/membership/member.h
@@ -22,6 +22,15 @@
 /// \returns the lower-case name of \a state.
 std::string_view toString(member_state state);
 
+/// \brief A start of a backend server that has announced that it leaves.
+struct server_departure
+{
+    std::string instance;
+    std::optional<std::int64_t> startedAt; ///< Unix milliseconds, by the server's clock.
+
+    friend bool operator==(const server_departure &, const server_departure &) = default;
+};
+
 /// \brief Directory entry of one node. Only the node itself raises its version.
 struct member
 {
@@ -34,6 +43,9 @@
     /// Whether the node holds quota slots, so that tokens can be requested from it.
     bool holdsQuota = false;
     std::string successor; ///< Node that took over the ledger, set with member_state::left.
+    /// Last departure of the backend server on the node's VM. Kept by the other nodes, it reaches
+    /// the node's next process.
+    std::optional<server_departure> departure{};
 
     entry_version version() const { return {node.incarnation, counter}; }
 };
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
     std::vector<std::string> members; ///< Names of members that changed or became suspect or dead.
     /// New entries of other kinds, to be processed by other modules.
     std::vector<overlay_entry> otherEntries;
+    /// Departure that an earlier process of this node had announced.
+    std::optional<server_departure> earlierDeparture{};
 };
 
 /// \brief Membership, failure detection and dissemination of entries.
@@ -67,6 +70,8 @@
     void setSelf(std::string_view service, std::uint32_t slots, member_state state,
                  std::string_view successor, action_list &out);
     void setHoldsQuota(bool holdsQuota, action_list &out);
+    /// \brief Records that the backend server of this VM has announced that it leaves.
+    void setDeparture(server_departure departure, action_list &out);
     const member &self() const { return m_self; }
 
     void onHeartbeat(const node_ref &from, const heartbeat &message, time_point now,
--- a/src/core/membership/member.cpp
+++ b/src/core/membership/member.cpp
@@ -27,13 +27,18 @@
 
 overlay_entry encodeMember(const member &source)
 {
-    const nlohmann::json payload{{"zone", source.node.zone},
-                                 {"endpoint", source.endpoint},
-                                 {"service", source.service},
-                                 {"slots", source.slots},
-                                 {"state", std::string(toString(source.state))},
-                                 {"quota", source.holdsQuota},
-                                 {"successor", source.successor}};
+    nlohmann::json payload{{"zone", source.node.zone},
+                           {"endpoint", source.endpoint},
+                           {"service", source.service},
+                           {"slots", source.slots},
+                           {"state", std::string(toString(source.state))},
+                           {"quota", source.holdsQuota},
+                           {"successor", source.successor}};
+    if (source.departure) {
+        payload["departed"] = source.departure->instance;
+        if (source.departure->startedAt)
+            payload["departed_start"] = *source.departure->startedAt;
+    }
     return {entry_kind::member, source.node.name, source.version(), payload.dump()};
 }
 
@@ -56,6 +61,12 @@
         result.state = *state;
         result.holdsQuota = payload.at("quota").get<bool>();
         result.successor = payload.at("successor").get<std::string>();
+        if (payload.contains("departed")) {
+            server_departure &departure = result.departure.emplace();
+            departure.instance = payload.at("departed").get<std::string>();
+            if (payload.contains("departed_start"))
+                departure.startedAt = payload.at("departed_start").get<std::int64_t>();
+        }
         return result;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -57,6 +57,14 @@
     announceNewVersion(out);
 }
 
+void overlay::setDeparture(server_departure departure, action_list &out)
+{
+    if (m_self.departure == departure)
+        return;
+    m_self.departure = std::move(departure);
+    announceNewVersion(out);
+}
+
 void overlay::announceNewVersion(action_list &out)
 {
     ++m_self.counter;
@@ -180,9 +188,12 @@
     if (!update)
         return;
     if (update->node.name == m_self.node.name) {
+        if (update->node.incarnation == m_self.node.incarnation)
+            return;
+        if (update->departure && !m_self.departure)
+            changes.earlierDeparture = update->departure;
         // An entry of an earlier incarnation of this node: the counter is raised above it.
-        if (update->node.incarnation != m_self.node.incarnation
-            && isNewer(update->version(), m_self.version())) {
+        if (isNewer(update->version(), m_self.version())) {
             m_self.counter = update->counter;
             announceNewVersion(out);
         }
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -240,6 +240,12 @@
 void sidecar_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
 {
     m_routingUpdater.applyMembers(changes, now, out);
+    if (changes.earlierDeparture) {
+        const server_departure &earlier = *changes.earlierDeparture;
+        recordDeparture(earlier.instance, earlier.startedAt, now, out);
+        if (earlier.instance == m_serverReport.instance && hasDeparted(m_serverReport, now))
+            serverLeaving(earlier.instance, earlier.startedAt, now, out);
+    }
     for (const std::string &name : changes.members) {
         const directory::record *record = m_membership.members().find(name);
         if (record == nullptr)
@@ -257,12 +263,14 @@
 }
 
 void sidecar_state::recordDeparture(std::string_view instance,
-                                    std::optional<std::int64_t> startedAt, time_point now)
+                                    std::optional<std::int64_t> startedAt, time_point now,
+                                    action_list &out)
 {
     std::erase_if(m_departures, [now](const auto &entry) { return now >= entry.second.until; });
     if (!startedAt && instance == m_serverReport.instance)
         startedAt = m_serverReport.startedAt;
     m_departures[std::string(instance)] = {startedAt, now + departureRetention};
+    m_membership.setDeparture({std::string(instance), startedAt}, out);
 }
 
 bool sidecar_state::hasDeparted(const server_report &report, time_point now)
@@ -320,7 +328,7 @@
 void sidecar_state::serverLeaving(std::string_view instance, std::optional<std::int64_t> startedAt,
                                   time_point now, action_list &out)
 {
-    recordDeparture(instance, startedAt, now);
+    recordDeparture(instance, startedAt, now, out);
     m_observer.knownStateChanged("backend server", std::string(instance) + " leaving",
                                  "leave notice");
     // A process that has just started can receive a notice before the first report.
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -65,7 +65,7 @@
 
     /// \brief Records that a start of \a instance is leaving, even if no report of it was received.
     void recordDeparture(std::string_view instance, std::optional<std::int64_t> startedAt,
-                         time_point now);
+                         time_point now, action_list &out);
     bool hasDeparted(const server_report &report, time_point now);
     bool isCurrent(const server_report &report) const;
     void announceSelf(time_point now, action_list &out);
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -241,6 +241,33 @@
     EXPECT_EQ(fleet.runs.back().node, "a2");
 }
 
+// Guards against a server that is used again after it has left, because the process that
+// acknowledged its notice was replaced and the server goes on reporting that it is ready.
+TEST(sidecar_core, a_leave_notice_holds_after_the_process_is_replaced)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.runEvent("a2", [&](sidecar_core &core, action_list &out) {
+        core.serverLeaving("i-1", 1, fleet.now(), out);
+    });
+    for (int replacement = 0; replacement < 2; ++replacement) {
+        fleet.advance(seconds(1));
+        fleet.restart("a2");
+        fleet.publish(fakeSet(5), "a2");
+        fleet.advance(seconds(1));
+        EXPECT_TRUE(fleet.report("a2", 10 + replacement)) << "acknowledged, without effect";
+        fleet.advance(milliseconds(100));
+        fleet.call("a1", "read");
+        ASSERT_FALSE(fleet.runs.empty());
+        EXPECT_EQ(fleet.runs.back().node, "b1");
+        fleet.finish(fleet.runs.size() - 1);
+    }
+    EXPECT_TRUE(fleet.report("a2", 1, false, 2)) << "a new start";
+    fleet.advance(milliseconds(100));
+    fleet.call("a1", "read");
+    EXPECT_EQ(fleet.runs.back().node, "a2");
+}
+
 // Guards against dispatching requests to a server whose leave notice reached a process that had
 // just started and had no report yet; the server goes on reporting that it is ready. Found as DRAIN
 // by tasas-scl trouble-3 --seed 853849742534.
