--- a/bench/sidecar_bench.cpp
+++ b/bench/sidecar_bench.cpp
@@ -24,11 +24,13 @@
 std::unique_ptr<fakes::sidecar_fleet> makeFleet(int nodes, double rate)
 {
     std::vector<std::pair<std::string, std::string>> names;
+    names.reserve(static_cast<std::size_t>(nodes));
     for (int number = 0; number < nodes; ++number)
         names.emplace_back(nodeName(number), "orders");
     std::unique_ptr<fakes::sidecar_fleet> fleet = std::make_unique<fakes::sidecar_fleet>(names);
     published_set set = fakes::fakeSet(5);
     set.customers.clear();
+    set.customers.reserve(customers);
     for (int number = 0; number < customers; ++number) {
         const std::string name = "customer-" + std::to_string(number);
         set.customers.push_back({name, {"key-" + std::to_string(number)}, rate, rate, 0});
--- a/tests/process_http_client_test.cpp
+++ b/tests/process_http_client_test.cpp
@@ -128,8 +128,8 @@
     EXPECT_EQ(server.connections(), 1);
 }
 
-// Guards against a caller that gets another request's response: the server sends a second copy late,
-// when the connection is in use again.
+// Guards against a caller that gets another request's response: the server sends a second copy
+// late, when the connection is in use again.
 TEST(process_http_client, a_late_copy_of_an_earlier_response_is_not_taken)
 {
     const auto responseTo = [](const std::string &trace, const std::string &body) {
--- a/tests/sidecar_endless_bytes_test.cpp
+++ b/tests/sidecar_endless_bytes_test.cpp
@@ -22,6 +22,7 @@
 using std::chrono::seconds;
 
 constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+constexpr std::size_t writeBytes = std::size_t{64} * 1024;
 
 /// Server that responds to each connection with a start and then repeats bytes until the connection
 /// is closed.
@@ -29,11 +30,11 @@
 {
 public:
     endless_server(boost::asio::io_context &loop, const socket_address &address, std::string start,
-                   std::string repeated)
+                   const std::string &repeated)
         : m_acceptor(loop, address.endpoint())
         , m_start(std::move(start))
     {
-        while (m_repeated.size() < 64 * 1024)
+        while (m_repeated.size() < writeBytes)
             m_repeated += repeated;
         accept();
     }
@@ -97,9 +98,8 @@
 
 const std::string responseStart = "HTTP/1.1 200 OK\r\nId: r\r\n";
 
-class sidecar_endless_response : public testing::TestWithParam<endless_case>
+struct sidecar_endless_response : testing::TestWithParam<endless_case>
 {
-protected:
     boost::asio::io_context loop;
     socket_address address = fakes::freeAddress();
     connection_pool pool{loop, address};
@@ -194,7 +194,7 @@
     boost::asio::io_context loop;
     socket_address address = fakes::freeAddress();
     call_id lastCall = 0;
-    caller_limits limits{8 * 1024, megabyte, seconds(5), seconds(5)};
+    caller_limits limits{std::uint64_t{8} * 1024, megabyte, seconds(5), seconds(5)};
     http_listener listener{loop, address,
                            listener_callbacks{[](call_id, const http_request &) {}, [](call_id) {},
                                               [this]() -> const caller_limits & { return limits; },
@@ -210,7 +210,7 @@
     caller.connect(address.endpoint());
     caller.non_blocking(true);
     std::string repeated;
-    while (repeated.size() < 64 * 1024)
+    while (repeated.size() < writeBytes)
         repeated += kind.repeated;
     boost::asio::write(caller, boost::asio::buffer(kind.start));
     std::size_t taken = 0;
--- a/tests/sidecar_traffic_test.cpp
+++ b/tests/sidecar_traffic_test.cpp
@@ -19,7 +19,7 @@
 
 constexpr std::size_t nodeCount = 192;
 constexpr std::size_t zoneCount = 6;
-constexpr std::size_t maxControlBytesPerSecond = 16 * 1024; ///< Of one node.
+constexpr std::size_t maxControlBytesPerSecond = std::size_t{16} * 1024; ///< Of one node.
 
 std::string nodeName(std::size_t number)
 {
