--- a/bench/sidecar_bench.cpp
+++ b/bench/sidecar_bench.cpp
@@ -79,7 +79,8 @@
             makeFleet(static_cast<int>(state.range(0)), 40);
     std::int64_t sequence = 1;
     for (auto iteration : state) {
-        fleet->report("b1", ++sequence, sequence % 2 == 0);
+        ++sequence;
+        fleet->report("b1", sequence, sequence % 2 == 0);
         fleet->advance(500ms, 250ms);
     }
 }
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -215,7 +215,7 @@
     EXPECT_TRUE(listener->busy());
     caller.non_blocking(true);
     std::size_t taken = 0;
-    std::vector<char> chunk(64 * 1024);
+    std::array<char, 65536> chunk{};
     EXPECT_TRUE(runUntil(
             loop, [&] { return taken >= body.size(); },
             [&] {
