--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -240,12 +240,8 @@
 void sidecar_state::applyChanges(const overlay_changes &changes, time_point now, action_list &out)
 {
     m_routingUpdater.applyMembers(changes, now, out);
-    if (changes.earlierDeparture) {
-        const server_departure &earlier = *changes.earlierDeparture;
-        recordDeparture(earlier.instance, earlier.startedAt, now, out);
-        if (earlier.instance == m_serverReport.instance && hasDeparted(m_serverReport, now))
-            serverLeaving(earlier.instance, earlier.startedAt, now, out);
-    }
+    if (const std::optional<server_departure> &earlier = changes.earlierDeparture)
+        serverLeaving(earlier->instance, earlier->startedAt, now, out);
     for (const std::string &name : changes.members) {
         const directory::record *record = m_membership.members().find(name);
         if (record == nullptr)
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -194,8 +194,6 @@
     EXPECT_TRUE(requests.empty());
 }
 
-// Guards against requests cut off by a planned stop: a connection is closed only after a response
-// with `Connection: close`.
 // Guards against a planned stop that cuts off a request that is half read, or a response that the
 // caller has not taken yet.
 TEST_F(sidecar_listener, is_busy_until_requests_are_read_and_responses_are_taken)
@@ -226,6 +224,8 @@
     EXPECT_TRUE(run([this] { return !listener->busy(); }));
 }
 
+// Guards against requests cut off by a planned stop: a connection is closed only after a response
+// with `Connection: close`.
 TEST_F(sidecar_listener, a_leaving_process_closes_connections_after_the_response)
 {
     raw_caller caller(loop, address);
@@ -401,7 +401,6 @@
     EXPECT_EQ(server->connections, 2) << "the connection must not be reused";
 }
 
-// Guards against reading surplus bytes as the next response.
 // Guards against a caller that gets another request's response: the server sends a second copy
 // late, when the connection is in use again, and the new request has no id to compare.
 TEST_F(sidecar_server_runner, a_request_without_an_id_gets_a_connection_of_its_own)
@@ -417,6 +416,7 @@
     EXPECT_EQ(server->connections, 2);
 }
 
+// Guards against reading surplus bytes as the next response.
 TEST_F(sidecar_server_runner, a_connection_with_surplus_bytes_is_not_reused)
 {
     server->script = [](const std::string &) { return rawResponse("a", "y") + "surplus"; };
--- a/tests/sidecar_traffic_test.cpp
+++ b/tests/sidecar_traffic_test.cpp
@@ -4,7 +4,6 @@
 
 #include <gtest/gtest.h>
 
-#include <array>
 #include <memory>
 #include <string>
 #include <utility>
@@ -64,8 +63,6 @@
     {
         RecordProperty("bytes_per_node_and_second", std::to_string(bytes / nodeSeconds));
         RecordProperty("between_zones", std::to_string(bytesBetweenZones / nodeSeconds));
-        std::cout << "bytes per node and second: " << bytes / nodeSeconds << ", between zones "
-                  << bytesBetweenZones / nodeSeconds << '\n';
     }
 };
 
