Log why a planned stop ended and which requests it cut off

stopped now has its cause, the numbers of requests and runs that were cut off and what else was unfinished. Each request that is cut off gets a line request ended with status 0 and error leaving. start() and stop() of sidecar_app are public, so that a test can run two nodes in one event loop. No decision changes.

sidecar_core.requests_in_progress_when_the_process_exits_are_reported is the test; reportUnfinished() did not exist before.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -216,6 +216,16 @@
     m_outcomeSink(requestNumber, std::move(outcome), now, out);
 }
 
+attempt_summary dispatcher::attemptsOf(request_number requestNumber) const
+{
+    const auto found = m_requests.find(requestNumber);
+    if (found == m_requests.end())
+        return {};
+    const progress &work = found->second;
+    const std::size_t inProgress = work.dispatchSequence == 0 ? 0 : 1;
+    return {work.executorNode, static_cast<std::uint32_t>(work.tried.size() + inProgress)};
+}
+
 void dispatcher::abandon(request_number requestNumber, time_point now, action_list &out)
 {
     const auto found = m_requests.find(requestNumber);
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -46,6 +46,13 @@
     all_remaining,
 };
 
+/// \brief The attempts of a request so far.
+struct attempt_summary
+{
+    std::string_view executor; ///< Of the latest attempt; empty when there was none.
+    std::uint32_t attempts = 0;
+};
+
 /// \brief Dispatches owned requests to executors and retries them until they have an outcome.
 class dispatcher
 {
@@ -89,6 +96,8 @@
     void tick(time_point now, action_list &out);
     /// \returns the number that the next start() will assign.
     request_number nextRequestNumber() const { return m_nextRequestNumber; }
+    /// \returns the attempts of a request that has no outcome yet.
+    attempt_summary attemptsOf(request_number requestNumber) const;
     bool idle() const { return m_requests.empty(); }
     std::size_t size() const { return m_requests.size(); }
     attempt_timeout attemptTimeout() const { return m_attemptTimeout; }
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -108,6 +108,11 @@
     return m_implementation->drained(now);
 }
 
+void sidecar_core::reportUnfinished(time_point now)
+{
+    m_implementation->requestHandler().reportUnfinished(now);
+}
+
 bool sidecar_core::ready() const
 {
     return m_implementation->ready();
--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -235,19 +235,43 @@
     respond(item, std::move(result), now, out);
 }
 
-void sidecar_request_handler::respond(const pending &item, request_outcome result, time_point now,
-                                      action_list &out)
+ended_request sidecar_request_handler::endedRequest(const pending &item, time_point now) const
 {
     ended_request ended;
     ended.requestId = item.requestId;
     ended.route = item.route;
     ended.service = item.service;
     ended.customer = item.customer;
-    ended.executor = result.executorNode;
-    ended.state = result.state;
     ended.configVersion = m_table ? m_table->set().version : -1;
     ended.elapsed = now - item.arrivedAt;
     ended.objective = item.objective;
+    return ended;
+}
+
+void sidecar_request_handler::reportUnfinished(time_point now) const
+{
+    for (const auto &[owned, item] : m_requests) {
+        ended_request ended = endedRequest(item, now);
+        const attempt_summary summary = m_dispatcher.attemptsOf(owned);
+        ended.executor = summary.executor;
+        ended.attempts = summary.attempts;
+        ended.error = responseFor(error_kind::leaving).name;
+        m_observer.requestEnded(ended);
+    }
+    for (const waiting_request &waiting : m_waiting) {
+        ended_request ended = endedRequest(waiting.item, now);
+        ended.state = run_state::not_run;
+        ended.error = responseFor(error_kind::leaving).name;
+        m_observer.requestEnded(ended);
+    }
+}
+
+void sidecar_request_handler::respond(const pending &item, request_outcome result, time_point now,
+                                      action_list &out)
+{
+    ended_request ended = endedRequest(item, now);
+    ended.executor = result.executorNode;
+    ended.state = result.state;
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = responseFor(*result.error).name;
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -36,6 +36,9 @@
     /// \brief Refuses the requests whose wait for tokens has timed out.
     void tick(time_point now, action_list &out);
 
+    /// \brief Reports all requests in progress as ended without a response.
+    void reportUnfinished(time_point now) const;
+
     bool idle() const { return m_requests.empty() && m_waiting.empty(); }
     std::size_t size() const { return m_requests.size() + m_waiting.size(); }
 
@@ -69,6 +72,8 @@
     std::vector<http_header> forwardedHeaders(std::vector<http_header> received,
                                               const std::string &customer) const;
     void respond(const pending &item, request_outcome result, time_point now, action_list &out);
+    /// \returns what is known of \a item when it ends, without its outcome.
+    ended_request endedRequest(const pending &item, time_point now) const;
 
     const sidecar_options &m_options;
     dispatcher &m_dispatcher;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -336,12 +336,8 @@
     m_peers.sweep(now);
     m_platform.sweep(now);
     m_log.flush(now);
-    const bool complete =
-            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery();
-    if (complete || now >= m_stopDeadline) {
-        m_loop.stop();
+    if (endIfStopped(now))
         return;
-    }
     m_sweepTimer.expires_after(sweepInterval);
     m_sweepTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -349,6 +345,28 @@
     });
 }
 
+bool sidecar_app::endIfStopped(time_point now)
+{
+    const bool complete =
+            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery();
+    if (!complete && now < m_stopDeadline)
+        return false;
+    const node_status status = m_core.status(now);
+    if (!complete)
+        m_core.reportUnfinished(now);
+    m_log.write(line_class::process, "stopped",
+                json_line()
+                        .add("node", m_self.name)
+                        .add("cause", complete ? "drained" : "time limit")
+                        .add("requests_cut", status.callsInFlight)
+                        .add("runs_cut", status.load.inFlight)
+                        .add("callers_busy", m_callers.busy())
+                        .add("peers_await_responses", m_peers.awaitsResponseDelivery()));
+    m_log.flush(now);
+    m_loop.stop();
+    return true;
+}
+
 void sidecar_app::awaitSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
@@ -374,6 +392,12 @@
 }
 
 void sidecar_app::run()
+{
+    start();
+    m_loop.run();
+}
+
+void sidecar_app::start()
 {
     m_log.write(line_class::process, "started",
                 json_line()
@@ -385,9 +409,6 @@
     tick();
     sweep();
     m_store.start();
-    m_loop.run();
-    m_log.write(line_class::process, "stopped", json_line().add("node", m_self.name));
-    m_log.flush(monotonicNow());
 }
 
 } // namespace tamarackridge
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -29,6 +29,10 @@
 
     /// \brief Runs until the shutdown is complete.
     void run();
+    /// \brief Starts the node without running the event loop, which may be shared.
+    void start();
+    /// \brief Begins a graceful shutdown, which ends the event loop when it is complete.
+    void stop(std::string_view cause);
 
     void requestEnded(const ended_request &request) override;
     void knownStateChanged(std::string_view subject, std::string_view knownState,
@@ -61,7 +65,9 @@
     void tick();
     void sweep();
     void awaitSignal();
-    void stop(std::string_view cause);
+    /// \brief Ends the event loop if the shutdown is complete or its time limit has passed.
+    /// \returns whether the loop has ended.
+    bool endIfStopped(time_point now);
 
     boost::asio::io_context &m_loop;
     sidecar_settings m_settings;
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -407,5 +407,16 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against requests that end with the process and leave no line in the log.
+TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.call("a1", "read");
+    fleet.core("a1").reportUnfinished(fleet.now());
+    EXPECT_EQ(fleet.observer("a1").statuses, std::vector<int>{0});
+    EXPECT_EQ(fleet.observer("a1").errors, std::vector<std::string>{"leaving"});
+}
+
 } // namespace
 } // namespace tamarackridge
