--- /dev/null
+++ b/tests/sidecar_stop_test.cpp
@@ -0,0 +1,327 @@
+#include "fakes/loop_runner.h"
+#include "sidecar/sidecar_app.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using fakes::runUntil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Platform whose store holds one configuration and a fixed list of nodes. Each notice is a report
+/// of the server that is set as \a report.
+class fixed_platform final : public platform_gateway
+{
+public:
+    header_names headers() const override
+    {
+        return {"Id", "Time-Left", "Key", "Customer", "Caller", "Instance"};
+    }
+    response_header_names responseHeaderNames() const override { return {"Id", "Not-Run", "Seal"}; }
+    tl::expected<published_set, std::string> decodeSet(std::string_view) const override
+    {
+        return set;
+    }
+    server_notice decodeNotice(const http_request &) const override { return report; }
+    void readSet(handler<stored_set> done) override { done(stored_set{"set", 1}); }
+    void awaitNextSet(std::int64_t, handler<stored_set>) override { }
+    void registerNode(const std::string &, const std::string &,
+                      handler<std::monostate> done) override
+    {
+        done(std::monostate());
+    }
+    void unregisterNode(const std::string &, handler<std::monostate>) override { }
+    void listNodes(handler<std::vector<seed_peer>> done) override { done(nodes); }
+    void sweep(time_point) override { }
+
+    published_set set;
+    std::vector<seed_peer> nodes;
+    server_report report;
+};
+
+/// Backend server that responds to each request after a delay.
+class delayed_server
+{
+public:
+    delayed_server(boost::asio::io_context &loop, const socket_address &address, duration delay)
+        : m_loop(loop)
+        , m_acceptor(loop, address.endpoint())
+        , m_delay(delay)
+    {
+        accept();
+    }
+
+    std::set<std::string> startedIds;
+
+private:
+    struct exchange
+    {
+        explicit exchange(tcp::socket accepted)
+            : socket(std::move(accepted))
+            , timer(socket.get_executor())
+        { }
+
+        tcp::socket socket;
+        boost::asio::steady_timer timer;
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        http::response<http::string_body> response;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            read(std::make_shared<exchange>(std::move(socket)));
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<exchange> &item)
+    {
+        item->request = {};
+        http::async_read(item->socket, item->buffer, item->request,
+                         [this, item](error_code error, std::size_t) {
+                             if (error)
+                                 return;
+                             startedIds.emplace(item->request["Id"]);
+                             item->timer.expires_after(m_delay);
+                             item->timer.async_wait([this, item](error_code) { respond(item); });
+                         });
+    }
+
+    void respond(const std::shared_ptr<exchange> &item)
+    {
+        item->response = {http::status::ok, 11};
+        item->response.set("Id", item->request["Id"]);
+        item->response.set("Seal", "s");
+        item->response.body() = "whole";
+        item->response.prepare_payload();
+        http::async_write(item->socket, item->response,
+                          [this, item](error_code error, std::size_t) {
+                              if (!error)
+                                  read(item);
+                          });
+    }
+
+    boost::asio::io_context &m_loop;
+    tcp::acceptor m_acceptor;
+    duration m_delay;
+};
+
+/// Caller that sends one request after the other, on an open connection where it can, until no
+/// connection can be opened. Like impatient callers, it ignores Retry-After.
+class repeating_caller : public std::enable_shared_from_this<repeating_caller>
+{
+public:
+    repeating_caller(boost::asio::io_context &loop, const socket_address &target, std::string name)
+        : m_target(target.endpoint())
+        , m_socket(loop)
+        , m_timer(loop)
+        , m_name(std::move(name))
+    { }
+
+    void start(duration delay)
+    {
+        m_timer.expires_after(delay);
+        m_timer.async_wait([this, self = shared_from_this()](error_code) { send(); });
+    }
+    std::size_t count(unsigned status) const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(statusById.begin(), statusById.end(),
+                              [status](const auto &entry) { return entry.second == status; }));
+    }
+
+    std::map<std::string, unsigned> statusById; ///< Of whole responses.
+
+private:
+    void send()
+    {
+        m_id = m_name + '-' + std::to_string(++m_sent);
+        if (m_socket.is_open()) {
+            exchange();
+            return;
+        }
+        m_socket.async_connect(m_target, [this, self = shared_from_this()](error_code error) {
+            if (!error)
+                exchange();
+        });
+    }
+
+    void exchange()
+    {
+        m_request = {http::verb::get, "/read/1", 11};
+        m_request.set(http::field::host, "shop.example");
+        m_request.set("Id", m_id);
+        m_request.set("Key", "key-1");
+        http::async_write(m_socket, m_request,
+                          [self = shared_from_this()](error_code, std::size_t) {});
+        m_response = {};
+        http::async_read(
+                m_socket, m_buffer, m_response,
+                [this, self = shared_from_this()](error_code error, std::size_t) { ended(error); });
+    }
+
+    void ended(error_code error)
+    {
+        if (!error)
+            statusById[m_id] = m_response.result_int();
+        if (error || !m_response.keep_alive()) {
+            error_code ignored;
+            m_socket.close(ignored);
+            m_buffer.clear();
+        }
+        constexpr milliseconds pause(20);
+        m_timer.expires_after(pause);
+        m_timer.async_wait([this, self = shared_from_this()](error_code) { send(); });
+    }
+
+    tcp::endpoint m_target;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_name;
+    std::string m_id;
+    int m_sent = 0;
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::empty_body> m_request;
+    http::response<http::string_body> m_response;
+};
+
+/// Two nodes in one event loop: callers use `front`, whose requests run beside `orders`.
+struct sidecar_stop : testing::Test
+{
+    boost::asio::io_context loop;
+    fixed_platform platform;
+    sidecar_settings frontSettings = settingsOf("front");
+    sidecar_settings ordersSettings = settingsOf("orders");
+    std::unique_ptr<sidecar_app> front;
+    std::unique_ptr<sidecar_app> orders;
+    std::vector<std::shared_ptr<repeating_caller>> callers;
+
+    static sidecar_settings settingsOf(const std::string &service)
+    {
+        constexpr std::int64_t maxStopSeconds = 3;
+        sidecar_settings settings;
+        settings.zone = "a";
+        settings.zones = {"a"};
+        settings.name = "node-" + service;
+        settings.service = service;
+        for (socket_address sidecar_settings::*address :
+             {&sidecar_settings::callers, &sidecar_settings::health, &sidecar_settings::control,
+              &sidecar_settings::backend, &sidecar_settings::peers, &sidecar_settings::metrics,
+              &sidecar_settings::store})
+            settings.*address = fakes::freeAddress();
+        settings.maxStopSeconds = maxStopSeconds;
+        return settings;
+    }
+
+    static published_route readRoute()
+    {
+        published_route route;
+        route.name = "read";
+        route.host = "shop.example";
+        route.pathPrefix = "/read/";
+        route.targets = {{"orders", 1}};
+        route.timeout = seconds(6);
+        return route;
+    }
+
+    void startNodes()
+    {
+        platform.set.version = 1;
+        platform.set.routes = {readRoute()};
+        platform.set.customers = {{"andina", {"key-1"}, 0, 0, 0}};
+        platform.set.text = std::make_shared<const std::string>("set");
+        constexpr std::uint32_t slots = 100;
+        platform.report = {"i-1", "orders", ordersSettings.backend.text(), 1, 1, slots, false};
+        for (const sidecar_settings &settings : {frontSettings, ordersSettings})
+            platform.nodes.push_back({settings.name, settings.peers.text()});
+        front = std::make_unique<sidecar_app>(loop, frontSettings, platform);
+        orders = std::make_unique<sidecar_app>(loop, ordersSettings, platform);
+        front->start();
+        orders->start();
+        m_reporter.connect(ordersSettings.control.endpoint());
+        boost::asio::write(m_reporter,
+                           boost::asio::buffer(std::string("PUT / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    }
+
+    /// The callers start one after the other, so that some request is always in progress.
+    void startCallers(int count)
+    {
+        constexpr milliseconds interval(50);
+        for (int number = 0; number < count; ++number) {
+            callers.push_back(std::make_shared<repeating_caller>(
+                    loop, frontSettings.callers, "caller" + std::to_string(number)));
+            callers.back()->start(number * interval);
+        }
+    }
+
+    std::size_t served() const
+    {
+        std::size_t count = 0;
+        for (const std::shared_ptr<repeating_caller> &caller : callers)
+            count += caller->count(200);
+        return count;
+    }
+
+    /// Stops the node of the callers and runs the loop until its process would exit.
+    void stopFront()
+    {
+        front->stop("test");
+        boost::asio::steady_timer guard(loop, seconds(10));
+        guard.async_wait([this](error_code error) {
+            if (!error)
+                loop.stop();
+        });
+        loop.restart();
+        loop.run();
+        front.reset();
+    }
+
+private:
+    tcp::socket m_reporter{loop};
+};
+
+// Guards against requests that a leaving process takes and then closes without a response: with
+// callers that cannot use another node, it is never idle before the time limit of its stop. Such
+// requests were cut off 5 s after SIGTERM while a server was running them.
+TEST_F(sidecar_stop, under_load_every_request_that_a_server_runs_is_answered)
+{
+    delayed_server server(loop, ordersSettings.backend, milliseconds(300));
+    startNodes();
+    startCallers(8);
+    ASSERT_TRUE(runUntil(loop, [this] { return served() >= callers.size(); }));
+    stopFront();
+    std::vector<std::string> unanswered;
+    for (const std::string &id : server.startedIds) {
+        const bool answered = std::any_of(callers.begin(), callers.end(),
+                                          [&id](const std::shared_ptr<repeating_caller> &caller) {
+                                              return caller->statusById.contains(id);
+                                          });
+        if (!answered)
+            unanswered.push_back(id);
+    }
+    EXPECT_EQ(unanswered, std::vector<std::string>());
+}
+
+} // namespace
+} // namespace tamarackridge
