Refuse callers' requests late in a planned stop instead of cutting them off

Cause: the time limit of a stop ended the process whatever was in progress, but was not known where requests are admitted. Callers leave a node only while half of their zone's nodes are ready; in a roll over a small zone they stay, so the leaving node admitted requests until it exited and was never idle before. Class: a limit that is enforced at the end and not handed to what is admitted under it.

Ruled out: giving up attempts after the peer's restart (answers 502 or 504, no bare close), kill or crash (SIGKILL comes at 6 s).

Now the time limit reaches the request handler. Callers' requests are refused as not run, with Retry-After, once callers have had time to switch; onward calls are admitted on, since refusing one fails a running request; each request that is admitted during the stop has a deadline before the exit. This works for any load, since no admitted request outlasts the process. What was admitted before SIGTERM and runs longer than the stop is still cut off, since the platform kills the process then.

--- a/src/core/sidecar/caller_response.cpp
+++ b/src/core/sidecar/caller_response.cpp
@@ -14,10 +14,6 @@
 constexpr int serviceUnavailable = 503;
 constexpr int gatewayTimeout = 504;
 
-// Long enough for queues to shorten or for tokens to be minted, and short compared to the deadlines
-// of callers, which wait for at most a third of their remaining time.
-constexpr std::string_view resendDelaySeconds = "0.4";
-
 int statusOf(error_kind kind, run_state state)
 {
     const int usualStatus = responseFor(kind).httpStatus;
@@ -37,9 +33,19 @@
     return keepsStatus ? usualStatus : serviceUnavailable;
 }
 
+std::string secondsText(duration time)
+{
+    constexpr std::int64_t millisecondsPerSecond = 1000;
+    const std::int64_t milliseconds =
+            std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    const std::string fraction =
+            std::to_string(millisecondsPerSecond + milliseconds % millisecondsPerSecond);
+    return std::to_string(milliseconds / millisecondsPerSecond) + '.' + fraction.substr(1);
+}
+
 } // namespace
 
-http_response refusal(error_kind kind, run_state state)
+http_response refusal(error_kind kind, run_state state, duration retryDelay)
 {
     http_response response = errorResponse(kind, state);
     response.status = statusOf(kind, state);
@@ -49,7 +55,7 @@
     const bool mayRetry =
             response.status == serviceUnavailable || kind == error_kind::rate_exceeded;
     if (mayRetry)
-        response.headers.push_back({"Retry-After", std::string(resendDelaySeconds)});
+        response.headers.push_back({"Retry-After", secondsText(retryDelay)});
     return response;
 }
 
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -98,9 +98,9 @@
     return m_implementation->nextTick();
 }
 
-void sidecar_core::beginShutdown(time_point now, action_list &out)
+void sidecar_core::beginShutdown(time_point now, time_point exitAt, action_list &out)
 {
-    m_implementation->beginShutdown(now, out);
+    m_implementation->beginShutdown(now, exitAt, out);
 }
 
 bool sidecar_core::drained(time_point now) const
--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -23,6 +23,13 @@
 // for this long is refused.
 constexpr duration tokenWaitTimeout = std::chrono::milliseconds(40);
 
+// Before a process that is shutting down exits, its last responses are written within this time.
+constexpr duration responseDelivery = std::chrono::milliseconds(200);
+// An onward call that gets less time than this could not complete before the process exits.
+constexpr duration minOnwardTime = std::chrono::milliseconds(300);
+// A process that refuses requests because it is shutting down is usually replaced within this time.
+constexpr duration successorDelay = std::chrono::seconds(1);
+
 // Hop-by-hop headers (RFC 9110, section 7.6.1), and the length of the body, which is set anew when
 // the request is forwarded.
 constexpr std::array<std::string_view, 9> connectionHeaders{
@@ -142,6 +149,8 @@
             customerOf(*route, request);
     if (!customer)
         return tl::unexpected(customer.error());
+    if (exitsTooSoon(*customer == nullptr, now))
+        return tl::unexpected(error_kind::leaving);
     if (*customer != nullptr)
         item.customer = (*customer)->name;
     item.service = m_table->nextService(*route);
@@ -151,6 +160,8 @@
     work.deadline = now + deadlineOf(request, m_options.headers, *route);
     if (work.deadline <= now)
         return tl::unexpected(error_kind::deadline_exceeded);
+    if (m_shutdown)
+        work.deadline = std::min(work.deadline, m_shutdown->completeBy);
     work.chainStart = now;
     work.context.route = item.route;
     work.context.service = item.service;
@@ -248,6 +259,19 @@
     return ended;
 }
 
+void sidecar_request_handler::beginShutdown(time_point admissionEnd, time_point exitAt)
+{
+    const time_point completeBy = exitAt - responseDelivery;
+    m_shutdown = {admissionEnd, completeBy - minOnwardTime, completeBy};
+}
+
+bool sidecar_request_handler::exitsTooSoon(bool isOnwardCall, time_point now) const
+{
+    if (!m_shutdown)
+        return false;
+    return now >= (isOnwardCall ? m_shutdown->onwardAdmissionEnd : m_shutdown->admissionEnd);
+}
+
 void sidecar_request_handler::reportUnfinished(time_point now) const
 {
     for (const auto &[owned, item] : m_requests) {
@@ -275,7 +299,9 @@
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = responseFor(*result.error).name;
-        result.response = refusal(*result.error, result.state);
+        const bool replacesProcess = m_shutdown && *result.error == error_kind::leaving;
+        result.response = refusal(*result.error, result.state,
+                                  replacesProcess ? successorDelay : queueRetryDelay);
     }
     ended.status = result.response.status;
     m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -36,6 +36,10 @@
     /// \brief Refuses the requests whose wait for tokens has timed out.
     void tick(time_point now, action_list &out);
 
+    /// \brief Bounds the requests that are admitted from now on, so that none of them is in
+    /// progress when the process exits. \param admissionEnd from then on, requests of callers are
+    /// refused.
+    void beginShutdown(time_point admissionEnd, time_point exitAt);
     /// \brief Reports all requests in progress as ended without a response.
     void reportUnfinished(time_point now) const;
 
@@ -56,6 +60,14 @@
         time_point arrivedAt;
     };
 
+    /// Limits of a process that is shutting down.
+    struct shutdown_limits
+    {
+        time_point admissionEnd; ///< For requests of callers.
+        time_point onwardAdmissionEnd; ///< For onward calls of requests that are running.
+        time_point completeBy; ///< Deadline of every request that is admitted.
+    };
+
     /// A request that waits for tokens of its customer.
     struct waiting_request
     {
@@ -63,6 +75,8 @@
         owned_request work;
     };
 
+    /// \returns whether a request has to be refused because the process will exit too soon.
+    bool exitsTooSoon(bool isOnwardCall, time_point now) const;
     tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
                                                   time_point now);
     void begin(pending item, owned_request work, time_point now, action_list &out);
@@ -81,6 +95,7 @@
     node_counters &m_counters;
     decision_observer &m_observer;
     std::shared_ptr<route_table> m_table;
+    std::optional<shutdown_limits> m_shutdown;
     std::vector<waiting_request> m_waiting; ///< In order of arrival.
     std::unordered_map<dispatcher::request_number, pending> m_requests;
     std::unordered_map<call_id, dispatcher::request_number> m_byCall;
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -10,7 +10,8 @@
 
 constexpr duration tickInterval = std::chrono::milliseconds(20);
 // Callers switch to other nodes after two health checks, one second apart, that report this node as
-// not ready. Requests that arrive until then are still served.
+// not ready. Requests that arrive until then are still served; later ones come from callers that
+// cannot switch, and serving them would keep this process from ever being idle.
 constexpr duration callerSwitchGrace = std::chrono::milliseconds(2500);
 // Minimum interval between two requests for a newer configuration, whichever peers have it.
 constexpr duration fetchInterval = std::chrono::milliseconds(200);
@@ -374,20 +375,22 @@
     m_dispatcher.tick(now, out);
 }
 
-void sidecar_state::beginShutdown(time_point now, action_list &out)
+void sidecar_state::beginShutdown(time_point now, time_point exitAt, action_list &out)
 {
     if (m_leaving)
         return;
     m_leaving = true;
-    m_shutdownBegan = now;
+    // At least half of the time is left for the requests that were admitted last.
+    m_admissionEnd = now + std::min(callerSwitchGrace, (exitAt - now) / 2);
+    m_requestHandler.beginShutdown(m_admissionEnd, exitAt);
     m_executor.stopAccepting(error_kind::leaving, now, out);
     announceSelf(now, out);
 }
 
 bool sidecar_state::drained(time_point now) const
 {
-    return m_leaving && now - m_shutdownBegan >= callerSwitchGrace && m_requestHandler.idle()
-           && m_executor.idle() && m_dispatcher.idle();
+    return m_leaving && now >= m_admissionEnd && m_requestHandler.idle() && m_executor.idle()
+           && m_dispatcher.idle();
 }
 
 node_status sidecar_state::status(time_point now)
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -45,7 +45,7 @@
 
     void tick(time_point now, action_list &out);
     time_point nextTick() const { return m_nextTick; }
-    void beginShutdown(time_point now, action_list &out);
+    void beginShutdown(time_point now, time_point exitAt, action_list &out);
     bool drained(time_point now) const;
     bool ready() const { return m_requestHandler.table() != nullptr && !m_leaving; }
     bool leaving() const { return m_leaving; }
@@ -87,7 +87,7 @@
     std::map<std::string, departure, std::less<>> m_departures; ///< By instance.
     bool m_serverUp = false;
     bool m_leaving = false;
-    time_point m_shutdownBegan;
+    time_point m_admissionEnd; ///< While leaving: callers' requests are admitted until then.
     time_point m_nextTick;
     time_point m_nextFetch;
 };
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -387,7 +387,7 @@
         return;
     m_log.write(line_class::process, "stopping", json_line().add("cause", cause));
     m_stopDeadline = monotonicNow() + std::chrono::seconds(m_settings.maxStopSeconds);
-    post([&](time_point now, action_list &out) { m_core.beginShutdown(now, out); });
+    post([&](time_point now, action_list &out) { m_core.beginShutdown(now, m_stopDeadline, out); });
     m_store.leave();
 }
 
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -30,6 +30,13 @@
     fleet.advance(seconds(1));
 }
 
+void beginShutdown(sidecar_fleet &fleet, const std::string &node, duration untilExit)
+{
+    fleet.runEvent(node, [&](sidecar_core &core, action_list &out) {
+        core.beginShutdown(fleet.now(), fleet.now() + untilExit, out);
+    });
+}
+
 // Guards against responding with 401 or 404 before the first configuration has been read.
 TEST(sidecar_core, without_a_configuration_every_request_is_refused_as_not_run)
 {
@@ -392,9 +399,7 @@
     sidecar_fleet fleet = smallFleet();
     start(fleet);
     const call_id call = fleet.call("a1", "read");
-    fleet.runEvent("a1", [&](sidecar_core &core, action_list &out) {
-        core.beginShutdown(fleet.now(), out);
-    });
+    beginShutdown(fleet, "a1", seconds(5));
     EXPECT_FALSE(fleet.core("a1").ready());
     const call_id late = fleet.call("a1", "read");
     fleet.advance(milliseconds(700));
@@ -407,6 +412,63 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against requests that are admitted until a leaving process exits and end with it: callers
+// that cannot switch to another node go on sending requests, and must be told when to come back.
+TEST(sidecar_core, a_leaving_process_refuses_requests_once_callers_had_time_to_switch)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    beginShutdown(fleet, "a1", seconds(5));
+    const call_id early = fleet.call("a1", "read");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(early), 200);
+    fleet.advance(milliseconds(2600));
+    const call_id late = fleet.call("a1", "write");
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(headerValue(fleet.responses[late].headers, "Tamarackridge-Run-State"), "not-run");
+    EXPECT_EQ(headerValue(fleet.responses[late].headers, "Retry-After"), "1.000");
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
+}
+
+// Guards against cutting off requests that were admitted late: their deadline, which the server
+// keeps to, must be before the exit of the process.
+TEST(sidecar_core, requests_admitted_during_a_shutdown_complete_before_the_process_exits)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    beginShutdown(fleet, "a1", milliseconds(1200));
+    fleet.advance(milliseconds(400));
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(headerValue(fleet.runs[0].request.headers, "Time-Left"), "600");
+    fleet.advance(milliseconds(800));
+    EXPECT_EQ(fleet.status(call), 504);
+    EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
+}
+
+// Guards against failing the requests that the local backend server is still running by refusing
+// the onward calls that they make.
+TEST(sidecar_core, onward_calls_are_admitted_during_a_shutdown)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    set.routes.push_back(fakes::fakeRoute("onward", "orders"));
+    set.routes.back().open = true;
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    beginShutdown(fleet, "a1", seconds(5));
+    fleet.advance(milliseconds(4400));
+    const call_id call = fleet.call("a1", "onward", "");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+    fleet.advance(milliseconds(200));
+    EXPECT_EQ(fleet.status(fleet.call("a1", "onward", "")), 503);
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -275,12 +275,13 @@
         }
     }
 
-    std::size_t served() const
+    /// \returns how many requests got a whole response with \a status.
+    std::size_t count(unsigned status) const
     {
-        std::size_t count = 0;
+        std::size_t sum = 0;
         for (const std::shared_ptr<repeating_caller> &caller : callers)
-            count += caller->count(200);
-        return count;
+            sum += caller->count(status);
+        return sum;
     }
 
     /// Stops the node of the callers and runs the loop until its process would exit.
@@ -309,7 +310,7 @@
     delayed_server server(loop, ordersSettings.backend, milliseconds(300));
     startNodes();
     startCallers(8);
-    ASSERT_TRUE(runUntil(loop, [this] { return served() >= callers.size(); }));
+    ASSERT_TRUE(runUntil(loop, [this] { return count(200) >= callers.size(); }));
     stopFront();
     std::vector<std::string> unanswered;
     for (const std::string &id : server.startedIds) {
@@ -321,6 +322,7 @@
             unanswered.push_back(id);
     }
     EXPECT_EQ(unanswered, std::vector<std::string>());
+    EXPECT_GT(count(503), 0U);
 }
 
 } // namespace
