Add failing tests: a store that is restored from a copy

The platform's store may come back from a copy some seconds old. Three tests of store_watch against the stand-in, all failing: a change below the old position is missed when the log has grown past it again; a change is missed while the read waits at the end of the restored log; the node's registration stays lost.

The stand-in's end() counted one record at most; it now counts all.

--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -63,11 +63,34 @@
 
     void put(const std::string &topic, const std::string &key, const std::string &value)
     {
+        m_history.push_back({topic, key, value});
         const std::string record = encodeRecord(key, value);
         static_cast<void>(m_log.append(logName(topic), record.substr(4), monotonicNow()));
         m_newest[topic][key] = value;
         serveWaiting();
     }
+    /// Goes back to a copy that was made after the first \a puts calls of put().
+    void restore(std::size_t puts)
+    {
+        std::vector<stored_put> kept = std::exchange(m_history, {});
+        kept.resize(puts);
+        ++m_era;
+        m_log = log_store(log_limits{});
+        m_newest.clear();
+        m_ends.clear();
+        for (const stored_put &item : kept)
+            put(item.topic, item.key, item.value);
+    }
+    /// Answers the waiting reads with 503.
+    void rejectWaiting()
+    {
+        for (const waiting_read &item : std::exchange(m_waiting, {}))
+            respond(item.call, 503, "{}");
+    }
+    std::string newest(const std::string &topic, const std::string &key)
+    {
+        return m_newest[topic][key];
+    }
     void trimTopic(const std::string &topic) { m_log.trimBelow(logName(topic), end(topic)); }
 
     std::vector<std::string> calls;
@@ -82,7 +105,8 @@
     }
     std::int64_t end(const std::string &topic)
     {
-        return m_log.read(logName(topic), 0, 1, monotonicNow()).next;
+        constexpr std::size_t maxRecords = 1000;
+        return m_log.read(logName(topic), 0, maxRecords, monotonicNow()).next;
     }
     static std::string bigEndian(std::int64_t value)
     {
@@ -96,6 +120,7 @@
     {
         http_response item;
         item.status = status;
+        item.headers.push_back({"Store-Era", std::to_string(m_era)});
         item.body = std::make_shared<const std::string>(bodyOverride.empty() ? std::move(body)
                                                                              : bodyOverride);
         m_listener->respond(call, item);
@@ -112,8 +137,9 @@
             respond(call, 200, newestPage(topic, queryOf(request.target, "after")));
         else if (request.target.starts_with("/api/log-append"))
             append(call, topic, std::string(bodyView(request.body)));
-        else if (!read(call, topic, std::stoll(queryOf(request.target, "from"))))
-            m_waiting.push_back({call, topic, std::stoll(queryOf(request.target, "from"))});
+        else
+            readOrWait({call, topic, std::stoll(queryOf(request.target, "from"))},
+                       queryOf(request.target, "waitMs") != "0");
     }
 
     std::string newestPage(const std::string &topic, const std::string &after)
@@ -147,10 +173,27 @@
         respond(call, 200, R"({"offset":0,"end":1})");
     }
 
+    struct waiting_read
+    {
+        call_id call = 0;
+        std::string topic;
+        std::int64_t from = 0;
+    };
+
+    void readOrWait(const waiting_read &item, bool mayWait)
+    {
+        if (read(item.call, item.topic, item.from))
+            return;
+        if (mayWait)
+            m_waiting.push_back(item);
+        else
+            respond(item.call, 200, bigEndian(end(item.topic)) + bigEndian(0));
+    }
+
     bool read(call_id call, const std::string &topic, std::int64_t from)
     {
         const stream_page page = m_log.read(logName(topic), from, 100, monotonicNow());
-        if (from < page.first) {
+        if (from < page.first || from > end(topic)) {
             respond(call, 410, R"({"first":)" + std::to_string(page.first) + "}");
             return true;
         }
@@ -174,15 +217,17 @@
         });
     }
 
-    struct waiting_read
+    struct stored_put
     {
-        call_id call = 0;
         std::string topic;
-        std::int64_t from = 0;
+        std::string key;
+        std::string value;
     };
 
     call_id m_lastCall = 0;
     caller_limits m_limits;
+    int m_era = 1;
+    std::vector<stored_put> m_history;
     log_store m_log{log_limits{}};
     std::map<std::string, std::map<std::string, std::string>> m_newest;
     std::map<std::string, std::int64_t> m_ends;
@@ -243,6 +288,49 @@
     EXPECT_EQ(sets.back(), "three");
 }
 
+// Guards against missing changes after the store was restored from a copy: the old position then
+// points behind records that were written since, and there is no error when the log is long enough.
+TEST_F(platform_store_gateway, after_a_restore_changes_below_the_old_position_are_read)
+{
+    for (const char *set : {"one", "two", "three"})
+        store->put("keyed.op", "config", set);
+    watch.start();
+    ASSERT_TRUE(run([&] { return sets == std::vector<std::string>{"three"}; }));
+    store->rejectWaiting();
+    store->restore(1);
+    store->put("keyed.op", "config", "four");
+    for (int record = 0; record < 3; ++record)
+        store->put("keyed.op", "other", "x");
+    EXPECT_TRUE(run([&] { return sets.back() == "four"; }));
+}
+
+// Guards against waiting at the end of the restored log for a change that is already in it.
+TEST_F(platform_store_gateway, after_an_outage_a_restored_store_is_read_without_a_wait)
+{
+    for (const char *set : {"one", "two", "three"})
+        store->put("keyed.op", "config", set);
+    watch.start();
+    ASSERT_TRUE(run([&] { return sets == std::vector<std::string>{"three"}; }));
+    store->rejectWaiting();
+    store->restore(1);
+    store->put("keyed.op", "config", "four");
+    store->put("keyed.op", "other", "x");
+    EXPECT_TRUE(run([&] { return sets.back() == "four"; }));
+}
+
+// Guards against a node that others cannot find, since the store lost its registration.
+TEST_F(platform_store_gateway, a_registration_that_a_restore_lost_is_written_again)
+{
+    store->put("keyed.op", "config", "one");
+    watch.start();
+    ASSERT_TRUE(run([&] { return !store->newest("keyed.members", "n1").empty(); }));
+    ASSERT_TRUE(run([&] { return !sets.empty(); }));
+    store->rejectWaiting();
+    store->restore(1);
+    EXPECT_EQ(store->newest("keyed.members", "n1"), "");
+    EXPECT_TRUE(run([&] { return store->newest("keyed.members", "n1") == "10.0.0.1:7000"; }));
+}
+
 TEST_F(platform_store_gateway, members_are_listed_over_several_pages)
 {
     for (const char *name : {"n2", "n3", "n4", "n5"})
