Read the set as a whole and register again when the store was restored from a copy

What callers would see: a route that was added is not served, or a change is not in force, for up to 20 s after the store came back from a copy; nodes that start later do not find the node.

Cause: the position in the store's log was kept although offsets are given out again after a restore. The store answers 410 only while its log is shorter than the position, so what was written below it was skipped once the log had grown. A read at the exact end waited for the next record. The registration was written once, at start. Class: state derived from a store that is taken to be permanent, without checking that it is still the same history.

Ruled out: going back to the older set of the copy (versions only rise, sidecar_core.a_newer_set_replaces_keys_and_an_older_one_is_dropped); a node that starts with the older set gets the newer one from its peers, which a test shows now.

The gateway compares the era that each response names and reports a rise; the watch then drops its position, reads the whole set and registers the node again. After a failure the next read does not wait, so that the era is known at once. Reads that were sent before are void, whatever they return.

--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -32,6 +32,9 @@
     std::int64_t next = 0; ///< Position after the newest record.
 };
 
+/// \brief Whether a read waits for the next record when there is none yet.
+enum class record_wait : std::uint8_t { none, some_seconds };
+
 /// \brief Notice that the backend server of this VM is shutting down.
 struct leave_notice
 {
@@ -67,9 +70,14 @@
 
     /// \brief Reads the newest published set.
     virtual void readSet(handler<stored_set> done) = 0;
-    /// \brief Waits for a set that was published at \a position or later. Returns a result without
-    /// text when none was published within some seconds.
-    virtual void awaitNextSet(std::int64_t position, handler<stored_set> done) = 0;
+    /// \brief Reads what was published at \a position or later. Returns a result without text when
+    /// no set was published. \param wait whether to wait some seconds for the next record when
+    /// there is none yet.
+    virtual void readNextSet(std::int64_t position, record_wait wait, handler<stored_set> done) = 0;
+    /// \brief Sets the handler that is called when a response shows that the store was restored
+    /// from a copy: writes that it had confirmed may be lost, and earlier positions are no longer
+    /// valid. It is called before the handler of that response.
+    virtual void onStoreRestored(std::function<void()> restored) = 0;
     /// \brief Adds the endpoint of this node to the node list in the store.
     virtual void registerNode(const std::string &node, const std::string &endpoint,
                               handler<std::monostate> done) = 0;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -151,6 +151,10 @@
                     json_line().add("fault", error));
     };
     callbacks.knowsPeers = [this] { return m_core.status(monotonicNow()).membersKnown > 1; };
+    callbacks.restored = [this] {
+        m_log.write(line_class::process, "store restored",
+                    json_line().add("configuration", m_core.status(monotonicNow()).configVersion));
+    };
     return callbacks;
 }
 
--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -35,7 +35,9 @@
     , m_putTimer(loop)
     , m_listTimer(loop)
     , m_retryDelay(initialRetryDelay)
-{ }
+{
+    m_platform.onStoreRestored([this] { storeRestored(); });
+}
 
 void store_watch::start()
 {
@@ -73,38 +75,60 @@
 
 void store_watch::readSet()
 {
-    m_platform.readSet([this](const tl::expected<stored_set, store_error> &result) {
-        handleSet(result, false);
-    });
+    m_platform.readSet(
+            [this, sequence = ++m_setReads](const tl::expected<stored_set, store_error> &result) {
+                handleSet(result, set_read::newest, sequence);
+            });
 }
 
-void store_watch::awaitNextSet()
+void store_watch::readNextSet(record_wait wait)
 {
-    m_platform.awaitNextSet(*m_nextPosition,
-                            [this](const tl::expected<stored_set, store_error> &result) {
-                                handleSet(result, true);
-                            });
+    m_platform.readNextSet(
+            *m_nextPosition, wait,
+            [this, sequence = ++m_setReads](const tl::expected<stored_set, store_error> &result) {
+                handleSet(result, set_read::next, sequence);
+            });
 }
 
-void store_watch::handleSet(const tl::expected<stored_set, store_error> &result, bool fromLongPoll)
+void store_watch::resumeSet()
 {
-    if (m_leaving)
+    // A read that waits would show only seconds later that the store was restored meanwhile.
+    if (m_nextPosition)
+        readNextSet(record_wait::none);
+    else
+        readSet();
+}
+
+void store_watch::handleSet(const tl::expected<stored_set, store_error> &result, set_read kind,
+                            std::uint64_t sequence)
+{
+    if (m_leaving || sequence != m_setReads)
         return;
     if (result) {
         recordSuccess();
         m_nextPosition = result->next;
         if (result->text)
             m_callbacks.setReceived(*result->text);
-        awaitNextSet();
+        readNextSet(record_wait::some_seconds);
         return;
     }
-    if (fromLongPoll && result.error() == store_error::expired) {
+    if (kind == set_read::next && result.error() == store_error::expired) {
         readSet();
         return;
     }
-    const duration delay = recordFailure(result.error());
-    schedule(m_setTimer, delay,
-             m_nextPosition ? &store_watch::awaitNextSet : &store_watch::readSet);
+    schedule(m_setTimer, recordFailure(result.error()), &store_watch::resumeSet);
+}
+
+void store_watch::storeRestored()
+{
+    if (m_leaving)
+        return;
+    m_callbacks.restored();
+    m_nextPosition.reset();
+    m_setTimer.cancel();
+    m_putTimer.cancel();
+    readSet();
+    registerNode();
 }
 
 void store_watch::registerNode()
--- a/src/sidecar/store_watch.h
+++ b/src/sidecar/store_watch.h
@@ -21,6 +21,8 @@
     std::function<void(bool reachable, std::string_view error)> reachabilityChanged;
     /// Returns whether this node knows other nodes; if not, the node list is read more often.
     std::function<bool()> knowsPeers;
+    /// The store was restored from a copy; what it may have lost is read and written again.
+    std::function<void()> restored;
 };
 
 /// \brief Follows the published set and the node list in the platform's store.
@@ -36,9 +38,17 @@
     std::uint64_t errors() const { return m_errors; }
 
 private:
+    /// What the pending read of the set asks for.
+    enum class set_read : std::uint8_t { newest, next };
+
     void readSet();
-    void awaitNextSet();
-    void handleSet(const tl::expected<stored_set, store_error> &result, bool fromLongPoll);
+    void readNextSet(record_wait wait);
+    /// \brief Continues reading after a failure.
+    void resumeSet();
+    void handleSet(const tl::expected<stored_set, store_error> &result, set_read kind,
+                   std::uint64_t sequence);
+    /// \brief Reads and writes anew what a restored store may have lost.
+    void storeRestored();
     void registerNode();
     void listNodes();
     void schedule(boost::asio::steady_timer &timer, duration delay, void (store_watch::*step)());
@@ -54,6 +64,7 @@
     boost::asio::steady_timer m_putTimer;
     boost::asio::steady_timer m_listTimer;
     std::optional<std::int64_t> m_nextPosition; ///< Position after the newest set that was read.
+    std::uint64_t m_setReads = 0; ///< Number of the latest read of the set; earlier ones are void.
     std::uint32_t m_listCount = 0;
     duration m_retryDelay;
     std::uint64_t m_errors = 0;
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -244,6 +244,7 @@
     std::vector<std::string> sets;
     std::vector<seed_peer> members;
     std::vector<bool> responses;
+    int restores = 0;
     store_watch watch{loop,
                       gateway,
                       "n1",
@@ -251,7 +252,7 @@
                       {[this](const std::string &text) { sets.push_back(text); },
                        [this](const std::vector<seed_peer> &list) { members = list; },
                        [this](bool answering, std::string_view) { responses.push_back(answering); },
-                       [] { return true; }}};
+                       [] { return true; }, [this] { ++restores; }}};
 
     bool run(const std::function<bool()> &done)
     {
@@ -268,6 +269,7 @@
     store->put("keyed.op", "config", "two");
     ASSERT_TRUE(run([&] { return sets.size() == 2; }));
     EXPECT_EQ(sets, (std::vector<std::string>{"one", "two"}));
+    EXPECT_EQ(restores, 0);
 }
 
 // Guards against a node that misses changes when the store has trimmed its history.
@@ -278,9 +280,10 @@
     store->put("keyed.op", "config", "two");
     store->trimTopic("keyed.op");
     store->put("keyed.op", "config", "three");
-    gateway.awaitNextSet(0, [&](const tl::expected<stored_set, store_error> &result) {
-        error = result ? store_error::malformed : result.error();
-    });
+    gateway.readNextSet(0, record_wait::some_seconds,
+                        [&](const tl::expected<stored_set, store_error> &result) {
+                            error = result ? store_error::malformed : result.error();
+                        });
     ASSERT_TRUE(run([&] { return error.has_value(); }));
     EXPECT_EQ(*error, store_error::expired);
     watch.start();
@@ -302,6 +305,7 @@
     for (int record = 0; record < 3; ++record)
         store->put("keyed.op", "other", "x");
     EXPECT_TRUE(run([&] { return sets.back() == "four"; }));
+    EXPECT_EQ(restores, 1);
 }
 
 // Guards against waiting at the end of the restored log for a change that is already in it.
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -116,6 +116,19 @@
         EXPECT_EQ(fleet.core(node).status(fleet.now()).configVersion, 7) << node;
 }
 
+// Guards against a node that serves an older set for long because it started while the store,
+// restored from a copy, had lost the newest one.
+TEST(sidecar_core, a_node_that_starts_with_an_older_set_gets_the_newer_one_from_its_peers)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    fleet.publishAll(fakeSet(9));
+    fleet.restart("a1");
+    fleet.publish(fakeSet(5), "a1");
+    fleet.advance(seconds(2));
+    EXPECT_EQ(fleet.core("a1").status(fleet.now()).configVersion, 9);
+}
+
 // Guards against a 504 at half of the timeout while the server is still working: a missing response
 // is no reason to end an attempt. Such requests counted as LOST after SIGTERM.
 TEST(sidecar_core, an_attempt_may_use_the_full_timeout)
