Let the waiting reads of nodes that start together end at different times

Cause: a waiting read of the log got no response to a record that was appended as the wait of an earlier read, long answered, would have ended. All processes start within 0.1 s and wait 20 s, so at 20 s after the start this hit 10 to 16 of 16 nodes at once; when one node had the change, its heartbeats spread it within 0.6 s. Class: many processes that act on the same schedule share one failure.

Evidence: debug lines of a trial show the reads sent at 9.04 s, unanswered at 12.04 s, answered at 14.04 s with both records; with a wait of 15 s in the trial it happened 15 s after the start instead (11 of 16 nodes). Ruled out: positions (right in each read), the kind of change, the load, the restore itself (it happens without one).

Each read now waits for a random time between 10 and 20 s. The test fails with a fixed wait (1 distinct wait instead of 8).

--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -32,9 +32,6 @@
     std::int64_t next = 0; ///< Position after the newest record.
 };
 
-/// \brief Whether a read waits for the next record when there is none yet.
-enum class record_wait : std::uint8_t { none, some_seconds };
-
 /// \brief Notice that the backend server of this VM is shutting down.
 struct leave_notice
 {
@@ -71,9 +68,9 @@
     /// \brief Reads the newest published set.
     virtual void readSet(handler<stored_set> done) = 0;
     /// \brief Reads what was published at \a position or later. Returns a result without text when
-    /// no set was published. \param wait whether to wait some seconds for the next record when
-    /// there is none yet.
-    virtual void readNextSet(std::int64_t position, record_wait wait, handler<stored_set> done) = 0;
+    /// no set was published.
+    /// \param wait how long to wait for the next record when there is none yet.
+    virtual void readNextSet(std::int64_t position, duration wait, handler<stored_set> done) = 0;
     /// \brief Sets the handler that is called when a response shows that the store was restored
     /// from a copy: writes that it had confirmed may be lost, and earlier positions are no longer
     /// valid. It is called before the handler of that response.
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -57,7 +57,7 @@
                    });
                })
     , m_peers(loop, settings.peers, m_self, linkCallbacks())
-    , m_store(loop, platform, settings.name, settings.peers.text(), storeCallbacks())
+    , m_store(loop, platform, settings.name, settings.peers.text(), m_random, storeCallbacks())
     , m_tickTimer(loop)
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -15,6 +15,11 @@
 constexpr duration secondListDelay = std::chrono::milliseconds(700);
 constexpr duration listIntervalWithoutPeers = std::chrono::seconds(2);
 constexpr duration listInterval = std::chrono::seconds(60);
+// Keep-alive probes detect a dead connection; the end of the wait is a second way to detect it.
+// Nodes that started together wait for different times: a change that comes as some of these reads
+// end is then still read by the others, from which the heartbeats spread it.
+constexpr std::chrono::milliseconds minReadWait{10'000};
+constexpr std::chrono::milliseconds maxReadWait{20'000};
 
 } // namespace
 
@@ -26,10 +31,12 @@
 }
 
 store_watch::store_watch(boost::asio::io_context &loop, platform_gateway &platform,
-                         std::string node, std::string endpoint, store_callbacks callbacks)
+                         std::string node, std::string endpoint, random_source &random,
+                         store_callbacks callbacks)
     : m_platform(platform)
     , m_node(std::move(node))
     , m_endpoint(std::move(endpoint))
+    , m_random(random)
     , m_callbacks(std::move(callbacks))
     , m_setTimer(loop)
     , m_putTimer(loop)
@@ -81,7 +88,14 @@
             });
 }
 
-void store_watch::readNextSet(record_wait wait)
+duration store_watch::nextWait()
+{
+    const std::int64_t range = (maxReadWait - minReadWait).count();
+    return minReadWait
+           + std::chrono::milliseconds(m_random.below(static_cast<std::uint64_t>(range)));
+}
+
+void store_watch::readNextSet(duration wait)
 {
     m_platform.readNextSet(
             *m_nextPosition, wait,
@@ -94,7 +108,7 @@
 {
     // A read that waits would show only seconds later that the store was restored meanwhile.
     if (m_nextPosition)
-        readNextSet(record_wait::none);
+        readNextSet(duration::zero());
     else
         readSet();
 }
@@ -109,7 +123,7 @@
         m_nextPosition = result->next;
         if (result->text)
             m_callbacks.setReceived(*result->text);
-        readNextSet(record_wait::some_seconds);
+        readNextSet(nextWait());
         return;
     }
     if (kind == set_read::next && result.error() == store_error::expired) {
--- a/src/sidecar/store_watch.h
+++ b/src/sidecar/store_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sidecar/platform_gateway.h"
+#include "tamarackridge/src/base/random_source.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,7 +31,7 @@
 {
 public:
     store_watch(boost::asio::io_context &loop, platform_gateway &platform, std::string node,
-                std::string endpoint, store_callbacks callbacks);
+                std::string endpoint, random_source &random, store_callbacks callbacks);
 
     void start();
     /// \brief Removes this node from the node list and stops following the store.
@@ -42,7 +43,9 @@
     enum class set_read : std::uint8_t { newest, next };
 
     void readSet();
-    void readNextSet(record_wait wait);
+    void readNextSet(duration wait);
+    /// \returns how long the next read waits for a record.
+    duration nextWait();
     /// \brief Continues reading after a failure.
     void resumeSet();
     void handleSet(const tl::expected<stored_set, store_error> &result, set_read kind,
@@ -59,6 +62,7 @@
     platform_gateway &m_platform;
     std::string m_node;
     std::string m_endpoint;
+    random_source &m_random;
     store_callbacks m_callbacks;
     boost::asio::steady_timer m_setTimer;
     boost::asio::steady_timer m_putTimer;
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/store_gateway.h"
 #include "sidecar/http_listener.h"
 #include "sidecar/store_watch.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
 #include <gtest/gtest.h>
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +96,7 @@
     void trimTopic(const std::string &topic) { m_log.trimBelow(logName(topic), end(topic)); }
 
     std::vector<std::string> calls;
+    std::vector<std::string> waits; ///< How long each read may wait, in milliseconds.
     int failureStatus = 0; ///< Status of every response, if not 0.
     bool unresponsive = false;
     std::string bodyOverride; ///< Body of every response, if not empty.
@@ -137,9 +140,11 @@
             respond(call, 200, newestPage(topic, queryOf(request.target, "after")));
         else if (request.target.starts_with("/api/log-append"))
             append(call, topic, std::string(bodyView(request.body)));
-        else
+        else {
+            waits.push_back(queryOf(request.target, "waitMs"));
             readOrWait({call, topic, std::stoll(queryOf(request.target, "from"))},
                        queryOf(request.target, "waitMs") != "0");
+        }
     }
 
     std::string newestPage(const std::string &topic, const std::string &after)
@@ -245,10 +250,12 @@
     std::vector<seed_peer> members;
     std::vector<bool> responses;
     int restores = 0;
+    seeded_random random{1};
     store_watch watch{loop,
                       gateway,
                       "n1",
                       "10.0.0.1:7000",
+                      random,
                       {[this](const std::string &text) { sets.push_back(text); },
                        [this](const std::vector<seed_peer> &list) { members = list; },
                        [this](bool answering, std::string_view) { responses.push_back(answering); },
@@ -280,7 +287,7 @@
     store->put("keyed.op", "config", "two");
     store->trimTopic("keyed.op");
     store->put("keyed.op", "config", "three");
-    gateway.readNextSet(0, record_wait::some_seconds,
+    gateway.readNextSet(0, std::chrono::seconds(1),
                         [&](const tl::expected<stored_set, store_error> &result) {
                             error = result ? store_error::malformed : result.error();
                         });
@@ -322,6 +329,30 @@
     EXPECT_TRUE(run([&] { return sets.back() == "four"; }));
 }
 
+// Guards against a change that no node reads in time: the store can leave a waiting read without a
+// response when the change comes as the wait ends, and nodes that start together wait together.
+TEST_F(platform_store_gateway, reads_of_nodes_that_start_together_end_at_different_times)
+{
+    store->put("keyed.op", "config", "one");
+    constexpr std::size_t nodes = 8;
+    std::vector<std::unique_ptr<seeded_random>> randoms;
+    std::vector<std::unique_ptr<store_watch>> watches;
+    for (std::size_t node = 0; node < nodes; ++node) {
+        randoms.push_back(std::make_unique<seeded_random>(node));
+        watches.push_back(std::make_unique<store_watch>(
+                loop, gateway, "n" + std::to_string(node), "10.0.0.1:7000", *randoms.back(),
+                store_callbacks{[](const std::string &) {}, [](const std::vector<seed_peer> &) {},
+                                [](bool, std::string_view) {}, [] { return true; }, [] {}}));
+        watches.back()->start();
+    }
+    ASSERT_TRUE(run([&] { return store->waits.size() == nodes; }));
+    for (const std::string &wait : store->waits) {
+        EXPECT_GE(std::stoi(wait), 10'000);
+        EXPECT_LE(std::stoi(wait), 20'000);
+    }
+    EXPECT_EQ(std::set<std::string>(store->waits.begin(), store->waits.end()).size(), nodes);
+}
+
 // Guards against a node that others cannot find, since the store lost its registration.
 TEST_F(platform_store_gateway, a_registration_that_a_restore_lost_is_written_again)
 {
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -41,7 +41,7 @@
     }
     server_notice decodeNotice(const http_request &) const override { return report; }
     void readSet(handler<stored_set> done) override { done(stored_set{"set", 1}); }
-    void readNextSet(std::int64_t, record_wait, handler<stored_set>) override { }
+    void readNextSet(std::int64_t, duration, handler<stored_set>) override { }
     void onStoreRestored(std::function<void()>) override { }
     void registerNode(const std::string &, const std::string &,
                       handler<std::monostate> done) override
