Refuse callers without a key late in a planned stop, too

On routes that are open, or with a configuration without customers, callers' requests were admitted until 0.5 s before stop.longest_s, so that the process was not idle before and its stop took the whole time.

Cause: a request without a customer is treated as an onward call, and onward calls are admitted on. The local backend server makes onward calls only while it runs a request, and a leaving node starts no new runs, so a request without a key counts as an onward call only while the executor is not idle.

Evidence: sidecar_core.callers_without_a_key_are_refused_late_in_a_shutdown failed before (the late request was not refused and the node was not drained).

The test onward_calls_are_admitted_during_a_shutdown called an open route while the local server was running nothing, which an onward call cannot do. It now starts a run there first; its checks are the same.

--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -59,10 +59,12 @@
 } // namespace
 
 sidecar_request_handler::sidecar_request_handler(const sidecar_options &options, dispatcher &target,
+                                                 const executor &localExecutor,
                                                  sidecar_quota &quota, node_counters &counters,
                                                  decision_observer &observer)
     : m_options(options)
     , m_dispatcher(target)
+    , m_executor(localExecutor)
     , m_quota(quota)
     , m_counters(counters)
     , m_observer(observer)
@@ -149,7 +151,7 @@
             customerOf(*route, request);
     if (!customer)
         return tl::unexpected(customer.error());
-    if (exitsTooSoon(*customer == nullptr, now))
+    if (exitsTooSoon(*customer != nullptr, now))
         return tl::unexpected(error_kind::leaving);
     if (*customer != nullptr)
         item.customer = (*customer)->name;
@@ -265,10 +267,13 @@
     m_shutdown = {admissionEnd, completeBy - minOnwardTime, completeBy};
 }
 
-bool sidecar_request_handler::exitsTooSoon(bool isOnwardCall, time_point now) const
+bool sidecar_request_handler::exitsTooSoon(bool hasCustomer, time_point now) const
 {
     if (!m_shutdown)
         return false;
+    // Callers, too, send requests without a key. Onward calls come only while the local backend
+    // server is running a request.
+    const bool isOnwardCall = !hasCustomer && !m_executor.idle();
     return now >= (isOnwardCall ? m_shutdown->onwardAdmissionEnd : m_shutdown->admissionEnd);
 }
 
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -20,8 +20,8 @@
 {
 public:
     sidecar_request_handler(const sidecar_options &options, dispatcher &target,
-                            sidecar_quota &quota, node_counters &counters,
-                            decision_observer &observer);
+                            const executor &localExecutor, sidecar_quota &quota,
+                            node_counters &counters, decision_observer &observer);
 
     void install(std::shared_ptr<route_table> table) { m_table = std::move(table); }
     const route_table *table() const { return m_table.get(); }
@@ -76,7 +76,7 @@
     };
 
     /// \returns whether a request has to be refused because the process will exit too soon.
-    bool exitsTooSoon(bool isOnwardCall, time_point now) const;
+    bool exitsTooSoon(bool hasCustomer, time_point now) const;
     tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
                                                   time_point now);
     void begin(pending item, owned_request work, time_point now, action_list &out);
@@ -91,6 +91,7 @@
 
     const sidecar_options &m_options;
     dispatcher &m_dispatcher;
+    const executor &m_executor;
     sidecar_quota &m_quota;
     node_counters &m_counters;
     decision_observer &m_observer;
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -86,7 +86,7 @@
               [](const ledger_key &, const http_response &) {})
     , m_routingUpdater(m_membership, m_router, m_dispatcher)
     , m_quota(m_options.self, m_options.zones, m_membership, random)
-    , m_requestHandler(m_options, m_dispatcher, m_quota, m_counters, observer)
+    , m_requestHandler(m_options, m_dispatcher, m_executor, m_quota, m_counters, observer)
 { }
 
 std::int64_t sidecar_state::version() const
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -447,28 +447,57 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
-// Guards against failing the requests that the local backend server is still running by refusing
-// the onward calls that they make.
-TEST(sidecar_core, onward_calls_are_admitted_during_a_shutdown)
+/// Adds the route `page` of service `front`, whose backend server runs beside `a1`, and the open
+/// route `onward` of service `orders`.
+void startWithOpenRoute(sidecar_fleet &fleet)
 {
-    sidecar_fleet fleet = smallFleet();
     published_set set = fakeSet(5);
+    set.routes.push_back(fakes::fakeRoute("page", "front"));
+    set.routes.back().timeout = seconds(10);
     set.routes.push_back(fakes::fakeRoute("onward", "orders"));
     set.routes.back().open = true;
     fleet.publishAll(set);
     for (const char *node : {"a1", "a2", "b1"})
         ASSERT_TRUE(fleet.report(node, 1));
     fleet.advance(seconds(1));
+}
+
+// Guards against failing the requests that the local backend server is still running by refusing
+// the onward calls that they make.
+TEST(sidecar_core, onward_calls_are_admitted_during_a_shutdown)
+{
+    sidecar_fleet fleet = smallFleet();
+    startWithOpenRoute(fleet);
+    fleet.call("b1", "page");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    ASSERT_EQ(fleet.runs[0].node, "a1");
     beginShutdown(fleet, "a1", seconds(5));
     fleet.advance(milliseconds(4400));
     const call_id call = fleet.call("a1", "onward", "");
-    ASSERT_EQ(fleet.runs.size(), 1U);
-    fleet.finish(0);
+    ASSERT_EQ(fleet.runs.size(), 2U);
+    fleet.finish(1);
     EXPECT_EQ(fleet.status(call), 200);
     fleet.advance(milliseconds(200));
     EXPECT_EQ(fleet.status(fleet.call("a1", "onward", "")), 503);
 }
 
+// Guards against admitting callers' requests on routes without a key until the process exits: they
+// look like onward calls, keep the process from being idle, and get too little time to complete.
+TEST(sidecar_core, callers_without_a_key_are_refused_late_in_a_shutdown)
+{
+    sidecar_fleet fleet = smallFleet();
+    startWithOpenRoute(fleet);
+    beginShutdown(fleet, "a1", seconds(5));
+    const call_id early = fleet.call("a1", "onward", "");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(early), 200);
+    fleet.advance(milliseconds(2600));
+    const call_id late = fleet.call("a1", "onward", "");
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
