Bound the retries of requests from before a planned stop

A request that was admitted before SIGTERM could be sent to another server at any time until the process exited, which then closed its connection while that server was running it, also when it must not be repeated.

Cause: the time limit of the stop was given to requests that are admitted during it, but not to those that are in progress or wait for tokens when it begins; a retry uses the deadline from before.

Evidence: sidecar_core.requests_from_before_a_shutdown_are_not_retried_until_the_process_exits failed before: a retry 3 s after SIGTERM gave its server 7 s though the process exits 2 s later, and a request whose attempt was refused after 4.9 s was sent again. Now the first gets 1.8 s and the second ends as not run, with 503. The deadline of requests that wait for tokens is bounded in the same way, which no test shows.

Attempts that are in progress keep the time that they were given.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -333,6 +333,12 @@
     m_expiredDispatches.erase(found);
 }
 
+void dispatcher::limitDeadlines(time_point latest)
+{
+    for (auto &[requestNumber, work] : m_requests)
+        work.request.deadline = std::min(work.request.deadline, latest);
+}
+
 void dispatcher::tick(time_point now, action_list &out)
 {
     std::vector<request_number> due;
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -94,6 +94,9 @@
                            action_list &out);
 
     void tick(time_point now, action_list &out);
+    /// \brief Ends the time for further attempts of all requests at \a latest. Attempts that are in
+    /// progress keep the time that they were given.
+    void limitDeadlines(time_point latest);
     /// \returns the number that the next start() will assign.
     request_number nextRequestNumber() const { return m_nextRequestNumber; }
     /// \returns the attempts of a request that has no outcome yet.
--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -265,6 +265,9 @@
 {
     const time_point completeBy = exitAt - responseDelivery;
     m_shutdown = {admissionEnd, completeBy - minOnwardTime, completeBy};
+    for (waiting_request &waiting : m_waiting)
+        waiting.work.deadline = std::min(waiting.work.deadline, completeBy);
+    m_dispatcher.limitDeadlines(completeBy);
 }
 
 bool sidecar_request_handler::exitsTooSoon(bool hasCustomer, time_point now) const
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -36,9 +36,9 @@
     /// \brief Refuses the requests whose wait for tokens has timed out.
     void tick(time_point now, action_list &out);
 
-    /// \brief Bounds the requests that are admitted from now on, so that none of them is in
-    /// progress when the process exits. \param admissionEnd from then on, requests of callers are
-    /// refused.
+    /// \brief Bounds the requests that are admitted and the attempts that begin from now on, so
+    /// that none of them is in progress when the process exits. \param admissionEnd from then on,
+    /// requests of callers are refused.
     void beginShutdown(time_point admissionEnd, time_point exitAt);
     /// \brief Reports all requests in progress as ended without a response.
     void reportUnfinished(time_point now) const;
@@ -65,7 +65,7 @@
     {
         time_point admissionEnd; ///< For requests of callers.
         time_point onwardAdmissionEnd; ///< For onward calls of requests that are running.
-        time_point completeBy; ///< Deadline of every request that is admitted.
+        time_point completeBy; ///< Deadline of every request that is admitted or sent again.
     };
 
     /// A request that waits for tokens of its customer.
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -498,6 +498,43 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against cutting off late retries: a request from before the shutdown whose attempt was
+// refused late must not begin to run again when the process is about to exit.
+TEST(sidecar_core, requests_from_before_a_shutdown_are_not_retried_until_the_process_exits)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.timeout = seconds(10);
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    // Every 20 requests add one retry to the budget.
+    for (int request = 0; request < 80; ++request) {
+        fleet.call("a1", "read");
+        fleet.finish(fleet.runs.size() - 1);
+    }
+    const std::size_t first = fleet.runs.size();
+    const call_id retriedInTime = fleet.call("a1", "write");
+    const call_id refusedLate = fleet.call("a1", "write");
+    const call_id neverRefused = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), first + 3);
+    beginShutdown(fleet, "a1", seconds(5));
+    fleet.advance(seconds(3));
+    fleet.shed(first);
+    ASSERT_EQ(fleet.runs.size(), first + 4);
+    EXPECT_EQ(headerValue(fleet.runs.back().request.headers, "Time-Left"), "1800");
+    fleet.advance(milliseconds(1900));
+    EXPECT_EQ(fleet.status(retriedInTime), 504);
+    fleet.shed(first + 1);
+    EXPECT_EQ(fleet.runs.size(), first + 4);
+    EXPECT_EQ(fleet.status(refusedLate), 503);
+    EXPECT_EQ(headerValue(fleet.responses[refusedLate].headers, "Tamarackridge-Run-State"),
+              "not-run");
+    EXPECT_EQ(fleet.status(neverRefused), 0) << "an attempt keeps the time that it was given";
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
