Do not count the refusal of a leaving node as an attempt

Requests that wait in the queue of a node when it gets SIGTERM, or reach it before its peers know that it is leaving, are refused by it. With `attempts: 1` they failed with 503 though other servers were ready; with two attempts, two leaving nodes in a row sufficed.

Cause: handle_headers::close() returns the whole share of attempts when the request was never passed to the backend server, instance_headers::close() returns all but one. So the refusal of a leaving sidecar used an attempt, and that of a leaving node of the other program did not.

Refusals for overload still use an attempt. Each node is tried once for a request, so the repetitions are bounded.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -165,7 +165,11 @@
     work.dispatchSequence = 0;
     const executor_load *load = response.load ? &*response.load : nullptr;
     m_routes.onResponse(work.executorNode, now - work.sent, routingOutcome(response), load, now);
-    work.attempts.returnUnused(work.attemptShare, response.attemptsUnused);
+    // A leaving node refuses requests before they reach a backend server, so its refusal uses no
+    // attempt. Each node is tried once, which bounds the repetitions.
+    const bool usedNone = response.error == error_kind::leaving;
+    work.attempts.returnUnused(work.attemptShare,
+                               usedNone ? work.attemptShare : response.attemptsUnused);
     work.tried.push_back(work.executorNode);
     work.lastError = response.error;
     work.lastAttemptNotRun = response.state == run_state::not_run;
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -535,6 +535,33 @@
     EXPECT_EQ(fleet.status(neverRefused), 0) << "an attempt keeps the time that it was given";
 }
 
+// Guards against refusing a request that waited at a leaving node: the node did not pass it to a
+// backend server, so it is sent to another one even if the route allows a single attempt.
+TEST(sidecar_core, a_request_that_waited_at_a_leaving_node_is_sent_to_another_server)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.attempts = 1;
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    for (int request = 0; request < 95; ++request)
+        fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 95U);
+    const call_id waiting = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 95U) << "all usable slots of a2 are in use";
+    ASSERT_TRUE(fleet.report("b1", 1));
+    fleet.advance(milliseconds(100));
+    ASSERT_EQ(fleet.status(waiting), 0);
+    beginShutdown(fleet, "a2", seconds(5));
+    ASSERT_EQ(fleet.runs.size(), 96U);
+    EXPECT_EQ(fleet.runs.back().node, "b1");
+    fleet.finish(95);
+    EXPECT_EQ(fleet.status(waiting), 200);
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
