End requests that must not be repeated when the process that ran them is replaced

When a process ended at the time limit of its stop, or was killed, requests of other nodes that its server was running and that must not be repeated were held until their deadlines, up to 6 s, for a response that could not come.

Cause: dispatcher::executorRestarted() ended the attempts of idempotent requests only. The new process has no connection to the runs of the earlier one, and responses to peers are taken before a drained process exits.

Evidence: sidecar_core.a_request_that_must_not_be_repeated_ends_with_the_process_that_ran_it failed before (no response 100 ms after the restart, deadline in 10 s); now it gets 504, unknown. Attempts that were sent to the new process are kept, see a_restart_ends_only_attempts_sent_to_the_earlier_process.

If the node of the caller is itself within its stop, this answer comes while the server may still be working, where the deadline would have been waited for.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -262,6 +262,19 @@
     dispatchResponse(node, std::move(unsent), now, out);
 }
 
+std::vector<dispatcher::request_number>
+dispatcher::requestsOnEarlierProcess(std::string_view node, incarnation_id current) const
+{
+    std::vector<request_number> found;
+    for (const auto &[requestNumber, work] : m_requests) {
+        if (work.executorNode == node && work.executorIncarnation != current
+            && work.dispatchSequence != 0)
+            found.push_back(requestNumber);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
 std::vector<dispatcher::request_number>
 dispatcher::idempotentRequestsOn(std::string_view node) const
 {
@@ -295,11 +308,10 @@
 void dispatcher::executorRestarted(std::string_view node, incarnation_id current, time_point now,
                                    action_list &out)
 {
-    for (request_number requestNumber : idempotentRequestsOn(node)) {
-        const auto found = m_requests.find(requestNumber);
-        if (found != m_requests.end() && found->second.executorIncarnation != current)
-            expireAttempt(requestNumber, now, out);
-    }
+    // The responses of that process cannot come any more, so that requests that must not be
+    // repeated end, too.
+    for (request_number requestNumber : requestsOnEarlierProcess(node, current))
+        expireAttempt(requestNumber, now, out);
 }
 
 void dispatcher::expireAttempt(request_number requestNumber, time_point now, action_list &out)
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -88,8 +88,8 @@
     /// \brief Ends the attempts of idempotent requests on a dead node: retries them elsewhere or
     /// fails them.
     void executorLost(std::string_view node, time_point now, action_list &out);
-    /// \brief Like executorLost(), but keeps the attempts that were sent to \a current, the
-    /// incarnation that now runs.
+    /// \brief Ends the attempts that were sent to an incarnation before \a current, the one that
+    /// now runs: retries idempotent requests elsewhere and fails all others.
     void executorRestarted(std::string_view node, incarnation_id current, time_point now,
                            action_list &out);
 
@@ -131,6 +131,9 @@
                          action_list &out);
     void recordAttemptEnd(progress &work, const dispatch_response &response, time_point now);
     std::vector<request_number> idempotentRequestsOn(std::string_view node) const;
+    /// \returns the requests whose attempt was sent to an incarnation of \a node before \a current.
+    std::vector<request_number> requestsOnEarlierProcess(std::string_view node,
+                                                         incarnation_id current) const;
     bool mayRetry(progress &work, const dispatch_response &response, time_point now);
     void fail(request_number requestNumber, error_kind kind, time_point now, action_list &out);
     void finish(request_number requestNumber, request_outcome outcome, time_point now,
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -562,6 +562,28 @@
     EXPECT_EQ(fleet.status(waiting), 200);
 }
 
+// Guards against holding a caller until its deadline for a response that cannot come any more: the
+// process that passed the request to a backend server has ended, for example at the time limit of
+// its stop.
+TEST(sidecar_core, a_request_that_must_not_be_repeated_ends_with_the_process_that_ran_it)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.timeout = seconds(10);
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    ASSERT_EQ(fleet.runs[0].node, "a2");
+    fleet.restart("a2");
+    fleet.advance(milliseconds(100));
+    EXPECT_EQ(fleet.status(call), 504) << "it may have run";
+    EXPECT_EQ(fleet.runs.size(), 1U);
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
