Send callers that are refused late in a planned stop to the next process

A request that was refused for another reason than the stop, for example because its service was full, got `Retry-After` 0.4 s also when the process stops admitting before that. The caller came back to the same VM, was refused again, and most callers retry once.

Cause: the longer delay was tied to the error `leaving` and not to the time of the return. A refusal by another leaving node, early in the stop, got the longer delay without need.

Evidence: sidecar_core.callers_that_are_refused_late_in_a_shutdown_return_to_the_next_process failed before (0.400 for a request that was rejected 2.4 s after SIGTERM, admission ends at 2.5 s); now 1.000. Whether 1 s suffices was not measured.

--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -27,7 +27,8 @@
 constexpr duration responseDelivery = std::chrono::milliseconds(200);
 // An onward call that gets less time than this could not complete before the process exits.
 constexpr duration minOnwardTime = std::chrono::milliseconds(300);
-// A process that refuses requests because it is shutting down is usually replaced within this time.
+// A process that no longer admits requests because it is shutting down is usually replaced within
+// this time. Callers come back to this VM, so an earlier return would be refused again.
 constexpr duration successorDelay = std::chrono::seconds(1);
 
 // Hop-by-hop headers (RFC 9110, section 7.6.1), and the length of the body, which is set anew when
@@ -307,9 +308,10 @@
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = responseFor(*result.error).name;
-        const bool replacesProcess = m_shutdown && *result.error == error_kind::leaving;
+        const bool refusedOnReturn =
+                m_shutdown && now + queueRetryDelay >= m_shutdown->admissionEnd;
         result.response = refusal(*result.error, result.state,
-                                  replacesProcess ? successorDelay : queueRetryDelay);
+                                  refusedOnReturn ? successorDelay : queueRetryDelay);
     }
     ended.status = result.response.status;
     m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -431,6 +431,26 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against callers that use up their retry on a leaving process: one that comes back after
+// the process stops admitting is refused again, whatever the first refusal was for.
+TEST(sidecar_core, callers_that_are_refused_late_in_a_shutdown_return_to_the_next_process)
+{
+    sidecar_fleet fleet({{"a1", "front"}, {"a2", "orders"}});
+    fleet.publishAll(fakeSet(5));
+    ASSERT_TRUE(fleet.report("a2", 1));
+    fleet.advance(seconds(1));
+    beginShutdown(fleet, "a1", seconds(5));
+    const call_id early = fleet.call("a1", "read");
+    fleet.shed(0);
+    EXPECT_EQ(fleet.status(early), 503);
+    EXPECT_EQ(headerValue(fleet.responses[early].headers, "Retry-After"), "0.400");
+    fleet.advance(milliseconds(2400));
+    const call_id late = fleet.call("a1", "read");
+    fleet.shed(1);
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(headerValue(fleet.responses[late].headers, "Retry-After"), "1.000");
+}
+
 // Guards against cutting off requests that were admitted late: their deadline, which the server
 // keeps to, must be before the exit of the process.
 TEST(sidecar_core, requests_admitted_during_a_shutdown_complete_before_the_process_exits)
