Check that no request is answered by the node while its server runs it

sidecar_stop.under_load_every_request_that_a_server_runs_is_answered took any whole response for an answer, and so would have passed if the stop ended requests with 504 in place of the server's response, which is LOST as well.

--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -322,6 +322,7 @@
             unanswered.push_back(id);
     }
     EXPECT_EQ(unanswered, std::vector<std::string>());
+    EXPECT_EQ(count(504), 0U) << "a response of the node while the server was still running";
     EXPECT_GT(count(503), 0U);
 }
 
