--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -165,7 +165,11 @@
     work.dispatchSequence = 0;
     const executor_load *load = response.load ? &*response.load : nullptr;
     m_routes.onResponse(work.executorNode, now - work.sent, routingOutcome(response), load, now);
-    work.attempts.returnUnused(work.attemptShare, response.attemptsUnused);
+    // A leaving node refuses requests before they reach a backend server, so its refusal uses no
+    // attempt. Each node is tried once, which bounds the repetitions.
+    const bool usedNone = response.error == error_kind::leaving;
+    work.attempts.returnUnused(work.attemptShare,
+                               usedNone ? work.attemptShare : response.attemptsUnused);
     work.tried.push_back(work.executorNode);
     work.lastError = response.error;
     work.lastAttemptNotRun = response.state == run_state::not_run;
@@ -258,6 +262,19 @@
     dispatchResponse(node, std::move(unsent), now, out);
 }
 
+std::vector<dispatcher::request_number>
+dispatcher::requestsOnEarlierProcess(std::string_view node, incarnation_id current) const
+{
+    std::vector<request_number> found;
+    for (const auto &[requestNumber, work] : m_requests) {
+        if (work.executorNode == node && work.executorIncarnation != current
+            && work.dispatchSequence != 0)
+            found.push_back(requestNumber);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
 std::vector<dispatcher::request_number>
 dispatcher::idempotentRequestsOn(std::string_view node) const
 {
@@ -291,11 +308,10 @@
 void dispatcher::executorRestarted(std::string_view node, incarnation_id current, time_point now,
                                    action_list &out)
 {
-    for (request_number requestNumber : idempotentRequestsOn(node)) {
-        const auto found = m_requests.find(requestNumber);
-        if (found != m_requests.end() && found->second.executorIncarnation != current)
-            expireAttempt(requestNumber, now, out);
-    }
+    // The responses of that process cannot come any more, so that requests that must not be
+    // repeated end, too.
+    for (request_number requestNumber : requestsOnEarlierProcess(node, current))
+        expireAttempt(requestNumber, now, out);
 }
 
 void dispatcher::expireAttempt(request_number requestNumber, time_point now, action_list &out)
@@ -333,6 +349,12 @@
     m_expiredDispatches.erase(found);
 }
 
+void dispatcher::limitDeadlines(time_point latest)
+{
+    for (auto &[requestNumber, work] : m_requests)
+        work.request.deadline = std::min(work.request.deadline, latest);
+}
+
 void dispatcher::tick(time_point now, action_list &out)
 {
     std::vector<request_number> due;
--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -27,7 +27,8 @@
 constexpr duration responseDelivery = std::chrono::milliseconds(200);
 // An onward call that gets less time than this could not complete before the process exits.
 constexpr duration minOnwardTime = std::chrono::milliseconds(300);
-// A process that refuses requests because it is shutting down is usually replaced within this time.
+// A process that no longer admits requests because it is shutting down is usually replaced within
+// this time. Callers come back to this VM, so an earlier return would be refused again.
 constexpr duration successorDelay = std::chrono::seconds(1);
 
 // Hop-by-hop headers (RFC 9110, section 7.6.1), and the length of the body, which is set anew when
@@ -59,10 +60,12 @@
 } // namespace
 
 sidecar_request_handler::sidecar_request_handler(const sidecar_options &options, dispatcher &target,
+                                                 const executor &localExecutor,
                                                  sidecar_quota &quota, node_counters &counters,
                                                  decision_observer &observer)
     : m_options(options)
     , m_dispatcher(target)
+    , m_executor(localExecutor)
     , m_quota(quota)
     , m_counters(counters)
     , m_observer(observer)
@@ -149,7 +152,7 @@
             customerOf(*route, request);
     if (!customer)
         return tl::unexpected(customer.error());
-    if (exitsTooSoon(*customer == nullptr, now))
+    if (exitsTooSoon(*customer != nullptr, now))
         return tl::unexpected(error_kind::leaving);
     if (*customer != nullptr)
         item.customer = (*customer)->name;
@@ -263,12 +266,18 @@
 {
     const time_point completeBy = exitAt - responseDelivery;
     m_shutdown = {admissionEnd, completeBy - minOnwardTime, completeBy};
+    for (waiting_request &waiting : m_waiting)
+        waiting.work.deadline = std::min(waiting.work.deadline, completeBy);
+    m_dispatcher.limitDeadlines(completeBy);
 }
 
-bool sidecar_request_handler::exitsTooSoon(bool isOnwardCall, time_point now) const
+bool sidecar_request_handler::exitsTooSoon(bool hasCustomer, time_point now) const
 {
     if (!m_shutdown)
         return false;
+    // Callers, too, send requests without a key. Onward calls come only while the local backend
+    // server is running a request.
+    const bool isOnwardCall = !hasCustomer && !m_executor.idle();
     return now >= (isOnwardCall ? m_shutdown->onwardAdmissionEnd : m_shutdown->admissionEnd);
 }
 
@@ -299,9 +308,10 @@
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = responseFor(*result.error).name;
-        const bool replacesProcess = m_shutdown && *result.error == error_kind::leaving;
+        const bool refusedOnReturn =
+                m_shutdown && now + queueRetryDelay >= m_shutdown->admissionEnd;
         result.response = refusal(*result.error, result.state,
-                                  replacesProcess ? successorDelay : queueRetryDelay);
+                                  refusedOnReturn ? successorDelay : queueRetryDelay);
     }
     ended.status = result.response.status;
     m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -20,8 +20,8 @@
 {
 public:
     sidecar_request_handler(const sidecar_options &options, dispatcher &target,
-                            sidecar_quota &quota, node_counters &counters,
-                            decision_observer &observer);
+                            const executor &localExecutor, sidecar_quota &quota,
+                            node_counters &counters, decision_observer &observer);
 
     void install(std::shared_ptr<route_table> table) { m_table = std::move(table); }
     const route_table *table() const { return m_table.get(); }
@@ -36,9 +36,9 @@
     /// \brief Refuses the requests whose wait for tokens has timed out.
     void tick(time_point now, action_list &out);
 
-    /// \brief Bounds the requests that are admitted from now on, so that none of them is in
-    /// progress when the process exits. \param admissionEnd from then on, requests of callers are
-    /// refused.
+    /// \brief Bounds the requests that are admitted and the attempts that begin from now on, so
+    /// that none of them is in progress when the process exits. \param admissionEnd from then on,
+    /// requests of callers are refused.
     void beginShutdown(time_point admissionEnd, time_point exitAt);
     /// \brief Reports all requests in progress as ended without a response.
     void reportUnfinished(time_point now) const;
@@ -65,7 +65,7 @@
     {
         time_point admissionEnd; ///< For requests of callers.
         time_point onwardAdmissionEnd; ///< For onward calls of requests that are running.
-        time_point completeBy; ///< Deadline of every request that is admitted.
+        time_point completeBy; ///< Deadline of every request that is admitted or sent again.
     };
 
     /// A request that waits for tokens of its customer.
@@ -76,7 +76,7 @@
     };
 
     /// \returns whether a request has to be refused because the process will exit too soon.
-    bool exitsTooSoon(bool isOnwardCall, time_point now) const;
+    bool exitsTooSoon(bool hasCustomer, time_point now) const;
     tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
                                                   time_point now);
     void begin(pending item, owned_request work, time_point now, action_list &out);
@@ -91,6 +91,7 @@
 
     const sidecar_options &m_options;
     dispatcher &m_dispatcher;
+    const executor &m_executor;
     sidecar_quota &m_quota;
     node_counters &m_counters;
     decision_observer &m_observer;
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -444,6 +444,26 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against callers that use up their retry on a leaving process: one that comes back after
+// the process stops admitting is refused again, whatever the first refusal was for.
+TEST(sidecar_core, callers_that_are_refused_late_in_a_shutdown_return_to_the_next_process)
+{
+    sidecar_fleet fleet({{"a1", "front"}, {"a2", "orders"}});
+    fleet.publishAll(fakeSet(5));
+    ASSERT_TRUE(fleet.report("a2", 1));
+    fleet.advance(seconds(1));
+    beginShutdown(fleet, "a1", seconds(5));
+    const call_id early = fleet.call("a1", "read");
+    fleet.shed(0);
+    EXPECT_EQ(fleet.status(early), 503);
+    EXPECT_EQ(headerValue(fleet.responses[early].headers, "Retry-After"), "0.400");
+    fleet.advance(milliseconds(2400));
+    const call_id late = fleet.call("a1", "read");
+    fleet.shed(1);
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(headerValue(fleet.responses[late].headers, "Retry-After"), "1.000");
+}
+
 // Guards against cutting off requests that were admitted late: their deadline, which the server
 // keeps to, must be before the exit of the process.
 TEST(sidecar_core, requests_admitted_during_a_shutdown_complete_before_the_process_exits)
@@ -460,28 +480,143 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
-// Guards against failing the requests that the local backend server is still running by refusing
-// the onward calls that they make.
-TEST(sidecar_core, onward_calls_are_admitted_during_a_shutdown)
+/// Adds the route `page` of service `front`, whose backend server runs beside `a1`, and the open
+/// route `onward` of service `orders`.
+void startWithOpenRoute(sidecar_fleet &fleet)
 {
-    sidecar_fleet fleet = smallFleet();
     published_set set = fakeSet(5);
+    set.routes.push_back(fakes::fakeRoute("page", "front"));
+    set.routes.back().timeout = seconds(10);
     set.routes.push_back(fakes::fakeRoute("onward", "orders"));
     set.routes.back().open = true;
     fleet.publishAll(set);
     for (const char *node : {"a1", "a2", "b1"})
         ASSERT_TRUE(fleet.report(node, 1));
     fleet.advance(seconds(1));
+}
+
+// Guards against failing the requests that the local backend server is still running by refusing
+// the onward calls that they make.
+TEST(sidecar_core, onward_calls_are_admitted_during_a_shutdown)
+{
+    sidecar_fleet fleet = smallFleet();
+    startWithOpenRoute(fleet);
+    fleet.call("b1", "page");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    ASSERT_EQ(fleet.runs[0].node, "a1");
     beginShutdown(fleet, "a1", seconds(5));
     fleet.advance(milliseconds(4400));
     const call_id call = fleet.call("a1", "onward", "");
-    ASSERT_EQ(fleet.runs.size(), 1U);
-    fleet.finish(0);
+    ASSERT_EQ(fleet.runs.size(), 2U);
+    fleet.finish(1);
     EXPECT_EQ(fleet.status(call), 200);
     fleet.advance(milliseconds(200));
     EXPECT_EQ(fleet.status(fleet.call("a1", "onward", "")), 503);
 }
 
+// Guards against admitting callers' requests on routes without a key until the process exits: they
+// look like onward calls, keep the process from being idle, and get too little time to complete.
+TEST(sidecar_core, callers_without_a_key_are_refused_late_in_a_shutdown)
+{
+    sidecar_fleet fleet = smallFleet();
+    startWithOpenRoute(fleet);
+    beginShutdown(fleet, "a1", seconds(5));
+    const call_id early = fleet.call("a1", "onward", "");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(early), 200);
+    fleet.advance(milliseconds(2600));
+    const call_id late = fleet.call("a1", "onward", "");
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(fleet.runs.size(), 1U);
+    EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
+}
+
+// Guards against cutting off late retries: a request from before the shutdown whose attempt was
+// refused late must not begin to run again when the process is about to exit.
+TEST(sidecar_core, requests_from_before_a_shutdown_are_not_retried_until_the_process_exits)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.timeout = seconds(10);
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    // Every 20 requests add one retry to the budget.
+    for (int request = 0; request < 80; ++request) {
+        fleet.call("a1", "read");
+        fleet.finish(fleet.runs.size() - 1);
+    }
+    const std::size_t first = fleet.runs.size();
+    const call_id retriedInTime = fleet.call("a1", "write");
+    const call_id refusedLate = fleet.call("a1", "write");
+    const call_id neverRefused = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), first + 3);
+    beginShutdown(fleet, "a1", seconds(5));
+    fleet.advance(seconds(3));
+    fleet.shed(first);
+    ASSERT_EQ(fleet.runs.size(), first + 4);
+    EXPECT_EQ(headerValue(fleet.runs.back().request.headers, "Time-Left"), "1800");
+    fleet.advance(milliseconds(1900));
+    EXPECT_EQ(fleet.status(retriedInTime), 504);
+    fleet.shed(first + 1);
+    EXPECT_EQ(fleet.runs.size(), first + 4);
+    EXPECT_EQ(fleet.status(refusedLate), 503);
+    EXPECT_EQ(headerValue(fleet.responses[refusedLate].headers, "Tamarackridge-Run-State"),
+              "not-run");
+    EXPECT_EQ(fleet.status(neverRefused), 0) << "an attempt keeps the time that it was given";
+}
+
+// Guards against refusing a request that waited at a leaving node: the node did not pass it to a
+// backend server, so it is sent to another one even if the route allows a single attempt.
+TEST(sidecar_core, a_request_that_waited_at_a_leaving_node_is_sent_to_another_server)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.attempts = 1;
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    for (int request = 0; request < 95; ++request)
+        fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 95U);
+    const call_id waiting = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 95U) << "all usable slots of a2 are in use";
+    ASSERT_TRUE(fleet.report("b1", 1));
+    fleet.advance(milliseconds(100));
+    ASSERT_EQ(fleet.status(waiting), 0);
+    beginShutdown(fleet, "a2", seconds(5));
+    ASSERT_EQ(fleet.runs.size(), 96U);
+    EXPECT_EQ(fleet.runs.back().node, "b1");
+    fleet.finish(95);
+    EXPECT_EQ(fleet.status(waiting), 200);
+}
+
+// Guards against holding a caller until its deadline for a response that cannot come any more: the
+// process that passed the request to a backend server has ended, for example at the time limit of
+// its stop.
+TEST(sidecar_core, a_request_that_must_not_be_repeated_ends_with_the_process_that_ran_it)
+{
+    sidecar_fleet fleet = smallFleet();
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.timeout = seconds(10);
+    fleet.publishAll(set);
+    for (const char *node : {"a1", "a2", "b1"})
+        ASSERT_TRUE(fleet.report(node, 1));
+    fleet.advance(seconds(1));
+    const call_id call = fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    ASSERT_EQ(fleet.runs[0].node, "a2");
+    fleet.restart("a2");
+    fleet.advance(milliseconds(100));
+    EXPECT_EQ(fleet.status(call), 504) << "it may have run";
+    EXPECT_EQ(fleet.runs.size(), 1U);
+}
+
 // Guards against requests that end with the process and leave no line in the log.
 TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
 {
