Do not report a request as not run when a server ran it and responded with 503

A server that responds 503 without saying that it rejected the request has run it. When the retry was then rejected elsewhere, the caller got 503 and not-run. Only idempotent requests are retried then, so nothing ran twice that must not, but the promise was false.

Any attempt that is not known not to have run now makes the outcome unknown (502). The test got 503 and not-run before.

--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -141,7 +141,7 @@
     const request_number requestNumber = found->first;
     progress &work = found->second;
     recordAttemptEnd(work, response, now);
-    if (response.state == run_state::unknown)
+    if (response.state != run_state::not_run)
         work.mayHaveRun = true;
     if (mayRetry(work, response, now)) {
         m_counters.add(node_counter::retries);
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -215,6 +215,26 @@
     EXPECT_EQ(fleet.status(call), 200);
 }
 
+// Guards against a false promise: a server ran the request and responded with 503, and a second
+// server rejected it.
+TEST(sidecar_core, a_request_that_a_server_ran_is_not_reported_as_not_run)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    // Every 20 requests add one retry to the budget.
+    for (std::size_t request = 0; request < 40; ++request) {
+        fleet.call("a1", "read");
+        fleet.finish(request);
+    }
+    const call_id call = fleet.call("a1", "read");
+    const std::size_t first = fleet.runs.size() - 1;
+    fleet.finish(first, 503);
+    ASSERT_EQ(fleet.runs.size(), first + 2);
+    fleet.shed(first + 1);
+    EXPECT_EQ(fleet.status(call), 502);
+    EXPECT_EQ(headerValue(fleet.responses[call].headers, "Tamarackridge-Run-State"), "unknown");
+}
+
 // Guards against executing idempotent requests of a caller that has disconnected.
 TEST(sidecar_core, an_idempotent_request_is_cancelled_when_its_caller_leaves)
 {
