Send many changed entries along a tree instead of to all neighbours

When the backend servers of all nodes report for the first time, each node passes each entry on to every neighbour that has not sent it, and a node receives it 4.8 times. From 8 entries in a tick, those of known members now go along a tree over the ring, whose root is the node that the entry is about; one relay passes it to each other zone.

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -192,8 +192,8 @@
     std::map<std::string, relayed_entry, std::less<>> m_relayedEntries; ///< By node name.
     bool m_neighboursOutdated = true;
     bool m_mayRequestSummary = true; ///< Set at each heartbeat: one summary is sent per interval.
-    /// Many members were new since the last heartbeat, and not all neighbours have been told.
-    bool m_hasReconciled = false;
+    /// Entries were not sent to all neighbours since the last heartbeat, because they were many.
+    bool m_hasSkippedNeighbours = false;
 };
 
 } // namespace tamarackridge
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -144,10 +144,10 @@
     // Digests differ for a moment while an entry is being flooded. A summary is sent only if the
     // neighbour's digest is the same as in its last heartbeat and still differs from the local one.
     // After many changes at once the digests of all neighbours differ, and one summary per interval
-    // bounds the traffic. After a reconciliation no entry is being flooded that would remove the
+    // bounds the traffic. If entries were not sent to all neighbours, nothing else removes the
     // difference.
     const bool isRepeated =
-            neighbour->second.lastDigest == message.directoryDigest || m_hasReconciled;
+            neighbour->second.lastDigest == message.directoryDigest || m_hasSkippedNeighbours;
     neighbour->second.lastDigest = message.directoryDigest;
     if (message.directoryDigest != m_directory.digest() && isRepeated
         && std::exchange(m_mayRequestSummary, false))
--- a/src/core/membership/overlay_relay.cpp
+++ b/src/core/membership/overlay_relay.cpp
@@ -1,5 +1,6 @@
 #include "tamarackridge/src/membership/overlay.h"
 
+#include "broadcast_tree.h"
 #include "pseudo_random_selection.h"
 
 #include <algorithm>
@@ -14,6 +15,11 @@
 // Number of neighbours that summaries are exchanged with per tick. Each exchange makes two
 // directories equal, so that all members are known after a few ticks.
 constexpr std::size_t neighboursPerReconciliation = 2;
+// From this number of entries per tick, each is sent to each node once, along a tree. Fewer entries
+// go to all neighbours, and reach everybody at once even if a node has just failed. Entries of new
+// members always do, since the ring that determines the tree changes with them. What does not reach
+// a node along the tree is found with the next summaries.
+constexpr std::size_t minEntriesForTree = 8;
 
 } // namespace
 
@@ -32,10 +38,16 @@
     reconcileNewMembers(now, out);
     if (m_relayedEntries.empty())
         return;
+    std::optional<broadcast_tree> tree;
+    if (m_relayedEntries.size() >= minEntriesForTree) {
+        tree.emplace(m_directory.ring(m_self.node.zone), m_self.node.name, m_options.relaysPerZone);
+        m_hasSkippedNeighbours = true;
+    }
     for (const auto &[neighbour, state] : m_neighbours) {
         entries message;
         for (const auto &[name, relayed] : m_relayedEntries) {
-            if (name != neighbour && !relayed.knownBy.contains(neighbour))
+            const bool isKnown = name == neighbour || relayed.knownBy.contains(neighbour);
+            if (!isKnown && (!tree || relayed.isNewMember || tree->passesOn(name, neighbour)))
                 message.list.push_back(relayed.entry);
         }
         if (!message.list.empty())
@@ -51,7 +63,7 @@
     if (static_cast<std::size_t>(count) < minReconciledMembers)
         return;
     std::erase_if(m_relayedEntries, isNewMember);
-    m_hasReconciled = true;
+    m_hasSkippedNeighbours = true;
     std::vector<std::string> targets = neighbours();
     moveSelectionToFront(targets, neighboursPerReconciliation, m_self.node.name, now);
     targets.resize(std::min(targets.size(), neighboursPerReconciliation));
--- a/src/core/membership/overlay_timers.cpp
+++ b/src/core/membership/overlay_timers.cpp
@@ -40,7 +40,7 @@
         m_nextHeartbeat = now + m_options.heartbeatInterval;
         m_mayRequestSummary = true;
         sendHeartbeats(state, now, out);
-        m_hasReconciled = false;
+        m_hasSkippedNeighbours = false;
         closeLinks(m_directory.prune(m_options.retention, now), out);
         pruneEntries(now);
     }
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -64,6 +64,19 @@
     std::size_t closedLinksTo(const std::string &name) { return m_closed[name].size(); }
     void resetSummaries() { m_summaries.clear(); }
     std::size_t messages() const { return m_messages; }
+    /// \returns the number of entries in all messages.
+    std::size_t entriesSent() const { return m_entriesSent; }
+    /// Changes the slots of all nodes but paused ones at the same moment.
+    void changeAll(std::uint32_t slots)
+    {
+        for (const auto &[name, node] : m_nodes) {
+            if (m_paused.contains(name))
+                continue;
+            action_list out;
+            node->setSelf("movements", slots, member_state::serving, "", out);
+            deliver(name, out);
+        }
+    }
     const std::map<std::string, std::unique_ptr<overlay>> &nodes() const { return m_nodes; }
     void deliver(const std::string &from, const action_list &out)
     {
@@ -97,6 +110,8 @@
             if (message == nullptr)
                 continue;
             ++m_messages;
+            if (const entries *sent = std::get_if<entries>(&message->message))
+                m_entriesSent += sent->list.size();
             if (std::holds_alternative<entry_summary>(message->message))
                 ++m_summaries[from];
             queue.emplace_back(from, *message);
@@ -118,6 +133,7 @@
     std::string m_isolatedZone = "-";
     time_point m_now{};
     std::size_t m_messages = 0;
+    std::size_t m_entriesSent = 0;
     std::map<std::string, std::size_t> m_summaries;
     std::map<std::string, std::set<std::string>> m_closed;
 };
@@ -308,6 +324,35 @@
     checkAll(3);
 }
 
+// Guards against copies of each entry over every link when all nodes change at once, as when all
+// backend servers report for the first time: a node received each entry about five times.
+TEST(Overlay, ChangesOfAllNodesReachEachNodeAboutOnce)
+{
+    overlay_group group(2, 32);
+    group.run(5s);
+    ASSERT_TRUE(sameDirectories(group));
+    const std::size_t earlier = group.entriesSent();
+    group.changeAll(151);
+    group.run(1s);
+    EXPECT_TRUE(sameDirectories(group));
+    EXPECT_LE(group.entriesSent() - earlier, 2 * group.nodes().size() * group.nodes().size());
+}
+
+// Guards against entries that stay unknown to the nodes behind one that has failed unnoticed, when
+// they are many and not sent to all neighbours.
+TEST(Overlay, ChangesOfAllNodesReachTheNodesBehindAFailedOne)
+{
+    for (const std::string failed : {"a0", "a13", "a31", "b7"}) {
+        overlay_group group(2, 32);
+        group.run(5s);
+        group.pause(failed);
+        group.changeAll(151);
+        group.run(1s); // Two heartbeat intervals.
+        group.remove(failed);
+        EXPECT_TRUE(sameDirectories(group)) << failed;
+    }
+}
+
 // Guards against a partition in which every node sends its entire directory to the unreachable seed
 // every second.
 TEST(Overlay, OnlyRelaysContactAnUnreachableSeed)
