Exchange summaries only if many members of the directory are new

A summary lists every member, so at 5,800 members two exchanges per tick would cost far more than the copies of 16 entries that they save. Nodes now exchange them if at least an eighth of the members, and 16, are new in a tick.

--- a/src/core/membership/overlay_relay.cpp
+++ b/src/core/membership/overlay_relay.cpp
@@ -12,6 +12,9 @@
 // on: while many nodes join at once, each node learns of a member from several others at nearly the
 // same time, and copies of its entry would be most of the traffic.
 constexpr std::size_t minReconciledMembers = 16;
+// The size of a summary grows with the directory. If fewer than this share of the members is new,
+// summaries cost more than the copies that they save.
+constexpr std::size_t membersPerReconciledMember = 8;
 // Number of neighbours that summaries are exchanged with per tick. Each exchange makes two
 // directories equal, so that all members are known after a few ticks.
 constexpr std::size_t neighboursPerReconciliation = 2;
@@ -59,8 +62,11 @@
 void overlay::reconcileNewMembers(time_point now, action_list &out)
 {
     const auto isNewMember = [](const auto &relayed) { return relayed.second.isNewMember; };
-    const auto count = std::count_if(m_relayedEntries.begin(), m_relayedEntries.end(), isNewMember);
-    if (static_cast<std::size_t>(count) < minReconciledMembers)
+    const std::ptrdiff_t count =
+            std::count_if(m_relayedEntries.begin(), m_relayedEntries.end(), isNewMember);
+    const std::size_t minCount = std::max(
+            minReconciledMembers, m_directory.records().size() / membersPerReconciledMember);
+    if (static_cast<std::size_t>(count) < minCount)
         return;
     std::erase_if(m_relayedEntries, isNewMember);
     m_hasSkippedNeighbours = true;
--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -338,6 +338,24 @@
     EXPECT_LE(group.entriesSent() - earlier, 2 * group.nodes().size() * group.nodes().size());
 }
 
+// Guards against summaries, which grow with the fleet, from all nodes of a large fleet when some
+// are added.
+TEST(Overlay, FewNewMembersOfALargeFleetCauseFewSummaries)
+{
+    overlay_group group(4, 60);
+    group.run(5s);
+    ASSERT_TRUE(sameDirectories(group));
+    group.resetSummaries();
+    for (int index = 60; index < 80; ++index)
+        group.addNode("b", index, 2);
+    group.run(2s);
+    EXPECT_TRUE(sameDirectories(group));
+    std::size_t summaries = 0;
+    for (const auto &[name, count] : group.summaries())
+        summaries += count;
+    EXPECT_LT(summaries, group.nodes().size());
+}
+
 // Guards against entries that stay unknown to the nodes behind one that has failed unnoticed, when
 // they are many and not sent to all neighbours.
 TEST(Overlay, ChangesOfAllNodesReachTheNodesBehindAFailedOne)
