Pass the exit time to beginShutdown() in sidecar_quota_test, which did not compile

Cause: added a parameter to sidecar_core::beginShutdown() and changed one of the two tests that call it.

Evidence: ninja sidecar_quota_test failed with "no matching function for call to beginShutdown(time_point, action_list&)"; now it builds and its 5 tests pass. The bound of many_nodes_together_keep_to_a_small_rate is unchanged.

--- a/tests/sidecar_quota_test.cpp
+++ b/tests/sidecar_quota_test.cpp
@@ -137,7 +137,7 @@
         if (step % 25 == 0) {
             fleet.runEvent("a" + std::to_string(step / 25),
                            [&](sidecar_core &core, action_list &out) {
-                               core.beginShutdown(fleet.now(), out);
+                               core.beginShutdown(fleet.now(), fleet.now() + seconds(5), out);
                            });
         }
     }
