End a planned stop without waiting for responses that nobody waits for

Cause: a response to a peer was kept, and awaited by a stop, for 5 s, whatever the deadline of its request, while the node that sent the request gives up 50 ms after that deadline. Class: a time limit of its own in a lower layer instead of the request's.

Now the executor hands the response over with the time at which its owner gives up; the link drops it then if it is unsent, and a stop no longer waits for it. A response within its deadline is awaited whatever the link does, so a peer whose link was reset or that is cut off for a moment still gets it. Old responses are not sent after a partition either. node_core sets no expiry: its ledger records late responses.

Considered: to wait for open links only. Shorter, but it gives up responses of requests that ran while a link is being replaced.

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -87,7 +87,9 @@
 
     /// \brief Sends a message to a node, opening a link first if necessary.
     /// \returns false if the node or its endpoint is not known.
-    bool send(std::string_view node, peer_message message, action_list &out);
+    /// \param expiresAt the receiver has no use for the message afterwards.
+    bool send(std::string_view node, peer_message message, action_list &out,
+              std::optional<time_point> expiresAt = std::nullopt);
 
     const directory &members() const { return m_directory; }
     /// \returns the names of the nodes that this node exchanges heartbeats with.
@@ -166,7 +168,8 @@
     std::vector<overlay_entry> entriesNewerThan(const entry_summary &remote) const;
     void sendEarlierEntry(const member &update, const node_ref &from, action_list &out);
     bool sendTo(std::string_view node, std::string_view endpoint, incarnation_id receiver,
-                peer_message message, action_list &out);
+                peer_message message, action_list &out,
+                std::optional<time_point> expiresAt = std::nullopt);
     void updateZoneContact(std::string_view zone, time_point when);
 
     member m_self;
--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -5,6 +5,7 @@
 #include "tamarackridge/src/node/peer_message.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -46,6 +47,9 @@
     std::string node; ///< Name of the receiving node.
     incarnation_id receiver = 0; ///< 0 while the receiver's incarnation is not known.
     peer_message message;
+    /// The receiver has no use for the message afterwards; if not set, it depends on the kind of
+    /// message.
+    std::optional<time_point> expiresAt = std::nullopt;
 };
 
 /// \brief Opens a link to a peer node, or moves an open link to another endpoint.
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -73,7 +73,7 @@
 }
 
 bool overlay::sendTo(std::string_view node, std::string_view endpoint, incarnation_id receiver,
-                     peer_message message, action_list &out)
+                     peer_message message, action_list &out, std::optional<time_point> expiresAt)
 {
     if (endpoint.empty() || node == m_self.node.name)
         return false;
@@ -82,17 +82,18 @@
         m_linkEndpoints[std::string(node)] = std::string(endpoint);
         out.push_back(connect_peer{std::string(node), std::string(endpoint)});
     }
-    out.push_back(send_peer{std::string(node), receiver, std::move(message)});
+    out.push_back(send_peer{std::string(node), receiver, std::move(message), expiresAt});
     return true;
 }
 
-bool overlay::send(std::string_view node, peer_message message, action_list &out)
+bool overlay::send(std::string_view node, peer_message message, action_list &out,
+                   std::optional<time_point> expiresAt)
 {
     const directory::record *found = m_directory.find(node);
     if (found == nullptr)
         return false;
-    return sendTo(node, found->info.endpoint, found->info.node.incarnation, std::move(message),
-                  out);
+    return sendTo(node, found->info.endpoint, found->info.node.incarnation, std::move(message), out,
+                  expiresAt);
 }
 
 void overlay::flood(const overlay_entry &entry, std::string_view except, action_list &out)
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -5,8 +5,6 @@
 namespace tamarackridge::internal {
 namespace {
 
-// Allows for the network delay of a response that an executor sends at the deadline.
-constexpr duration responseGrace = std::chrono::milliseconds(50);
 // The request may have crashed the backend server. The retry is delayed until the next executor has
 // received the quarantine entry about it.
 constexpr duration crashPropagationDelay = std::chrono::milliseconds(50);
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -2,6 +2,7 @@
 
 #include "core/node/trace.h"
 
+#include <algorithm>
 #include <string>
 
 namespace tamarackridge::internal {
@@ -196,7 +197,9 @@
     response.load = load(now);
     if (work.running)
         emitSpan(work, response, now, out);
-    m_responseSink(work.owner, std::move(response), now, out);
+    // Also a response that is ready after the deadline gets time to be sent.
+    const time_point expiresAt = std::max(work.deadline, now) + responseGrace;
+    m_responseSink({work.owner, std::move(response), expiresAt}, now, out);
 }
 
 void executor::emitSpan(const execution &work, const dispatch_response &response, time_point now,
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -7,6 +7,7 @@
 #include "tamarackridge/src/overload/concurrency_limit.h"
 #include "tamarackridge/src/quarantine/crash_tracker.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -16,6 +17,18 @@
 
 namespace tamarackridge::internal {
 
+/// How long after the deadline an owner waits for a response. Allows for the network delay of a
+/// response that is sent at the deadline.
+constexpr duration responseGrace = std::chrono::milliseconds(50);
+
+/// \brief Response to a dispatch, with its receiver.
+struct owned_response
+{
+    node_ref owner;
+    dispatch_response response;
+    time_point expiresAt; ///< By then the owner has given up waiting.
+};
+
 /// \brief Runs dispatched requests on the local backend server.
 ///
 /// Queues them by priority and limits how many run at the same time.
@@ -23,8 +36,8 @@
 {
 public:
     /// \brief Receives the outcome of every dispatch.
-    using response_sink = std::function<void(const node_ref &owner, dispatch_response response,
-                                             time_point now, action_list &out)>;
+    using response_sink =
+            std::function<void(owned_response result, time_point now, action_list &out)>;
 
     /// \brief Receives overlay entries about requests that crash backend servers.
     using overlay_sink = std::function<void(const overlay_entry &entry, action_list &out)>;
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -49,12 +49,12 @@
     , m_requestHandler({m_config, m_quota, m_ledger, m_handles, m_membership, m_counters, random})
     , m_executor(
               m_runHeaders, concurrency_limit_options{}, m_counters, random,
-              [this](const node_ref &owner, dispatch_response response, time_point now,
-                     action_list &out) {
-                  if (owner == m_options.self)
-                      m_dispatcher.dispatchResponse(owner.name, std::move(response), now, out);
-                  else
-                      m_membership.send(owner.name, std::move(response), out);
+              [this](owned_response result, time_point now, action_list &out) {
+                  if (result.owner == m_options.self)
+                      m_dispatcher.dispatchResponse(result.owner.name, std::move(result.response),
+                                                    now, out);
+                  else // Without an expiry: the ledger also records a late response.
+                      m_membership.send(result.owner.name, std::move(result.response), out);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -65,12 +65,13 @@
     , m_runHeaders(m_options.headers)
     , m_executor(
               m_runHeaders, limitOptions(), m_counters, random,
-              [this](const node_ref &owner, dispatch_response response, time_point now,
-                     action_list &out) {
-                  if (owner == m_options.self)
-                      m_dispatcher.dispatchResponse(owner.name, std::move(response), now, out);
+              [this](owned_response result, time_point now, action_list &out) {
+                  if (result.owner == m_options.self)
+                      m_dispatcher.dispatchResponse(result.owner.name, std::move(result.response),
+                                                    now, out);
                   else
-                      m_membership.send(owner.name, std::move(response), out);
+                      m_membership.send(result.owner.name, std::move(result.response), out,
+                                        result.expiresAt);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
--- a/src/sidecar/peer_network.cpp
+++ b/src/sidecar/peer_network.cpp
@@ -58,19 +58,20 @@
 }
 
 void peer_network::send(const std::string &node, incarnation_id receiver,
-                        const peer_message &message)
+                        const peer_message &message, std::optional<time_point> expiresAt)
 {
     const auto found = m_senders.find(node);
     if (found == m_senders.end())
         return;
     const frame_header header{m_context.self, receiver, 0};
-    found->second->send(encodePeerMessage(header, message), message, receiver);
+    found->second->send(encodePeerMessage(header, message), message, receiver, expiresAt);
 }
 
-bool peer_network::awaitsResponseDelivery() const
+bool peer_network::awaitsResponseDelivery(time_point now) const
 {
-    return std::any_of(m_senders.begin(), m_senders.end(),
-                       [](const auto &entry) { return entry.second->awaitsResponseDelivery(); });
+    return std::any_of(m_senders.begin(), m_senders.end(), [now](const auto &entry) {
+        return entry.second->awaitsResponseDelivery(now);
+    });
 }
 
 void peer_network::acknowledge()
--- a/src/sidecar/peer_network.h
+++ b/src/sidecar/peer_network.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -37,16 +38,19 @@
     void disconnect(const std::string &node);
     /// \brief Queues a message; drops it if there is no link to \a node.
     /// \param receiver incarnation that the message is for; 0 for any.
-    void send(const std::string &node, incarnation_id receiver, const peer_message &message);
+    /// \param expiresAt the message is dropped if it has not been written to a connection by then;
+    /// if not set, the time depends on the kind of message.
+    void send(const std::string &node, incarnation_id receiver, const peer_message &message,
+              std::optional<time_point> expiresAt = std::nullopt);
     /// \brief Checks all links for time-outs and reconnects; must be called a few times a second.
     void sweep(time_point now);
     /// \brief Acknowledges what was received since the last call; must be called well within the
     /// 500 ms after which a sender considers this node unresponsive.
     void acknowledge();
 
-    /// \returns whether a response is on its way to the node that sent the request; a process that
-    /// ends now could cut it off.
-    bool awaitsResponseDelivery() const;
+    /// \returns whether a response is on its way to a node that may still wait for it; a process
+    /// that ends now could cut it off. True also while the link to that node is down.
+    bool awaitsResponseDelivery(time_point now) const;
 
     const peer_counts &counts() const { return m_context.counts; }
 
--- a/src/sidecar/peer_sender.cpp
+++ b/src/sidecar/peer_sender.cpp
@@ -27,7 +27,6 @@
 constexpr duration maxRetryDelay = std::chrono::milliseconds(800);
 // Heartbeats and entries may expire unsent: later ones carry the same state again.
 constexpr duration stateTimeToLive = std::chrono::seconds(2);
-constexpr duration responseTimeToLive = std::chrono::seconds(5);
 constexpr std::size_t maxQueuedBytes = std::size_t{16} * 1024 * 1024; ///< For one peer.
 constexpr std::size_t maxWriteBytes = std::size_t{128} * 1024;
 
@@ -35,8 +34,6 @@
 {
     if (const dispatch *request = std::get_if<dispatch>(&message))
         return request->context.deadlineLeft;
-    if (std::holds_alternative<dispatch_response>(message))
-        return responseTimeToLive;
     return stateTimeToLive;
 }
 
@@ -64,7 +61,8 @@
     , m_retryDelay(initialRetryDelay)
 { }
 
-void peer_sender::send(std::string bytes, const peer_message &message, incarnation_id receiver)
+void peer_sender::send(std::string bytes, const peer_message &message, incarnation_id receiver,
+                       std::optional<time_point> expiresAt)
 {
     const time_point now = monotonicNow();
     m_queuedBytes += bytes.size();
@@ -73,7 +71,7 @@
     item.number = ++m_context.lastFrameNumber;
     item.receiver = receiver;
     item.queuedAt = now;
-    item.expiresAt = now + timeToLive(message);
+    item.expiresAt = expiresAt.value_or(now + timeToLive(message));
     if (const dispatch *request = std::get_if<dispatch>(&message))
         item.id = request->id;
     item.bytes = std::move(bytes);
@@ -113,10 +111,11 @@
     resetConnection();
 }
 
-bool peer_sender::awaitsResponseDelivery() const
+bool peer_sender::awaitsResponseDelivery(time_point now) const
 {
-    return std::any_of(m_frames.begin(), m_frames.end(),
-                       [](const frame &item) { return item.isResponse; });
+    return std::any_of(m_frames.begin(), m_frames.end(), [now](const frame &item) {
+        return item.isResponse && item.expiresAt > now;
+    });
 }
 
 void peer_sender::dropOldest()
--- a/src/sidecar/peer_sender.h
+++ b/src/sidecar/peer_sender.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,12 +29,14 @@
 
     /// \brief Queues the frame of \a message, which expires unless it is written in time.
     /// \param bytes the encoded message.
-    void send(std::string bytes, const peer_message &message, incarnation_id receiver);
+    /// \param expiresAt if not set, the time depends on the kind of message.
+    void send(std::string bytes, const peer_message &message, incarnation_id receiver,
+              std::optional<time_point> expiresAt);
     /// \brief Checks the connection for time-outs, and reconnects after the retry delay.
     void sweep(time_point now);
     void close();
-    /// \returns whether a response is queued that the peer has not acknowledged.
-    bool awaitsResponseDelivery() const;
+    /// \returns whether a response that has not expired is queued or not acknowledged yet.
+    bool awaitsResponseDelivery(time_point now) const;
 
 private:
     struct frame
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -179,7 +179,7 @@
     else if (const cancel_run *cancel = std::get_if<cancel_run>(&item))
         m_server.cancel(cancel->run);
     else if (const send_peer *send = std::get_if<send_peer>(&item))
-        m_peers.send(send->node, send->receiver, send->message);
+        m_peers.send(send->node, send->receiver, send->message, send->expiresAt);
     else if (const connect_peer *connect = std::get_if<connect_peer>(&item))
         m_peers.connect(connect->node, connect->endpoint);
     else if (const disconnect_peer *disconnect = std::get_if<disconnect_peer>(&item))
@@ -348,7 +348,7 @@
 bool sidecar_app::endIfStopped(time_point now)
 {
     const bool complete =
-            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery();
+            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery(now);
     if (!complete && now < m_stopDeadline)
         return false;
     const node_status status = m_core.status(now);
@@ -361,7 +361,7 @@
                         .add("requests_cut", status.callsInFlight)
                         .add("runs_cut", status.load.inFlight)
                         .add("callers_busy", m_callers.busy())
-                        .add("peers_await_responses", m_peers.awaitsResponseDelivery()));
+                        .add("peers_await_responses", m_peers.awaitsResponseDelivery(now)));
     m_log.flush(now);
     m_loop.stop();
     return true;
--- a/tests/sidecar_peer_network_test.cpp
+++ b/tests/sidecar_peer_network_test.cpp
@@ -106,6 +106,7 @@
                 receivedVersions.push_back(fetch->haveVersion);
             if (const dispatch *request = std::get_if<dispatch>(&message))
                 receivedDeadlines.push_back(request->context.deadlineLeft);
+            receivedResponses += std::holds_alternative<dispatch_response>(message);
         };
         callbacks.restarted = [this](const std::string &node, incarnation_id) {
             restarted.push_back(node);
@@ -122,6 +123,7 @@
     std::unique_ptr<peer_network> network;
     std::vector<std::int64_t> receivedVersions;
     std::vector<duration> receivedDeadlines;
+    int receivedResponses = 0;
     std::vector<std::string> restarted;
     std::vector<std::string> unresponsive;
     std::vector<std::uint64_t> dispatchNotSent;
@@ -214,12 +216,49 @@
 {
     sender->network->connect("r", address.text());
     sender->network->send("r", 0, heartbeat{});
-    EXPECT_FALSE(sender->network->awaitsResponseDelivery());
+    EXPECT_FALSE(sender->network->awaitsResponseDelivery(monotonicNow()));
     sender->network->send("r", 0, dispatch_response{});
     loop.restart();
     loop.run_for(std::chrono::milliseconds(50));
-    EXPECT_TRUE(sender->network->awaitsResponseDelivery());
-    EXPECT_TRUE(run([&] { return !sender->network->awaitsResponseDelivery(); }));
+    EXPECT_TRUE(sender->network->awaitsResponseDelivery(monotonicNow()));
+    EXPECT_TRUE(run([&] { return !sender->network->awaitsResponseDelivery(monotonicNow()); }));
+}
+
+// Guards against a planned stop that waits for a response that nobody needs, and against sending
+// it: the receiver has given up by then.
+TEST_F(sidecar_peer_network, an_expired_response_is_neither_awaited_nor_sent)
+{
+    receiver.reset();
+    sender->network->connect("r", address.text());
+    const time_point expiresAt = monotonicNow() + std::chrono::milliseconds(200);
+    sender->network->send("r", 0, dispatch_response{}, expiresAt);
+    EXPECT_TRUE(sender->network->awaitsResponseDelivery(monotonicNow()));
+    EXPECT_TRUE(run([&] { return !sender->network->awaitsResponseDelivery(monotonicNow()); }));
+    EXPECT_GE(monotonicNow(), expiresAt);
+    EXPECT_LT(monotonicNow(), expiresAt + std::chrono::seconds(1));
+    receiver = std::make_unique<endpoint>(loop, "r", 22, address);
+    send(1);
+    EXPECT_TRUE(run([&] { return receiver->receivedVersions.size() == 1; }));
+    EXPECT_EQ(receiver->receivedResponses, 0);
+}
+
+// Guards against a planned stop that gives up a peer whose link is down for a moment.
+TEST_F(sidecar_peer_network, a_response_is_awaited_and_delivered_when_the_link_is_replaced)
+{
+    std::unique_ptr<link_proxy> proxy = std::make_unique<link_proxy>(loop, proxyAddress, address);
+    sender->network->connect("r", proxyAddress.text());
+    send(1);
+    ASSERT_TRUE(run([&] { return receiver->receivedVersions.size() == 1; }));
+    proxy->resetAll();
+    proxy.reset();
+    ASSERT_TRUE(run([&] { return sender->linkLosses == 1; }));
+    const time_point expiresAt = monotonicNow() + std::chrono::seconds(8);
+    sender->network->send("r", 0, dispatch_response{}, expiresAt);
+    ASSERT_TRUE(run([&] { return !sender->unresponsive.empty(); }));
+    EXPECT_TRUE(sender->network->awaitsResponseDelivery(monotonicNow()));
+    link_proxy replacement(loop, proxyAddress, address);
+    EXPECT_TRUE(run([&] { return !sender->network->awaitsResponseDelivery(monotonicNow()); }));
+    EXPECT_EQ(receiver->receivedResponses, 1);
 }
 
 // Guards against a link that hangs forever because its connection stops responding without a reset.
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -206,10 +206,15 @@
     http::response<http::string_body> m_response;
 };
 
-/// Two nodes in one event loop: callers use `front`, whose requests run beside `orders`.
+/// Two nodes: callers use `front`, whose requests run beside `orders`.
 struct sidecar_stop : testing::Test
 {
     boost::asio::io_context loop;
+    /// Loop of `front` and the callers in tests in which `front` is not run for some time, as if
+    /// its VM were cut off from the network.
+    boost::asio::io_context separateLoop;
+    boost::asio::io_context *frontLoop = &loop;
+    duration routeTimeout = seconds(6);
     fixed_platform platform;
     sidecar_settings frontSettings = settingsOf("front");
     sidecar_settings ordersSettings = settingsOf("orders");
@@ -234,14 +239,14 @@
         return settings;
     }
 
-    static published_route readRoute()
+    published_route readRoute() const
     {
         published_route route;
         route.name = "read";
         route.host = "shop.example";
         route.pathPrefix = "/read/";
         route.targets = {{"orders", 1}};
-        route.timeout = seconds(6);
+        route.timeout = routeTimeout;
         return route;
     }
 
@@ -255,7 +260,7 @@
         platform.report = {"i-1", "orders", ordersSettings.backend.text(), 1, 1, slots, false};
         for (const sidecar_settings &settings : {frontSettings, ordersSettings})
             platform.nodes.push_back({settings.name, settings.peers.text()});
-        front = std::make_unique<sidecar_app>(loop, frontSettings, platform);
+        front = std::make_unique<sidecar_app>(*frontLoop, frontSettings, platform);
         orders = std::make_unique<sidecar_app>(loop, ordersSettings, platform);
         front->start();
         orders->start();
@@ -270,7 +275,7 @@
         constexpr milliseconds interval(50);
         for (int number = 0; number < count; ++number) {
             callers.push_back(std::make_shared<repeating_caller>(
-                    loop, frontSettings.callers, "caller" + std::to_string(number)));
+                    *frontLoop, frontSettings.callers, "caller" + std::to_string(number)));
             callers.back()->start(number * interval);
         }
     }
@@ -298,6 +303,42 @@
         front.reset();
     }
 
+    void runSeparateLoop()
+    {
+        separateLoop.restart();
+        separateLoop.poll();
+    }
+
+    /// Runs both nodes, `front` in the separate loop, until a request is running whose caller has
+    /// received a response before.
+    bool awaitRun(const delayed_server &server)
+    {
+        const auto step = [this] { runSeparateLoop(); };
+        if (!runUntil(
+                    loop, [this] { return count(200) > 0; }, step))
+            return false;
+        const std::size_t started = server.startedIds.size();
+        return runUntil(
+                loop, [&] { return server.startedIds.size() > started; }, step);
+    }
+
+    /// Stops `orders` and runs it until its process would exit. `front` is not run until \a pause
+    /// has passed. \returns how long the stop took.
+    duration stopOrders(duration pause)
+    {
+        constexpr seconds limit(10);
+        const time_point begin = monotonicNow();
+        orders->stop("test");
+        loop.restart();
+        while (!loop.stopped() && monotonicNow() - begin < limit) {
+            loop.run_for(milliseconds(5));
+            if (monotonicNow() - begin >= pause)
+                runSeparateLoop();
+        }
+        orders.reset();
+        return monotonicNow() - begin;
+    }
+
 private:
     tcp::socket m_reporter{loop};
 };
@@ -325,5 +366,33 @@
     EXPECT_GT(count(503), 0U);
 }
 
+// Guards against a stop that takes its whole time for a response that nobody waits for: the peer is
+// cut off, and the deadline of its request has passed.
+TEST_F(sidecar_stop, a_response_whose_request_has_expired_does_not_prolong_the_stop)
+{
+    frontLoop = &separateLoop;
+    routeTimeout = seconds(1);
+    delayed_server server(loop, ordersSettings.backend, milliseconds(300));
+    startNodes();
+    startCallers(1);
+    ASSERT_TRUE(awaitRun(server));
+    EXPECT_LT(stopOrders(seconds(10)), milliseconds(2500));
+}
+
+// Guards against a stop that gives up a peer whose link is interrupted: its caller still waits for
+// the response.
+TEST_F(sidecar_stop, a_response_is_delivered_to_a_peer_that_is_back_before_the_deadline)
+{
+    frontLoop = &separateLoop;
+    delayed_server server(loop, ordersSettings.backend, milliseconds(300));
+    startNodes();
+    startCallers(1);
+    ASSERT_TRUE(awaitRun(server));
+    const std::size_t before = count(200);
+    // By then the connection has been given up, and its replacement has not been accepted.
+    EXPECT_GT(stopOrders(milliseconds(2200)), milliseconds(2200));
+    EXPECT_TRUE(runUntil(separateLoop, [&] { return count(200) > before; }));
+}
+
 } // namespace
 } // namespace tamarackridge
