Add a fault soak that runs sidecars as processes

It sends signals to the processes, publishes configurations and disturbs the stand-in of the platform's store, and checks from callers and backend servers that requests run at most once, that refusals are true and that planned stops cut nothing off.

--- /dev/null
+++ b/tests/soak/deployment.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "sidecar/event_loop.h"
+#include "soak_caller.h"
+
+#include <unistd.h>
+
+namespace tamarackridge::soak {
+
+/// \brief Places, addresses and documents of the sidecars and the store of a run.
+namespace deployment {
+
+inline constexpr std::size_t zones = 2;
+
+enum class endpoint : std::uint8_t { callers, health, control, backend, peers, metrics, store };
+
+/// \returns an address that no other process uses: runs side by side differ in their process ids.
+inline socket_address address(std::size_t vm, endpoint service)
+{
+    constexpr int firstPort = 21000; // Below the ports that the kernel assigns.
+    constexpr int blocks = 250;
+    const int process = getpid();
+    return {"127." + std::to_string(1 + process / blocks % blocks) + '.'
+                    + std::to_string(1 + process % blocks) + '.' + std::to_string(1 + vm),
+            static_cast<std::uint16_t>(firstPort + static_cast<int>(service))};
+}
+
+inline std::string zoneOf(std::size_t vm)
+{
+    return "zone-" + std::to_string(vm % zones);
+}
+
+/// \returns the service of a VM; each service has servers in every zone.
+inline std::string serviceOf(std::size_t vm)
+{
+    return vm / zones % 2 == 0 ? "agenda" : "reservas";
+}
+
+/// \returns the settings file of a sidecar.
+inline std::string settings(std::size_t vm)
+{
+    const auto at = [vm](endpoint service) {
+        return nlohmann::json{{"address", address(vm, service).text()}};
+    };
+    nlohmann::json result = {{"callers", at(endpoint::callers)},
+                             {"health", at(endpoint::health)},
+                             {"backend", at(endpoint::backend)},
+                             {"peers", at(endpoint::peers)},
+                             {"metrics", at(endpoint::metrics)}};
+    result["node"] = {{"zone", zoneOf(vm)}, {"name", "vm-" + std::to_string(vm)}};
+    for (std::size_t zone = 0; zone < zones; ++zone)
+        result["node"]["zones"].push_back(zoneOf(zone));
+    result["backend"]["service"] = serviceOf(vm);
+    result["backend"]["control"] = address(vm, endpoint::control).text();
+    result["store"]["address"] = address(0, endpoint::store).text();
+    return result.dump(2);
+}
+
+/// \returns a configuration that assigns each route to a random service and draws a rate limit.
+inline std::string configuration(std::int64_t version, const std::vector<caller_route> &routes,
+                                 random_source &random)
+{
+    nlohmann::json resources = nlohmann::json::array();
+    const auto add = [&resources](const char *type, const std::string &name, nlohmann::json spec) {
+        resources.push_back(
+                {{"type", type}, {"metadata", {{"name", name}}}, {"spec", std::move(spec)}});
+    };
+    for (const caller_route &route : routes) {
+        nlohmann::json spec = {{"hostname", "shop.example"}, {"timeoutS", 6}, {"attempts", 2}};
+        spec["pathPrefix"] = '/' + route.name + '/';
+        spec["service"] = serviceOf(zones * random.below(2));
+        spec["routeType"] = route.idempotent ? "idempotent" : "non_idempotent";
+        add("routes", route.name, spec);
+    }
+    const double rate = 30 + 30 * random.unit();
+    add("tenants", "open", {{"apiKeys", {"key-open"}}});
+    add("tenants", "limited", {{"apiKeys", {"key-limited"}}, {"ratePerS", rate}, {"burst", rate}});
+    return nlohmann::json{{"version", version}, {"resources", resources}}.dump();
+}
+
+} // namespace deployment
+} // namespace tamarackridge::soak
--- /dev/null
+++ b/tests/soak/fault_script.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "soak_server.h"
+
+#include <array>
+
+namespace tamarackridge::soak {
+
+/// \brief What a step of the fault script does.
+///
+/// A store that returns from an older copy would be a further kind: add it here, to
+/// fault_script::disturbStore() and to soak_run::perform().
+enum class fault_kind : std::uint8_t {
+    terminate, ///< SIGTERM, SIGKILL after the grace time, restart after the exit.
+    kill, ///< SIGKILL and restart.
+    pause, ///< SIGSTOP and SIGCONT.
+    publish, ///< The operator writes a new configuration.
+    store_silent, ///< The store accepts requests and does not respond.
+    store_rejecting, ///< The store responds with 503.
+    store_slow,
+};
+
+/// \brief One step of a fault script.
+struct fault_step
+{
+    duration at{}; ///< From the start of the faults.
+    fault_kind kind = fault_kind::terminate;
+    std::size_t vm = 0; ///< Unused for faults of the store.
+    duration length{}; ///< Delay until the restart, or length of the pause or outage.
+
+    std::string text() const
+    {
+        constexpr std::array<std::string_view, 7> names{
+                "SIGTERM VM ",   "SIGKILL VM ",      "pause VM ",  "new configuration ",
+                "store silent ", "store rejecting ", "store slow "};
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(length);
+        return std::string(names.at(static_cast<std::size_t>(kind))) + std::to_string(vm) + ", "
+               + std::to_string(milliseconds.count()) + " ms";
+    }
+};
+
+/// \brief Draws the faults of a run: groups that begin at random moments and overlap.
+///
+/// VM n is in zone n modulo the number of zones.
+class fault_script
+{
+public:
+    fault_script(random_source &random, std::size_t vms, std::size_t zones, duration length)
+        : m_random(random)
+        , m_vms(vms)
+        , m_zones(zones)
+    {
+        using draw = void (fault_script::*)(duration at);
+        // Groups that are listed more than once occur more often.
+        constexpr std::array<draw, 15> groups{&fault_script::terminateInSeries,
+                                              &fault_script::terminateInSeries,
+                                              &fault_script::terminateInSeries,
+                                              &fault_script::terminateInSeries,
+                                              &fault_script::terminateMostOfZone,
+                                              &fault_script::terminateMostOfZone,
+                                              &fault_script::terminateMostOfZone,
+                                              &fault_script::kill,
+                                              &fault_script::kill,
+                                              &fault_script::kill,
+                                              &fault_script::pause,
+                                              &fault_script::pause,
+                                              &fault_script::restartAll,
+                                              &fault_script::disturbStore,
+                                              &fault_script::disturbStore};
+        for (duration at{}; at < length; at += between(300, 3000))
+            (this->*groups.at(m_random.below(groups.size())))(at);
+        for (duration at = between(0, 1000); at < length; at += between(500, 3000))
+            add(at, fault_kind::publish, 0, {});
+        std::sort(
+                m_steps.begin(), m_steps.end(),
+                [](const fault_step &left, const fault_step &right) { return left.at < right.at; });
+    }
+
+    const std::vector<fault_step> &steps() const { return m_steps; }
+
+private:
+    duration between(std::int64_t least, std::int64_t most)
+    {
+        return drawDuration(milliseconds(least), milliseconds(most), m_random);
+    }
+    duration restartDelay() { return between(100, 1500); }
+    void add(duration at, fault_kind kind, std::size_t vm, duration length)
+    {
+        m_steps.push_back({at, kind, vm, length});
+    }
+
+    void terminateInSeries(duration at)
+    {
+        std::size_t vm = m_random.below(m_vms);
+        for (std::size_t count = 2 + m_random.below(3); count > 0; --count) {
+            add(at, fault_kind::terminate, vm, restartDelay());
+            vm = (vm + 1) % m_vms;
+            at += between(300, 1500);
+        }
+    }
+    void terminateMostOfZone(duration at)
+    {
+        for (std::size_t vm = m_random.below(m_zones); vm < m_vms; vm += m_zones) {
+            const bool spared = m_random.below(5) == 0;
+            if (!spared)
+                add(at + between(0, 1000), fault_kind::terminate, vm, restartDelay());
+        }
+    }
+    void kill(duration at)
+    {
+        for (std::size_t count = 1 + m_random.below(2); count > 0; --count)
+            add(at, fault_kind::kill, m_random.below(m_vms), restartDelay());
+    }
+    void pause(duration at)
+    {
+        add(at, fault_kind::pause, m_random.below(m_vms), between(300, 4000));
+    }
+    void restartAll(duration at)
+    {
+        const fault_kind kind = m_random.below(2) == 0 ? fault_kind::terminate : fault_kind::kill;
+        for (std::size_t vm = 0; vm < m_vms; ++vm)
+            add(at + between(0, 200), kind, vm, restartDelay());
+    }
+    void disturbStore(duration at)
+    {
+        constexpr std::array<fault_kind, 3> kinds{
+                fault_kind::store_silent, fault_kind::store_rejecting, fault_kind::store_slow};
+        add(at, kinds.at(m_random.below(kinds.size())), 0, between(1000, 5000));
+    }
+
+    random_source &m_random;
+    std::size_t m_vms;
+    std::size_t m_zones;
+    std::vector<fault_step> m_steps;
+};
+
+} // namespace tamarackridge::soak
--- /dev/null
+++ b/tests/soak/soak_server.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "platform/names.h"
+#include "request_checker.h"
+#include "sidecar/connection_pool.h"
+#include "sidecar/http_listener.h"
+#include "tamarackridge/src/base/seeded_random.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <map>
+
+namespace tamarackridge::soak {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace names = platform::names;
+
+/// \returns a random duration in the interval.
+inline duration drawDuration(milliseconds least, milliseconds most, random_source &random)
+{
+    return least + std::chrono::duration_cast<duration>(random.unit() * (most - least));
+}
+
+/// \brief Place and service of a backend server.
+struct server_options
+{
+    std::size_t vm = 0;
+    std::string zone;
+    std::string service;
+    socket_address address;
+    socket_address control; ///< Receives its heartbeats.
+    std::uint64_t seed = 0;
+};
+
+/// \brief Stand-in for a backend server: sends heartbeats, runs each request for a time that
+/// depends on the seed and the request, and drops a run whose connection closes.
+class soak_server
+{
+public:
+    soak_server(boost::asio::io_context &loop, server_options options, request_checker &checker)
+        : m_loop(loop)
+        , m_options(std::move(options))
+        , m_checker(checker)
+        , m_listener(loop, m_options.address,
+                     listener_callbacks{
+                             [this](call_id call, const http_request &item) { handle(call, item); },
+                             [this](call_id call) { endRun(call, "dropped"); },
+                             [this]() -> const caller_limits & { return m_limits; },
+                             [] { return false; }},
+                     m_lastCall)
+        , m_control(loop, m_options.control)
+        , m_heartbeatTimer(loop)
+    {
+        sendHeartbeat();
+    }
+
+    void sweep(time_point now)
+    {
+        m_listener.sweep(now);
+        m_control.sweep(now);
+    }
+
+private:
+    // Few enough that the callers of all VMs together sometimes exceed them.
+    static constexpr std::size_t slots = 24;
+
+    struct run
+    {
+        std::string id;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+
+    /// Most requests are fast; a few outlast a planned stop.
+    duration serviceTime(const std::string &id) const
+    {
+        seeded_random random(m_options.seed ^ std::hash<std::string>()(id));
+        const double kind = random.unit();
+        if (kind < 0.7)
+            return drawDuration(milliseconds(2), milliseconds(40), random);
+        if (kind < 0.9)
+            return drawDuration(milliseconds(100), milliseconds(600), random);
+        if (kind < 0.98)
+            return drawDuration(milliseconds(1000), milliseconds(2500), random);
+        return drawDuration(milliseconds(3000), milliseconds(6000), random);
+    }
+
+    void handle(call_id call, const http_request &request)
+    {
+        const std::string id(headerValue(request.headers, names::requestId));
+        if (m_runs.size() >= slots) {
+            respond(call, 503, id, names::notRun);
+            return;
+        }
+        const std::string_view deadline = headerValue(request.headers, names::deadlineMilliseconds);
+        std::int64_t left = 0;
+        std::from_chars(deadline.data(), deadline.data() + deadline.size(), left);
+        const duration needed = serviceTime(id);
+        const duration taken = std::min<duration>(needed, milliseconds(left));
+        m_checker.runStarted(id, m_options.vm, monotonicNow() + taken);
+        if (!bodyView(request.body).empty() && bodyView(request.body) != id)
+            m_checker.report("a body is forwarded unchanged", id);
+        run &item = m_runs[call];
+        item = {id, std::make_unique<boost::asio::steady_timer>(m_loop, taken)};
+        item.timer->async_wait([this, call, id, timedOut = taken < needed](error_code error) {
+            if (!error && endRun(call, timedOut ? "timed out" : "completed"))
+                respond(call, timedOut ? 504 : 200, id, names::seal);
+        });
+    }
+
+    /// \returns false if the connection has closed and ended the run before.
+    bool endRun(call_id call, std::string_view how)
+    {
+        const auto found = m_runs.find(call);
+        if (found == m_runs.end())
+            return false;
+        m_checker.runEnded(found->second.id, how);
+        m_runs.erase(found);
+        return true;
+    }
+
+    void respond(call_id call, int status, const std::string &id, std::string_view mark)
+    {
+        http_response response;
+        response.status = status;
+        response.headers = {{std::string(names::requestId), id}, {std::string(mark), "seal-" + id}};
+        response.body = std::make_shared<const std::string>(status == 200 ? expectedBody(id) : "");
+        m_listener.respond(call, response);
+    }
+
+    void sendHeartbeat()
+    {
+        const nlohmann::json info = {{"service", m_options.service},
+                                     {"version", "v1"},
+                                     {"zone", m_options.zone},
+                                     {"slots", slots}};
+        const nlohmann::json status = {
+                {"state", "ready"}, {"sequence", ++m_sequence}, {"coldRemainingS", 0}};
+        const nlohmann::json body = {{"address", m_options.address.text()},
+                                     {"born", 1},
+                                     {"info", info},
+                                     {"status", status}};
+        const http_request request{"PUT",
+                                   std::string(names::heartbeatPath) + "i-"
+                                           + std::to_string(m_options.vm),
+                                   {{"Host", m_options.control.text()}},
+                                   std::make_shared<const std::string>(body.dump())};
+        m_control.exchange(request, {}, monotonicNow() + seconds(1), connection_reuse::any,
+                           [](const exchange_result &) {});
+        m_heartbeatTimer.expires_after(milliseconds(500));
+        m_heartbeatTimer.async_wait([this](error_code error) {
+            if (!error)
+                sendHeartbeat();
+        });
+    }
+
+    boost::asio::io_context &m_loop;
+    server_options m_options;
+    request_checker &m_checker;
+    std::map<call_id, run> m_runs;
+    call_id m_lastCall = 0;
+    caller_limits m_limits;
+    http_listener m_listener;
+    connection_pool m_control;
+    boost::asio::steady_timer m_heartbeatTimer;
+    std::int64_t m_sequence = 0;
+};
+
+} // namespace tamarackridge::soak
