--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -1,19 +1,40 @@
 #pragma once
 
 #include "sidecar/event_loop.h"
-#include "soak_caller.h"
+#include "tamarackridge/src/base/seeded_random.h"
 
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include <vector>
+
 namespace tamarackridge::soak {
 
+using boost::system::error_code;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// \returns a random duration in the interval.
+inline duration drawDuration(milliseconds least, milliseconds most, random_source &random)
+{
+    return least + std::chrono::duration_cast<duration>(random.unit() * (most - least));
+}
+
+/// \brief A route as callers use it.
+struct caller_route
+{
+    std::string name;
+    bool idempotent = false;
+};
+
+/// Ports of a VM; the store uses the address of the first one.
+enum class endpoint : std::uint8_t { callers, health, control, backend, peers, metrics, store };
+
 /// \brief Places, addresses and documents of the sidecars and the store of a run.
 namespace deployment {
 
 inline constexpr std::size_t zones = 2;
 
-enum class endpoint : std::uint8_t { callers, health, control, backend, peers, metrics, store };
-
 /// \returns an address that no other process uses: runs side by side differ in their process ids.
 inline socket_address address(std::size_t vm, endpoint service)
 {
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "soak_server.h"
+#include "deployment.h"
 
+#include <algorithm>
 #include <array>
 
 namespace tamarackridge::soak {
@@ -31,11 +32,10 @@
     std::string text() const
     {
         constexpr std::array<std::string_view, 7> names{
-                "SIGTERM VM ",   "SIGKILL VM ",      "pause VM ",  "new configuration ",
-                "store silent ", "store rejecting ", "store slow "};
-        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(length);
-        return std::string(names.at(static_cast<std::size_t>(kind))) + std::to_string(vm) + ", "
-               + std::to_string(milliseconds.count()) + " ms";
+                "SIGTERM",      "SIGKILL",         "pause",     "configuration",
+                "store silent", "store rejecting", "store slow"};
+        return std::string(names.at(static_cast<std::size_t>(kind))) + ", VM " + std::to_string(vm)
+               + ", " + std::to_string(length / milliseconds(1)) + " ms";
     }
 };
 
@@ -51,24 +51,18 @@
         , m_zones(zones)
     {
         using draw = void (fault_script::*)(duration at);
-        // Groups that are listed more than once occur more often.
-        constexpr std::array<draw, 15> groups{&fault_script::terminateInSeries,
-                                              &fault_script::terminateInSeries,
-                                              &fault_script::terminateInSeries,
-                                              &fault_script::terminateInSeries,
-                                              &fault_script::terminateMostOfZone,
-                                              &fault_script::terminateMostOfZone,
-                                              &fault_script::terminateMostOfZone,
-                                              &fault_script::kill,
-                                              &fault_script::kill,
-                                              &fault_script::kill,
-                                              &fault_script::pause,
-                                              &fault_script::pause,
-                                              &fault_script::restartAll,
-                                              &fault_script::disturbStore,
-                                              &fault_script::disturbStore};
+        constexpr std::array<std::pair<std::size_t, draw>, 6> groups{
+                {{4, &fault_script::terminateInSeries},
+                 {3, &fault_script::terminateMostOfZone},
+                 {3, &fault_script::kill},
+                 {2, &fault_script::pause},
+                 {1, &fault_script::restartAll},
+                 {2, &fault_script::disturbStore}}};
+        std::vector<draw> choices;
+        for (const auto &[weight, group] : groups)
+            choices.insert(choices.end(), weight, group);
         for (duration at{}; at < length; at += between(300, 3000))
-            (this->*groups.at(m_random.below(groups.size())))(at);
+            (this->*choices[m_random.below(choices.size())])(at);
         for (duration at = between(0, 1000); at < length; at += between(500, 3000))
             add(at, fault_kind::publish, 0, {});
         std::sort(
--- a/tests/soak/process_history.h
+++ b/tests/soak/process_history.h
@@ -50,12 +50,16 @@
         });
     }
 
-    /// \returns the last SIGTERM in the interval.
-    std::optional<time_point> lastTermination(std::size_t vm, time_point from, time_point to) const
+    /// \returns when the process that runs at \a to received SIGTERM, if it did.
+    std::optional<time_point> termination(std::size_t vm, time_point to) const
     {
         std::optional<time_point> last;
         for (const change &item : m_changes.at(vm)) {
-            if (item.event == process_event::terminated && item.at > from && item.at <= to)
+            if (item.at > to)
+                break;
+            if (item.event == process_event::started)
+                last.reset();
+            else if (item.event == process_event::terminated)
                 last = item.at;
         }
         return last;
--- a/tests/soak/request_checker.h
+++ b/tests/soak/request_checker.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,17 +26,6 @@
     return body;
 }
 
-/// \brief Counts of a run.
-struct request_counts
-{
-    std::size_t sent = 0;
-    std::size_t served = 0;
-    std::size_t refused = 0; ///< With the promise that they did not run.
-    std::size_t failed = 0; ///< With another status.
-    std::size_t unanswered = 0; ///< The connection ended without a complete response.
-    std::size_t violations = 0;
-};
-
 /// \brief Checks the promises of the sidecar from what callers and backend servers see.
 ///
 /// Violations are reported when they are seen; a request that ended without the server's response
@@ -61,8 +51,6 @@
         item.idempotent = idempotent;
         item.sentAt = monotonicNow();
         item.giveUpAt = giveUpAt;
-        ++counts.sent;
-        ++m_open;
         note(item, "sent to VM " + std::to_string(vm)
                            + (idempotent ? ", idempotent" : ", non-idempotent")
                            + (keptConnection ? ", on a kept connection" : ""));
@@ -74,28 +62,21 @@
         const std::string_view seal = headerValue(response.headers, "X-Response-Seal");
         item.status = response.status;
         item.sealed = seal == "seal-" + id;
-        ended(id, "response " + std::to_string(item.status) + (item.sealed ? ", sealed" : ""));
+        ended(id, "response " + std::to_string(item.status) + (item.sealed ? " of a server" : ""));
         if (!seal.empty() && !item.sealed)
             violate("a response belongs to the own request", item);
-        if (item.status < 300) {
-            ++counts.served;
-            if (item.runs == 0 || !item.sealed || bodyView(response.body) != expectedBody(id))
-                violate("a success is the whole response of a server", item);
-        } else if (promisesNotRun(item.status)) {
-            ++counts.refused;
-            if (item.runs > 0)
-                violate("a refused request did not run", item);
-        } else {
-            ++counts.failed;
-            if (item.status < 500)
-                violate("a proper request is not rejected as malformed or unknown", item);
-        }
+        if (item.status < 300
+            && (item.runs == 0 || !item.sealed || bodyView(response.body) != expectedBody(id)))
+            violate("a success is the whole response of a server", item);
+        if (promisesNotRun(item.status) && item.runs > 0)
+            violate("a refused request did not run", item);
+        if (item.status < 500 && item.status >= 300 && !promisesNotRun(item.status))
+            violate("a proper request is not rejected as malformed or unknown", item);
     }
 
     /// \brief The connection ended without a complete response.
     void broken(const std::string &id)
     {
-        ++counts.unanswered;
         m_requests.at(id).unanswered = true;
         ended(id, "connection ended without a complete response");
     }
@@ -106,7 +87,8 @@
         request_record &item = m_requests.at(id);
         item.endedAt = monotonicNow();
         item.interrupted = item.activeRuns > 0;
-        --m_open;
+        ++m_endedCount;
+        ++m_outcomes[std::string(how)];
         m_toJudge.push_back(&item);
         note(item, how);
     }
@@ -141,7 +123,7 @@
     /// \brief Reports a violation that is not about a single request.
     void report(std::string_view promise, std::string_view detail)
     {
-        ++counts.violations;
+        ++m_violations;
         m_violated(promise, {}, {historyLine(m_start, monotonicNow(), detail)});
     }
 
@@ -162,10 +144,12 @@
     }
 
     /// \returns whether all requests have ended and been judged.
-    bool settled() const { return m_open == 0 && m_toJudge.empty(); }
+    bool settled() const { return m_endedCount == m_requests.size() && m_toJudge.empty(); }
+    std::size_t sentCount() const { return m_requests.size(); }
+    std::size_t violations() const { return m_violations; }
+    const std::map<std::string, std::size_t> &outcomes() const { return m_outcomes; }
 
     process_history processes;
-    request_counts counts;
 
 private:
     struct request_record
@@ -204,7 +188,6 @@
     void judge(const request_record &item)
     {
         constexpr duration stability = std::chrono::seconds(3);
-        constexpr duration stopWindow = std::chrono::seconds(7); // One second after the grace time.
         constexpr duration admittedUntil = std::chrono::seconds(3);
         constexpr duration stillRunningAt = std::chrono::seconds(5);
         constexpr duration earliestCut = std::chrono::milliseconds(4700);
@@ -213,8 +196,7 @@
         if (item.runs == 0 || processes.disturbed(item.vm, from, *item.endedAt)
             || (!item.unanswered && !replaced))
             return;
-        const std::optional<time_point> stop =
-                processes.lastTermination(item.vm, item.sentAt - stopWindow, *item.endedAt);
+        const std::optional<time_point> stop = processes.termination(item.vm, *item.endedAt);
         if (stop && item.sentAt <= *stop + admittedUntil && *item.endedAt >= *stop + earliestCut
             && item.plannedEnd >= *stop + stillRunningAt)
             return;
@@ -230,7 +212,7 @@
 
     void violate(std::string_view promise, const request_record &item)
     {
-        ++counts.violations;
+        ++m_violations;
         std::vector<std::string> history = m_remarks;
         history.insert(history.end(), item.events.begin(), item.events.end());
         std::set<std::size_t> vms = item.runVms;
@@ -246,7 +228,9 @@
     time_point m_start = monotonicNow();
     std::unordered_map<std::string, request_record> m_requests; // References stay valid.
     std::deque<request_record *> m_toJudge;
-    std::size_t m_open = 0;
+    std::map<std::string, std::size_t> m_outcomes; ///< How many requests ended in which way.
+    std::size_t m_endedCount = 0;
+    std::size_t m_violations = 0;
 };
 
 } // namespace tamarackridge::soak
--- a/tests/soak/sidecar_process.h
+++ b/tests/soak/sidecar_process.h
@@ -46,7 +46,6 @@
             return;
         m_exitRequested = true;
         m_restartDelay = restartDelay;
-        m_pausedInStop = m_resumeAt.has_value();
         m_killAt = monotonicNow() + graceTime;
         send(SIGTERM, process_event::terminated);
     }
@@ -62,7 +61,6 @@
     {
         if (!running() || m_resumeAt)
             return;
-        m_pausedInStop = m_exitRequested;
         m_resumeAt = monotonicNow() + length;
         send(SIGSTOP, process_event::paused);
     }
@@ -79,7 +77,7 @@
             send(SIGCONT, process_event::resumed);
         if (due(m_killAt, now)) {
             // A process that was paused meanwhile did not have the whole grace time.
-            if (!m_pausedInStop)
+            if (!m_resumeAt && !m_checker.processes.disturbed(m_vm, now - graceTime, now))
                 m_checker.report("a process exits within the grace time", name());
             kill(m_restartDelay);
         }
@@ -105,7 +103,6 @@
     void start()
     {
         m_exitRequested = false;
-        m_pausedInStop = false;
         m_pid = fork();
         if (m_pid == 0)
             execute();
@@ -157,7 +154,6 @@
     pid_t m_pid = 0;
     bool m_retired = false;
     bool m_exitRequested = false;
-    bool m_pausedInStop = false;
     duration m_restartDelay{};
     std::optional<time_point> m_killAt;
     std::optional<time_point> m_resumeAt;
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -4,30 +4,12 @@
 
 namespace tamarackridge::soak {
 
-/// \brief A route as callers use it.
-struct caller_route
-{
-    std::string name;
-    bool idempotent = false;
-};
-
-/// \brief How a caller behaves.
-struct caller_options
-{
-    std::string name;
-    std::size_t vm = 0;
-    socket_address target;
-    std::string key;
-    bool patient = false; ///< Waits as Retry-After says; others return at once.
-    bool keepsConnection = false;
-    std::uint64_t seed = 0;
-};
-
 /// \brief What all callers of a run share.
 struct caller_context
 {
     boost::asio::io_context &loop;
     request_checker &checker;
+    std::uint64_t seed = 0;
     std::vector<caller_route> routes;
     std::function<bool(std::size_t vm)> maySend;
     std::function<void(std::size_t vm, const caller_route &route)> served;
@@ -35,13 +17,21 @@
 };
 
 /// \brief Sends one request after the other to the sidecar of its VM, until all callers stop.
+///
+/// Some callers keep their connection, some wait as Retry-After says and others return at once, and
+/// some belong to a customer with a rate limit.
 class soak_caller
 {
 public:
-    soak_caller(caller_options options, const caller_context &context)
-        : m_options(std::move(options))
-        , m_context(context)
-        , m_random(m_options.seed)
+    soak_caller(const caller_context &context, std::size_t vm, std::size_t number)
+        : m_context(context)
+        , m_vm(vm)
+        , m_name("s" + std::to_string(context.seed) + "-vm" + std::to_string(vm) + "-c"
+                 + std::to_string(number))
+        , m_random(context.seed ^ std::hash<std::string>()(m_name))
+        , m_patient(m_random.below(2) == 0)
+        , m_keepsConnection(m_random.below(3) != 0)
+        , m_key(m_random.below(4) == 0 ? "key-limited" : "key-open")
         , m_timer(context.loop)
     {
         continueAfter(thinkTime());
@@ -58,7 +48,7 @@
         m_timer.async_wait([this](error_code error) {
             if (error || m_context.stopped)
                 return;
-            if (m_context.maySend(m_options.vm))
+            if (m_context.maySend(m_vm))
                 send();
             else
                 continueAfter(reconnectDelay);
@@ -68,22 +58,23 @@
     void send()
     {
         const caller_route &route = m_context.routes[m_random.below(m_context.routes.size())];
-        const std::string id = m_options.name + '-' + std::to_string(++m_count);
+        const std::string id = m_name + '-' + std::to_string(++m_count);
         const milliseconds budget = milliseconds(1500 + m_random.below(4500));
         http_request request{
                 route.idempotent ? "GET" : "POST",
                 '/' + route.name + '/' + id,
                 {{"Host", "shop.example"},
                  {std::string(names::requestId), id},
-                 {std::string(names::apiKey), m_options.key},
+                 {std::string(names::apiKey), m_key},
                  {std::string(names::deadlineMilliseconds), std::to_string(budget.count())}},
                 nullptr};
         if (!route.idempotent)
             request.body = std::make_shared<const std::string>(id);
         const bool kept = m_connection != nullptr;
         if (!kept)
-            m_connection = http_connection::create(m_context.loop, m_options.target);
-        m_context.checker.sent(id, m_options.vm, route.idempotent, kept, monotonicNow() + budget);
+            m_connection = http_connection::create(m_context.loop,
+                                                   deployment::address(m_vm, endpoint::callers));
+        m_context.checker.sent(id, m_vm, route.idempotent, kept, monotonicNow() + budget);
         m_connection->exchange(
                 request, {}, time_point::max(),
                 [this, id, route](const exchange_result &result) { ended(id, route, result); });
@@ -105,8 +96,8 @@
             m_context.checker.ended(id, result.end == exchange_outcome::refused ? "no connection"
                                                                                 : "caller gave up");
         if (result.response.status == 200)
-            m_context.served(m_options.vm, route);
-        if (!result.reusable || !m_options.keepsConnection) {
+            m_context.served(m_vm, route);
+        if (!result.reusable || !m_keepsConnection) {
             m_connection->close(exchange_outcome::cancelled);
             m_connection.reset();
         }
@@ -125,12 +116,16 @@
         constexpr double leastSeconds = 0.02;
         constexpr double mostSeconds = 5;
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-                m_options.patient ? std::clamp(wait, leastSeconds, mostSeconds) : leastSeconds));
+                m_patient ? std::clamp(wait, leastSeconds, mostSeconds) : leastSeconds));
     }
 
-    caller_options m_options;
     const caller_context &m_context;
+    std::size_t m_vm;
+    std::string m_name;
     seeded_random m_random;
+    bool m_patient;
+    bool m_keepsConnection;
+    std::string m_key;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<http_connection> m_connection;
     std::uint64_t m_count = 0;
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -1,58 +1,39 @@
 #pragma once
 
+#include "deployment.h"
 #include "platform/names.h"
 #include "request_checker.h"
 #include "sidecar/connection_pool.h"
 #include "sidecar/http_listener.h"
-#include "tamarackridge/src/base/seeded_random.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
 
 #include <charconv>
 #include <map>
 
 namespace tamarackridge::soak {
 
-using boost::system::error_code;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 namespace names = platform::names;
 
-/// \returns a random duration in the interval.
-inline duration drawDuration(milliseconds least, milliseconds most, random_source &random)
-{
-    return least + std::chrono::duration_cast<duration>(random.unit() * (most - least));
-}
-
-/// \brief Place and service of a backend server.
-struct server_options
-{
-    std::size_t vm = 0;
-    std::string zone;
-    std::string service;
-    socket_address address;
-    socket_address control; ///< Receives its heartbeats.
-    std::uint64_t seed = 0;
-};
-
 /// \brief Stand-in for a backend server: sends heartbeats, runs each request for a time that
 /// depends on the seed and the request, and drops a run whose connection closes.
 class soak_server
 {
 public:
-    soak_server(boost::asio::io_context &loop, server_options options, request_checker &checker)
+    soak_server(boost::asio::io_context &loop, std::size_t vm, std::uint64_t seed,
+                request_checker &checker)
         : m_loop(loop)
-        , m_options(std::move(options))
+        , m_vm(vm)
+        , m_seed(seed)
         , m_checker(checker)
-        , m_listener(loop, m_options.address,
+        , m_listener(loop, deployment::address(vm, endpoint::backend),
                      listener_callbacks{
                              [this](call_id call, const http_request &item) { handle(call, item); },
                              [this](call_id call) { endRun(call, "dropped"); },
                              [this]() -> const caller_limits & { return m_limits; },
                              [] { return false; }},
                      m_lastCall)
-        , m_control(loop, m_options.control)
+        , m_control(loop, deployment::address(vm, endpoint::control))
         , m_heartbeatTimer(loop)
     {
         sendHeartbeat();
@@ -77,7 +58,7 @@
     /// Most requests are fast; a few outlast a planned stop.
     duration serviceTime(const std::string &id) const
     {
-        seeded_random random(m_options.seed ^ std::hash<std::string>()(id));
+        seeded_random random(m_seed ^ std::hash<std::string>()(id));
         const double kind = random.unit();
         if (kind < 0.7)
             return drawDuration(milliseconds(2), milliseconds(40), random);
@@ -100,7 +81,7 @@
         std::from_chars(deadline.data(), deadline.data() + deadline.size(), left);
         const duration needed = serviceTime(id);
         const duration taken = std::min<duration>(needed, milliseconds(left));
-        m_checker.runStarted(id, m_options.vm, monotonicNow() + taken);
+        m_checker.runStarted(id, m_vm, monotonicNow() + taken);
         if (!bodyView(request.body).empty() && bodyView(request.body) != id)
             m_checker.report("a body is forwarded unchanged", id);
         run &item = m_runs[call];
@@ -133,20 +114,15 @@
 
     void sendHeartbeat()
     {
-        const nlohmann::json info = {{"service", m_options.service},
-                                     {"version", "v1"},
-                                     {"zone", m_options.zone},
-                                     {"slots", slots}};
-        const nlohmann::json status = {
-                {"state", "ready"}, {"sequence", ++m_sequence}, {"coldRemainingS", 0}};
-        const nlohmann::json body = {{"address", m_options.address.text()},
-                                     {"born", 1},
-                                     {"info", info},
-                                     {"status", status}};
+        nlohmann::json body = {{"address", deployment::address(m_vm, endpoint::backend).text()},
+                               {"born", 1}};
+        body["info"] = {{"service", deployment::serviceOf(m_vm)},
+                        {"zone", deployment::zoneOf(m_vm)},
+                        {"slots", slots}};
+        body["status"] = {{"state", "ready"}, {"sequence", ++m_sequence}};
         const http_request request{"PUT",
-                                   std::string(names::heartbeatPath) + "i-"
-                                           + std::to_string(m_options.vm),
-                                   {{"Host", m_options.control.text()}},
+                                   std::string(names::heartbeatPath) + "i-" + std::to_string(m_vm),
+                                   {{"Host", "control"}},
                                    std::make_shared<const std::string>(body.dump())};
         m_control.exchange(request, {}, monotonicNow() + seconds(1), connection_reuse::any,
                            [](const exchange_result &) {});
@@ -158,7 +134,8 @@
     }
 
     boost::asio::io_context &m_loop;
-    server_options m_options;
+    std::size_t m_vm;
+    std::uint64_t m_seed;
     request_checker &m_checker;
     std::map<call_id, run> m_runs;
     call_id m_lastCall = 0;
