--- a/tests/membership_overlay_test.cpp
+++ b/tests/membership_overlay_test.cpp
@@ -210,6 +210,28 @@
     }
 }
 
+// Guards against a node that is suspected right after its restart, because its neighbours count the
+// silence of its earlier process: requests that run there are given up.
+TEST(Overlay, ARestartedNodeIsNotSuspectedForTheSilenceOfItsEarlierProcess)
+{
+    overlay_group group(4, 4);
+    group.run(5s);
+    group.remove("c2");
+    group.run(1600ms);
+    group.addNode("c", 2, 2);
+    const incarnation_id current = group["c2"].self().node.incarnation;
+    for (int step = 0; step < 30; ++step) {
+        group.run(100ms);
+        for (const auto &[name, node] : group.nodes()) {
+            const directory::record *known = node->members().find("c2");
+            if (known->info.node.incarnation == current) {
+                EXPECT_EQ(known->health, liveness::alive) << name << ", step " << step;
+            }
+        }
+    }
+    EXPECT_EQ(group["a0"].members().find("c2")->info.node.incarnation, current);
+}
+
 // Guards against declaring the nodes of an isolated zone dead one by one, after which all of them
 // would have to join again.
 TEST(Overlay, AnIsolatedZoneIsNotDeclaredDeadAndReconnects)
