Give a restarted node the whole time until suspicion

A neighbour counted the silence of the earlier process, so that a node that had been away for 1.5 s was suspected within the next half second, and suspected again after each refutation until its first heartbeat. Idempotent requests that ran there were given up; with no other server of the service they ended as 504. Overlay.ARestartedNodeIsNotSuspectedForTheSilenceOfItsEarlierProcess failed before and passes now.

--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -199,6 +199,9 @@
         }
         return;
     }
+    const directory::record *known = m_directory.find(update->node.name);
+    const bool restarted =
+            known != nullptr && known->info.node.incarnation != update->node.incarnation;
     if (!m_directory.merge(*update, now)) {
         const auto relayed = m_relayedEntries.find(update->node.name);
         if (relayed != m_relayedEntries.end() && relayed->second.entry.version == entry.version)
@@ -206,6 +209,11 @@
         sendEarlierEntry(*update, from, out);
         return;
     }
+    // The silence of the earlier process says nothing about the new one, which gets the whole
+    // suspectTimeout to send a heartbeat.
+    const auto neighbour = m_neighbours.find(update->node.name);
+    if (restarted && neighbour != m_neighbours.end())
+        neighbour->second.lastContact = now;
     m_neighboursOutdated = true;
     relay(*update, entry, from.name, out);
     changes.members.push_back(update->node.name);
