--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -480,5 +480,32 @@
     EXPECT_EQ(fleet.observer("a1").errors, std::vector<std::string>{"leaving"});
 }
 
+// Guards against giving up a request on a mere suspicion when no other server could run it: the
+// caller got 504 although its server was at work and responded in time.
+TEST(sidecar_core, a_request_stays_on_a_suspected_node_when_no_other_has_its_service)
+{
+    sidecar_fleet fleet({{"a1", "front"}, {"a2", "orders"}});
+    published_set set = fakeSet(5);
+    set.routes.front().timeout = seconds(6);
+    fleet.publishAll(set);
+    ASSERT_TRUE(fleet.report("a2", 1));
+    fleet.advance(seconds(1));
+    // The retry budget of the service allows a retry only after many requests.
+    for (std::size_t served = 0; served < 200; ++served) {
+        fleet.call("a1", "read");
+        fleet.finish(served);
+    }
+    const call_id call = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 201U);
+    fleet.isolatedNodes = {"a2"};
+    fleet.advance(milliseconds(2700)); // Suspected after 2 s of silence, declared dead after 4 s.
+    EXPECT_EQ(fleet.status(call), 0);
+    fleet.isolatedNodes.clear();
+    fleet.advance(seconds(1));
+    EXPECT_FALSE(fleet.runs.back().cancelled);
+    fleet.finish(200);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
 } // namespace
 } // namespace tamarackridge
