Keep a request on a suspected node when no other has its service

A suspicion ended the idempotent requests that ran on the node, to send them elsewhere; without another serving node they failed with 504 although their server was at work.

--- a/include/tamarackridge/src/routing/router.h
+++ b/include/tamarackridge/src/routing/router.h
@@ -85,6 +85,9 @@
     /// \brief Updates the load only; a heartbeat is not evidence that requests are served.
     void onHeartbeat(std::string_view node, const executor_load &load);
 
+    /// \returns whether \a service has a serving executor besides \a node and those in \a excluded.
+    bool hasAlternative(std::string_view service, std::string_view node,
+                        std::span<const std::string> excluded) const;
     std::size_t executorCount() const { return m_byNode.size(); }
     /// \returns true when the executor is currently ejected because of failures.
     bool isEjected(std::string_view node, time_point now);
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -275,10 +275,13 @@
 {
     for (request_number requestNumber : idempotentRequestsOn(node)) {
         const auto found = m_requests.find(requestNumber);
-        if (found == m_requests.end() || found->second.attempts.remaining() == 0
-            || !m_retries.forService(found->second.request.context.service).canRetry(now))
+        if (found == m_requests.end())
             continue;
-        expireAttempt(requestNumber, now, out);
+        const progress &work = found->second;
+        const std::string &service = work.request.context.service;
+        if (work.attempts.remaining() > 0 && m_retries.forService(service).canRetry(now)
+            && m_routes.hasAlternative(service, node, work.tried))
+            expireAttempt(requestNumber, now, out);
     }
 }
 
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -82,8 +82,8 @@
                          action_list &out);
     /// \brief Retries idempotent requests elsewhere if their executor is suspect or does not read.
     ///
-    /// Retries only as many as the retry budget allows. The other requests keep waiting, since the
-    /// executor may still be running them.
+    /// Retries only as many as the retry budget allows, and only if another executor has the
+    /// service. The other requests keep waiting, since the executor may still be running them.
     void executorSuspected(std::string_view node, time_point now, action_list &out);
     /// \brief Ends the attempts of idempotent requests on a dead node: retries them elsewhere or
     /// fails them.
--- a/src/core/routing/router_choice.cpp
+++ b/src/core/routing/router_choice.cpp
@@ -55,6 +55,24 @@
     return tl::unexpected(error_kind::no_backend_server);
 }
 
+bool router::hasAlternative(std::string_view service, std::string_view node,
+                            std::span<const std::string> excluded) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    const auto isAlternative = [&](index executor) {
+        const executor_record &item = m_records[executor];
+        return item.state == executor_state::serving && item.node != node
+               && std::find(excluded.begin(), excluded.end(), item.node) == excluded.end();
+    };
+    return std::any_of(found->second.zones.begin(), found->second.zones.end(),
+                       [&isAlternative](const zone_group &group) {
+                           return std::any_of(group.members.begin(), group.members.end(),
+                                              isAlternative);
+                       });
+}
+
 bool router::hasFreeCapacity(std::span<const index> list) const
 {
     return std::any_of(list.begin(), list.end(), [this](index executor) {
