--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -1,4 +1,5 @@
 #include "fakes/sidecar_fleet.h"
+#include "tamarackridge/membership"
 
 #include <gtest/gtest.h>
 
@@ -507,5 +508,33 @@
     EXPECT_EQ(fleet.status(call), 200);
 }
 
+// Guards against a response that is addressed to an earlier process of the caller's node: other
+// nodes pass its last entry on for a while after the restart, and the new process drops what is not
+// for it.
+TEST(sidecar_core, a_response_goes_to_the_process_that_sent_the_request)
+{
+    sidecar_fleet fleet = smallFleet();
+    start(fleet);
+    const node_ref earlier = fleet.core("a1").status(fleet.now()).self;
+    fleet.restart("a1");
+    fleet.publish(fakeSet(6), "a1");
+    ASSERT_TRUE(fleet.report("a1", 2));
+    fleet.advance(seconds(1));
+    member entry;
+    entry.node = earlier;
+    entry.counter = 100;
+    entry.endpoint = "a1:7000";
+    entry.state = member_state::serving;
+    const node_ref sender = fleet.core("b1").status(fleet.now()).self;
+    fleet.runEvent("a2", [&](sidecar_core &core, action_list &out) {
+        core.peerMessage(sender, entries{{encodeMember(entry)}}, fleet.now(), out);
+    });
+    const call_id call = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.size(), 1U);
+    EXPECT_EQ(fleet.runs[0].node, "a2");
+    fleet.finish(0);
+    EXPECT_EQ(fleet.status(call), 200);
+}
+
 } // namespace
 } // namespace tamarackridge
