Address a response to the process that sent the request

It was addressed to the process that the directory names, which right after a restart can be the earlier one; the new process dropped it, and the caller got no response. sidecar_core.a_response_goes_to_the_process_that_sent_the_request failed before and passes now.

--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -88,6 +88,9 @@
     /// \brief Sends a message to a node, opening a link first if necessary.
     /// \returns false if the node or its endpoint is not known.
     bool send(std::string_view node, peer_message message, action_list &out);
+    /// \brief Like send(), but addresses the process that \a receiver names. The directory may name
+    /// an earlier process of that node for a while after a restart.
+    bool sendToProcess(const node_ref &receiver, peer_message message, action_list &out);
 
     const directory &members() const { return m_directory; }
     /// \returns the names of the nodes that this node exchanges heartbeats with.
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -89,9 +89,15 @@
 bool overlay::send(std::string_view node, peer_message message, action_list &out)
 {
     const directory::record *found = m_directory.find(node);
+    return found != nullptr && sendToProcess(found->info.node, std::move(message), out);
+}
+
+bool overlay::sendToProcess(const node_ref &receiver, peer_message message, action_list &out)
+{
+    const directory::record *found = m_directory.find(receiver.name);
     if (found == nullptr)
         return false;
-    return sendTo(node, found->info.endpoint, found->info.node.incarnation, std::move(message),
+    return sendTo(receiver.name, found->info.endpoint, receiver.incarnation, std::move(message),
                   out);
 }
 
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -54,7 +54,7 @@
                   if (owner == m_options.self)
                       m_dispatcher.dispatchResponse(owner.name, std::move(response), now, out);
                   else
-                      m_membership.send(owner.name, std::move(response), out);
+                      m_membership.sendToProcess(owner, std::move(response), out);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -70,7 +70,7 @@
                   if (owner == m_options.self)
                       m_dispatcher.dispatchResponse(owner.name, std::move(response), now, out);
                   else
-                      m_membership.send(owner.name, std::move(response), out);
+                      m_membership.sendToProcess(owner, std::move(response), out);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
