--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -325,5 +325,19 @@
     EXPECT_GT(count(503), 0U);
 }
 
+// Guards against a caller whose connection is closed without a response because the node beside its
+// server has ended meanwhile: nobody works on the request any more, so its fate is decided before
+// the time limit of the stop.
+TEST_F(sidecar_stop, a_request_whose_server_node_has_ended_is_answered_before_the_exit)
+{
+    delayed_server server(loop, ordersSettings.backend, seconds(20));
+    startNodes();
+    startCallers(1);
+    ASSERT_TRUE(runUntil(loop, [&server] { return !server.startedIds.empty(); }));
+    orders.reset();
+    stopFront();
+    EXPECT_TRUE(callers.front()->statusById.contains(*server.startedIds.begin()));
+}
+
 } // namespace
 } // namespace tamarackridge
