--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -90,6 +90,10 @@
     /// \param expiresAt the receiver has no use for the message afterwards.
     bool send(std::string_view node, peer_message message, action_list &out,
               std::optional<time_point> expiresAt = std::nullopt);
+    /// \brief Like send(), but addresses the process that \a receiver names. The directory may name
+    /// an earlier process of that node for a while after a restart.
+    bool sendToProcess(const node_ref &receiver, peer_message message, action_list &out,
+                       std::optional<time_point> expiresAt = std::nullopt);
 
     const directory &members() const { return m_directory; }
     /// \returns the names of the nodes that this node exchanges heartbeats with.
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -90,10 +90,17 @@
                    std::optional<time_point> expiresAt)
 {
     const directory::record *found = m_directory.find(node);
+    return found != nullptr && sendToProcess(found->info.node, std::move(message), out, expiresAt);
+}
+
+bool overlay::sendToProcess(const node_ref &receiver, peer_message message, action_list &out,
+                            std::optional<time_point> expiresAt)
+{
+    const directory::record *found = m_directory.find(receiver.name);
     if (found == nullptr)
         return false;
-    return sendTo(node, found->info.endpoint, found->info.node.incarnation, std::move(message), out,
-                  expiresAt);
+    return sendTo(receiver.name, found->info.endpoint, receiver.incarnation, std::move(message),
+                  out, expiresAt);
 }
 
 void overlay::flood(const overlay_entry &entry, std::string_view except, action_list &out)
@@ -202,7 +209,10 @@
         }
         return;
     }
-    const bool isNewMember = m_directory.find(update->node.name) == nullptr;
+    const directory::record *known = m_directory.find(update->node.name);
+    const bool isNewMember = known == nullptr;
+    const bool restarted =
+            known != nullptr && known->info.node.incarnation != update->node.incarnation;
     if (!m_directory.merge(*update, now)) {
         const auto relayed = m_relayedEntries.find(update->node.name);
         if (relayed != m_relayedEntries.end() && relayed->second.entry.version == entry.version)
@@ -210,6 +220,11 @@
         sendEarlierEntry(*update, from, out);
         return;
     }
+    // The silence of the earlier process says nothing about the new one, which gets the whole
+    // suspectTimeout to send a heartbeat.
+    const auto neighbour = m_neighbours.find(update->node.name);
+    if (restarted && neighbour != m_neighbours.end())
+        neighbour->second.lastContact = now;
     m_neighboursOutdated = true;
     relay(*update, entry, from.name, isNewMember, out);
     changes.members.push_back(update->node.name);
--- a/src/core/node/node_state.cpp
+++ b/src/core/node/node_state.cpp
@@ -54,7 +54,7 @@
                       m_dispatcher.dispatchResponse(result.owner.name, std::move(result.response),
                                                     now, out);
                   else // Without an expiry: the ledger also records a late response.
-                      m_membership.send(result.owner.name, std::move(result.response), out);
+                      m_membership.sendToProcess(result.owner, std::move(result.response), out);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -70,8 +70,8 @@
                       m_dispatcher.dispatchResponse(result.owner.name, std::move(result.response),
                                                     now, out);
                   else
-                      m_membership.send(result.owner.name, std::move(result.response), out,
-                                        result.expiresAt);
+                      m_membership.sendToProcess(result.owner, std::move(result.response), out,
+                                                 result.expiresAt);
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
