Answer what is unfinished at the time limit of a planned stop before the process exits

Cause: the limit ended the event loop at once. The process knows which requests it gives up, and has a second until it is killed.

Now the request handler responds to what is in progress with 502, unknown (503, not run, for requests that wait for tokens), and the process exits when the callers have the responses, 0.4 s after the limit at the latest. The earlier report without a response is gone.

--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -63,7 +63,7 @@
     std::string_view service;
     std::string_view customer;
     std::string_view executor; ///< Node of the last attempt; empty when there was none.
-    int status = 0; ///< 0 when no response was sent.
+    int status = 0;
     run_state state = run_state::unknown;
     std::string_view error; ///< Empty when the backend server responded.
     std::int64_t configVersion = -1;
@@ -166,9 +166,9 @@
     /// \returns true when shutdown has begun, no request is in progress, and callers have had time
     /// to switch to other nodes.
     bool drained(time_point now) const;
-    /// \brief Must be called when the process exits before it is drained. Reports the requests of
-    /// callers that are in progress as ended without a response.
-    void reportUnfinished(time_point now);
+    /// \brief Must be called shortly before the process exits without being drained. Responds to
+    /// the callers whose requests are in progress; these requests may have run.
+    void endUnfinished(time_point now, action_list &out);
     /// \returns whether callers should send requests to this node.
     bool ready() const;
     /// \returns whether caller connections are to be closed after their next response.
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -108,9 +108,9 @@
     return m_implementation->drained(now);
 }
 
-void sidecar_core::reportUnfinished(time_point now)
+void sidecar_core::endUnfinished(time_point now, action_list &out)
 {
-    m_implementation->requestHandler().reportUnfinished(now);
+    m_implementation->requestHandler().endUnfinished(now, out);
 }
 
 bool sidecar_core::ready() const
--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -249,19 +249,6 @@
     respond(item, std::move(result), now, out);
 }
 
-ended_request sidecar_request_handler::endedRequest(const pending &item, time_point now) const
-{
-    ended_request ended;
-    ended.requestId = item.requestId;
-    ended.route = item.route;
-    ended.service = item.service;
-    ended.customer = item.customer;
-    ended.configVersion = m_table ? m_table->set().version : -1;
-    ended.elapsed = now - item.arrivedAt;
-    ended.objective = item.objective;
-    return ended;
-}
-
 void sidecar_request_handler::beginShutdown(time_point admissionEnd, time_point exitAt)
 {
     const time_point completeBy = exitAt - responseDelivery;
@@ -281,30 +268,34 @@
     return now >= (isOnwardCall ? m_shutdown->onwardAdmissionEnd : m_shutdown->admissionEnd);
 }
 
-void sidecar_request_handler::reportUnfinished(time_point now) const
+void sidecar_request_handler::endUnfinished(time_point now, action_list &out)
 {
-    for (const auto &[owned, item] : m_requests) {
-        ended_request ended = endedRequest(item, now);
+    m_byCall.clear();
+    for (const auto &[owned, item] : std::exchange(m_requests, {})) {
         const attempt_summary summary = m_dispatcher.attemptsOf(owned);
-        ended.executor = summary.executor;
-        ended.attempts = summary.attempts;
-        ended.error = responseFor(error_kind::leaving).name;
-        m_observer.requestEnded(ended);
-    }
-    for (const waiting_request &waiting : m_waiting) {
-        ended_request ended = endedRequest(waiting.item, now);
-        ended.state = run_state::not_run;
-        ended.error = responseFor(error_kind::leaving).name;
-        m_observer.requestEnded(ended);
+        request_outcome unfinished;
+        unfinished.error = error_kind::leaving;
+        unfinished.executorNode = std::string(summary.executor);
+        unfinished.attemptsUnused = item.attempts - std::min(summary.attempts, item.attempts);
+        respond(item, std::move(unfinished), now, out);
     }
+    for (const waiting_request &waiting : std::exchange(m_waiting, {}))
+        refuse(waiting.item, error_kind::leaving, now, out);
 }
 
 void sidecar_request_handler::respond(const pending &item, request_outcome result, time_point now,
                                       action_list &out)
 {
-    ended_request ended = endedRequest(item, now);
+    ended_request ended;
+    ended.requestId = item.requestId;
+    ended.route = item.route;
+    ended.service = item.service;
+    ended.customer = item.customer;
     ended.executor = result.executorNode;
     ended.state = result.state;
+    ended.configVersion = m_table ? m_table->set().version : -1;
+    ended.elapsed = now - item.arrivedAt;
+    ended.objective = item.objective;
     ended.attempts = item.attempts - std::min(result.attemptsUnused, item.attempts);
     if (result.error) {
         ended.error = responseFor(*result.error).name;
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -40,8 +40,8 @@
     /// that none of them is in progress when the process exits. \param admissionEnd from then on,
     /// requests of callers are refused.
     void beginShutdown(time_point admissionEnd, time_point exitAt);
-    /// \brief Reports all requests in progress as ended without a response.
-    void reportUnfinished(time_point now) const;
+    /// \brief Responds to all requests in progress, whose outcome is not waited for any longer.
+    void endUnfinished(time_point now, action_list &out);
 
     bool idle() const { return m_requests.empty() && m_waiting.empty(); }
     std::size_t size() const { return m_requests.size() + m_waiting.size(); }
@@ -86,8 +86,6 @@
     std::vector<http_header> forwardedHeaders(std::vector<http_header> received,
                                               const std::string &customer) const;
     void respond(const pending &item, request_outcome result, time_point now, action_list &out);
-    /// \returns what is known of \a item when it ends, without its outcome.
-    ended_request endedRequest(const pending &item, time_point now) const;
 
     const sidecar_options &m_options;
     dispatcher &m_dispatcher;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr duration sweepInterval = std::chrono::milliseconds(100);
+// At the time limit of a stop, callers get this time to receive the last responses.
+constexpr duration lastResponsePeriod = std::chrono::milliseconds(300);
 
 http_response plainResponse(int status, std::string_view type, std::string body)
 {
@@ -340,7 +342,8 @@
     m_peers.sweep(now);
     m_platform.sweep(now);
     m_log.flush(now);
-    if (endIfStopped(now))
+    endIfStopped(now);
+    if (m_loop.stopped())
         return;
     m_sweepTimer.expires_after(sweepInterval);
     m_sweepTimer.async_wait([this](const boost::system::error_code &error) {
@@ -349,26 +352,35 @@
     });
 }
 
-bool sidecar_app::endIfStopped(time_point now)
+void sidecar_app::endIfStopped(time_point now)
 {
-    const bool complete =
-            m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery(now);
-    if (!complete && now < m_stopDeadline)
-        return false;
-    const node_status status = m_core.status(now);
-    if (!complete)
-        m_core.reportUnfinished(now);
+    if (m_unfinished) {
+        if (!m_callers.busy() || now >= m_stopDeadline)
+            end("time limit", *m_unfinished);
+        return;
+    }
+    if (m_core.drained(now) && !m_callers.busy() && !m_peers.awaitsResponseDelivery(now)) {
+        end("drained", m_core.status(now));
+    } else if (now >= m_stopDeadline) {
+        m_unfinished = m_core.status(now);
+        m_stopDeadline = now + lastResponsePeriod;
+        post([this](time_point current, action_list &out) { m_core.endUnfinished(current, out); });
+    }
+}
+
+void sidecar_app::end(std::string_view cause, const node_status &atEnd)
+{
+    const time_point now = monotonicNow();
     m_log.write(line_class::process, "stopped",
                 json_line()
                         .add("node", m_self.name)
-                        .add("cause", complete ? "drained" : "time limit")
-                        .add("requests_cut", status.callsInFlight)
-                        .add("runs_cut", status.load.inFlight)
+                        .add("cause", cause)
+                        .add("requests_cut", atEnd.callsInFlight)
+                        .add("runs_cut", atEnd.load.inFlight)
                         .add("callers_busy", m_callers.busy())
                         .add("peers_await_responses", m_peers.awaitsResponseDelivery(now)));
     m_log.flush(now);
     m_loop.stop();
-    return true;
 }
 
 void sidecar_app::awaitSignal()
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace tamarackridge {
@@ -65,9 +66,11 @@
     void tick();
     void sweep();
     void awaitSignal();
-    /// \brief Ends the event loop if the shutdown is complete or its time limit has passed.
-    /// \returns whether the loop has ended.
-    bool endIfStopped(time_point now);
+    /// \brief Ends the event loop if the shutdown is complete. At its time limit, responds to the
+    /// callers whose requests are in progress, and ends the loop when they have the responses.
+    void endIfStopped(time_point now);
+    /// \param atEnd state in which the shutdown was complete or reached its time limit.
+    void end(std::string_view cause, const node_status &atEnd);
 
     boost::asio::io_context &m_loop;
     sidecar_settings m_settings;
@@ -92,6 +95,7 @@
     std::map<int, std::uint64_t> m_responsesByStatus;
     latency_buckets m_latency;
     time_point m_stopDeadline = time_point::max(); ///< The process stops then even if not drained.
+    std::optional<node_status> m_unfinished; ///< Set when the time limit of the stop is reached.
 };
 
 } // namespace tamarackridge
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -638,15 +638,21 @@
     EXPECT_EQ(fleet.runs.size(), 1U);
 }
 
-// Guards against requests that end with the process and leave no line in the log.
-TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_reported)
+// Guards against requests that end with the process without a response and a line in the log.
+TEST(sidecar_core, requests_in_progress_when_the_process_exits_are_answered_and_reported)
 {
     sidecar_fleet fleet = smallFleet();
     start(fleet);
-    fleet.call("a1", "read");
-    fleet.core("a1").reportUnfinished(fleet.now());
-    EXPECT_EQ(fleet.observer("a1").statuses, std::vector<int>{0});
+    const call_id call = fleet.call("a1", "read");
+    fleet.runEvent("a1", [&](sidecar_core &core, action_list &out) {
+        core.endUnfinished(fleet.now(), out);
+    });
+    EXPECT_EQ(fleet.status(call), 502) << "it may have run";
+    EXPECT_EQ(headerValue(fleet.responses[call].headers, "Tamarackridge-Run-State"), "unknown");
+    EXPECT_EQ(fleet.observer("a1").statuses, std::vector<int>{502});
     EXPECT_EQ(fleet.observer("a1").errors, std::vector<std::string>{"leaving"});
+    fleet.finish(0);
+    EXPECT_EQ(fleet.observer("a1").statuses.size(), 1U);
 }
 
 // Guards against giving up a request on a mere suspicion when no other server could run it: the
