Let the fault soak restore the store from an older copy

The store is silent for a while and comes back without its last one to eight writes; the operator and the nodes write theirs again. After the faults all nodes have to be registered again. The stand-in of the store counts its writes.

--- a/tests/fakes/platform_store.h
+++ b/tests/fakes/platform_store.h
@@ -78,11 +78,13 @@
             return read(item.call, item.topic, item.from);
         });
     }
-    /// \brief Goes back to a copy that was made after the first \a puts calls of put().
-    void restore(std::size_t puts)
+    /// \returns the number of records that were written.
+    std::size_t writes() const { return m_history.size(); }
+    /// \brief Goes back to a copy that was made after the first \a count writes.
+    void restore(std::size_t count)
     {
         std::vector<stored_put> kept = std::exchange(m_history, {});
-        kept.resize(puts);
+        kept.resize(count);
         ++m_era;
         m_log = log_store(log_limits{});
         m_newest.clear();
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -8,9 +8,6 @@
 namespace tamarackridge::soak {
 
 /// \brief What a step of the fault script does.
-///
-/// A store that returns from an older copy would be a further kind: add it here, to
-/// fault_script::disturbStore() and to soak_run::perform().
 enum class fault_kind : std::uint8_t {
     terminate, ///< SIGTERM, SIGKILL after the grace time, restart after the exit.
     kill, ///< SIGKILL and restart.
@@ -19,6 +16,7 @@
     store_silent, ///< The store accepts requests and does not respond.
     store_rejecting, ///< The store responds with 503.
     store_slow,
+    store_restored, ///< The store is silent and returns from a copy that lacks its last writes.
 };
 
 /// \brief One step of a fault script.
@@ -31,9 +29,9 @@
 
     std::string text() const
     {
-        constexpr std::array<std::string_view, 7> names{
-                "SIGTERM",      "SIGKILL",         "pause",     "configuration",
-                "store silent", "store rejecting", "store slow"};
+        constexpr std::array<std::string_view, 8> names{
+                "SIGTERM",      "SIGKILL",         "pause",      "configuration",
+                "store silent", "store rejecting", "store slow", "store restored"};
         return std::string(names.at(static_cast<std::size_t>(kind))) + ", VM " + std::to_string(vm)
                + ", " + std::to_string(length / milliseconds(1)) + " ms";
     }
@@ -45,7 +43,10 @@
 class fault_script
 {
 public:
-    fault_script(random_source &random, std::size_t vms, std::size_t zones, duration length)
+    /// \param restores draws the restores of the store, so that they change no other draw of a
+    /// seed.
+    fault_script(random_source &random, random_source &restores, std::size_t vms, std::size_t zones,
+                 duration length)
         : m_random(random)
         , m_vms(vms)
         , m_zones(zones)
@@ -65,6 +66,12 @@
             (this->*choices[m_random.below(choices.size())])(at);
         for (duration at = between(0, 1000); at < length; at += between(500, 3000))
             add(at, fault_kind::publish, 0, {});
+        constexpr milliseconds minRestoreInterval(3000);
+        constexpr milliseconds maxRestoreInterval(20'000);
+        for (duration at = drawDuration(milliseconds(0), maxRestoreInterval, restores); at < length;
+             at += drawDuration(minRestoreInterval, maxRestoreInterval, restores))
+            add(at, fault_kind::store_restored, 0,
+                drawDuration(milliseconds(500), milliseconds(2500), restores));
         std::sort(
                 m_steps.begin(), m_steps.end(),
                 [](const fault_step &left, const fault_step &right) { return left.at < right.at; });
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -15,6 +15,7 @@
         : m_seed(seed)
         , m_directory(directory)
         , m_random(seed)
+        , m_restores(~seed)
         , m_store(m_loop, deployment::address(0, endpoint::store))
         , m_storeTimer(m_loop)
         , m_checker(vms,
@@ -33,7 +34,8 @@
     /// \returns whether all promises were kept.
     bool run(const std::string &binary, duration faultTime)
     {
-        const fault_script script(m_random, m_fleet.vms.size(), deployment::zones, faultTime);
+        const fault_script script(m_random, m_restores, m_fleet.vms.size(), deployment::zones,
+                                  faultTime);
         publish();
         m_fleet.start(binary, m_directory);
         expect("all nodes become ready", startTime,
@@ -110,6 +112,10 @@
         case fault_kind::store_slow:
             m_store.responseDelay = milliseconds(900);
             break;
+        case fault_kind::store_restored:
+            m_store.unresponsive = true;
+            m_lostWrites = 1 + m_restores.below(8);
+            break;
         }
         // A further fault of the store prolongs the one in progress.
         m_storeDisturbed = true;
@@ -126,11 +132,22 @@
         m_store.unresponsive = false;
         m_store.failureStatus = 0;
         m_store.responseDelay = {};
+        if (m_lostWrites > 0)
+            restoreStore();
         m_store.serveWaiting();
         if (m_publishLater)
             publish();
     }
 
+    /// Nodes and the operator write what the copy lacks again; the first configuration is in it.
+    void restoreStore()
+    {
+        const std::size_t lost = std::min(std::exchange(m_lostWrites, 0), m_store.writes() - 1);
+        m_store.restore(m_store.writes() - lost);
+        if (m_store.newest("keyed.op", "config") != m_configuration)
+            m_store.put("keyed.op", "config", m_configuration);
+    }
+
     void publish()
     {
         // While the store is away, the operator cannot write either, and repeats it later.
@@ -138,8 +155,8 @@
         if (m_publishLater)
             return;
         m_version += 1 + static_cast<std::int64_t>(m_random.below(3));
-        m_store.put("keyed.op", "config",
-                    deployment::configuration(m_version, m_fleet.context.routes, m_random));
+        m_configuration = deployment::configuration(m_version, m_fleet.context.routes, m_random);
+        m_store.put("keyed.op", "config", m_configuration);
     }
 
     void checkRecovery()
@@ -159,6 +176,11 @@
         m_fleet.context.routes.push_back({"added", false});
         expect("requests are served again after the faults", recoveryTime,
                [](const fleet::vm_state &vm) { return vm.servedRoutes.contains("added"); });
+        expect("all nodes are registered in the store", stability,
+               [this](const fleet::vm_state &vm) {
+                   const std::ptrdiff_t index = &vm - m_fleet.vms.data();
+                   return !m_store.newest("keyed.members", "vm-" + std::to_string(index)).empty();
+               });
     }
 
     void stopAll()
@@ -175,12 +197,15 @@
     std::uint64_t m_seed;
     std::filesystem::path m_directory;
     seeded_random m_random;
+    seeded_random m_restores;
     boost::asio::io_context m_loop{1};
     fakes::platform_store m_store;
     boost::asio::steady_timer m_storeTimer;
     request_checker m_checker;
     fleet m_fleet;
     std::int64_t m_version = 0;
+    std::string m_configuration; ///< The newest one that the operator has written.
+    std::size_t m_lostWrites = 0; ///< Of the copy from which the store returns.
     bool m_storeDisturbed = false;
     bool m_publishLater = false;
 };
