Share the set-up of the new shutdown and restore tests

start() of sidecar_core_test takes the set, longTimeoutSet() stands for two copies, and the two restore tests share how the watch gets to its position and how the store goes back. The assertions are the same. A \param of beginShutdown() begins its own line again.

--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -37,8 +37,8 @@
     void tick(time_point now, action_list &out);
 
     /// \brief Bounds the requests that are admitted and the attempts that begin from now on, so
-    /// that none of them is in progress when the process exits. \param admissionEnd from then on,
-    /// requests of callers are refused.
+    /// that none of them is in progress when the process exits.
+    /// \param admissionEnd from then on, requests of callers are refused.
     void beginShutdown(time_point admissionEnd, time_point exitAt);
     /// \brief Responds to all requests in progress, whose outcome is not waited for any longer.
     void endUnfinished(time_point now, action_list &out);
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -44,6 +44,20 @@
     {
         return runUntil(loop, done, [this] { gateway.sweep(monotonicNow()); });
     }
+    /// Lets the watch read the last of three sets and wait for the next.
+    void followThreeSets()
+    {
+        for (const char *set : {"one", "two", "three"})
+            store->put("keyed.op", "config", set);
+        watch.start();
+        ASSERT_TRUE(run([&] { return sets == std::vector<std::string>{"three"}; }));
+    }
+    /// Ends the waiting read and goes back to a copy that holds the first set only.
+    void restoreFirstSet()
+    {
+        store->rejectWaiting();
+        store->restore(1);
+    }
 };
 
 TEST_F(platform_store_gateway, the_newest_set_is_read_and_later_ones_follow)
@@ -81,12 +95,8 @@
 // points behind records that were written since, and there is no error when the log is long enough.
 TEST_F(platform_store_gateway, after_a_restore_changes_below_the_old_position_are_read)
 {
-    for (const char *set : {"one", "two", "three"})
-        store->put("keyed.op", "config", set);
-    watch.start();
-    ASSERT_TRUE(run([&] { return sets == std::vector<std::string>{"three"}; }));
-    store->rejectWaiting();
-    store->restore(1);
+    followThreeSets();
+    restoreFirstSet();
     store->put("keyed.op", "config", "four");
     for (int record = 0; record < 3; ++record)
         store->put("keyed.op", "other", "x");
@@ -97,12 +107,8 @@
 // Guards against waiting at the end of the restored log for a change that is already in it.
 TEST_F(platform_store_gateway, after_an_outage_a_restored_store_is_read_without_a_wait)
 {
-    for (const char *set : {"one", "two", "three"})
-        store->put("keyed.op", "config", set);
-    watch.start();
-    ASSERT_TRUE(run([&] { return sets == std::vector<std::string>{"three"}; }));
-    store->rejectWaiting();
-    store->restore(1);
+    followThreeSets();
+    restoreFirstSet();
     store->put("keyed.op", "config", "four");
     store->put("keyed.op", "other", "x");
     EXPECT_TRUE(run([&] { return sets.back() == "four"; }));
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -23,14 +23,23 @@
     return sidecar_fleet({{"a1", "front"}, {"a2", "orders"}, {"b1", "orders"}});
 }
 
-void start(sidecar_fleet &fleet)
+void start(sidecar_fleet &fleet, const published_set &set = fakeSet(5))
 {
-    fleet.publishAll(fakeSet(5));
+    fleet.publishAll(set);
     for (const char *node : {"a1", "a2", "b1"})
         ASSERT_TRUE(fleet.report(node, 1));
     fleet.advance(seconds(1));
 }
 
+/// A set whose requests may outlast a planned stop.
+published_set longTimeoutSet()
+{
+    published_set set = fakeSet(5);
+    for (published_route &route : set.routes)
+        route.timeout = seconds(10);
+    return set;
+}
+
 void beginShutdown(sidecar_fleet &fleet, const std::string &node, duration untilExit)
 {
     fleet.runEvent(node, [&](sidecar_core &core, action_list &out) {
@@ -510,10 +519,7 @@
     set.routes.back().timeout = seconds(10);
     set.routes.push_back(fakes::fakeRoute("onward", "orders"));
     set.routes.back().open = true;
-    fleet.publishAll(set);
-    for (const char *node : {"a1", "a2", "b1"})
-        ASSERT_TRUE(fleet.report(node, 1));
-    fleet.advance(seconds(1));
+    start(fleet, set);
 }
 
 // Guards against failing the requests that the local backend server is still running by refusing
@@ -557,13 +563,7 @@
 TEST(sidecar_core, requests_from_before_a_shutdown_are_not_retried_until_the_process_exits)
 {
     sidecar_fleet fleet = smallFleet();
-    published_set set = fakeSet(5);
-    for (published_route &route : set.routes)
-        route.timeout = seconds(10);
-    fleet.publishAll(set);
-    for (const char *node : {"a1", "a2", "b1"})
-        ASSERT_TRUE(fleet.report(node, 1));
-    fleet.advance(seconds(1));
+    start(fleet, longTimeoutSet());
     // Every 20 requests add one retry to the budget.
     for (int request = 0; request < 80; ++request) {
         fleet.call("a1", "read");
@@ -622,13 +622,7 @@
 TEST(sidecar_core, a_request_that_must_not_be_repeated_ends_with_the_process_that_ran_it)
 {
     sidecar_fleet fleet = smallFleet();
-    published_set set = fakeSet(5);
-    for (published_route &route : set.routes)
-        route.timeout = seconds(10);
-    fleet.publishAll(set);
-    for (const char *node : {"a1", "a2", "b1"})
-        ASSERT_TRUE(fleet.report(node, 1));
-    fleet.advance(seconds(1));
+    start(fleet, longTimeoutSet());
     const call_id call = fleet.call("a1", "write");
     ASSERT_EQ(fleet.runs.size(), 1U);
     ASSERT_EQ(fleet.runs[0].node, "a2");
