Log and count crashes that are attributed to requests

Nothing in the logs or metrics of the sidecar told whether a crash of its server made requests suspects, whether a request was quarantined, and why one was refused.

Each crash now has a line with the numbers of requests suspected and quarantined; each quarantined request has a line at every node, with its source; each refused run has a line with the request's id and the fingerprint. Three counters count the same. No decision changes.

--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -37,6 +37,16 @@
     std::optional<fingerprint> requestFingerprint;
 };
 
+/// \brief What an overlay entry says about a request.
+struct crash_summary
+{
+    std::uint32_t crashes = 0; ///< 0 when the request was cleared.
+    bool quarantined = false;
+};
+
+/// \returns the content of an entry of kind `quarantine`; nothing if its payload is malformed.
+std::optional<crash_summary> summaryOf(const overlay_entry &entry);
+
 /// \brief Detects the requests that crash this node's backend server.
 ///
 /// All requests that are running during a crash become suspects. Suspects run one at a time: a
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -89,6 +89,10 @@
     /// \param source where this process learned of it, e.g. `heartbeat` or `overlay`.
     virtual void knownStateChanged(std::string_view subject, std::string_view knownState,
                                    std::string_view source) = 0;
+    /// \brief Called when the node beside a backend server did not let a request run.
+    /// \param identity fingerprint of the request.
+    virtual void runRefused(std::string_view requestId, error_kind reason,
+                            std::string_view identity) = 0;
 };
 
 /// \brief Decodes the text of a published set; supplied by the embedding program, which knows the
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -96,7 +96,7 @@
             return;
         const run_decision decision = m_crashTracker.permissionFor(m_executions.at(*run), now);
         if (decision.permission == run_permission::refuse) {
-            refuse(*run, error_kind::request_quarantined, now, out);
+            refuseQuarantined(*run, *decision.requestFingerprint, now, out);
         } else if (decision.permission == run_permission::wait) {
             // Another suspected request is running here. The owner can find a backend server that
             // runs none.
@@ -182,6 +182,15 @@
     finish(run, std::move(response), now, out);
 }
 
+void executor::refuseQuarantined(run_id run, const fingerprint &identity, time_point now,
+                                 action_list &out)
+{
+    m_counters.add(node_counter::runs_refused_quarantined);
+    if (m_quarantineObserver != nullptr)
+        m_quarantineObserver->quarantinedRefused(m_executions.at(run).request, identity);
+    refuse(run, error_kind::request_quarantined, now, out);
+}
+
 void executor::finish(run_id run, dispatch_response response, time_point now, action_list &out)
 {
     const auto found = m_executions.find(run);
@@ -230,7 +239,13 @@
 
 void executor::backendCrashed(time_point now, action_list &out)
 {
-    publish(m_crashTracker.onCrash(now), out);
+    const std::vector<overlay_entry> entries = m_crashTracker.onCrash(now);
+    for (const overlay_entry &entry : entries)
+        m_counters.add(summaryOf(entry)->quarantined ? node_counter::requests_quarantined
+                                                     : node_counter::suspects_recorded);
+    if (m_quarantineObserver != nullptr)
+        m_quarantineObserver->crashAttributed(entries);
+    publish(entries, out);
     stopAccepting(error_kind::no_backend_server, now, out);
 }
 
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,22 @@
     time_point expiresAt; ///< By then the owner has given up waiting.
 };
 
+/// \brief Receives the decisions of an executor about requests that crash its backend server.
+class quarantine_observer
+{
+public:
+    quarantine_observer() = default;
+    quarantine_observer(const quarantine_observer &) = delete;
+    quarantine_observer &operator=(const quarantine_observer &) = delete;
+    virtual ~quarantine_observer() = default;
+
+    /// \brief Called when a crash was attributed to requests.
+    /// \param entries the requests that became suspects or were quarantined; may be empty.
+    virtual void crashAttributed(std::span<const overlay_entry> entries) = 0;
+    /// \brief Called when \a request was refused because it is quarantined.
+    virtual void quarantinedRefused(const http_request &request, const fingerprint &identity) = 0;
+};
+
 /// \brief Runs dispatched requests on the local backend server.
 ///
 /// Queues them by priority and limits how many run at the same time.
@@ -45,6 +62,9 @@
     executor(run_headers &headers, const concurrency_limit_options &limit, node_counters &counters,
              random_source &random, response_sink sink, overlay_sink publishSink);
 
+    /// \param observer must outlive this object.
+    void observeQuarantine(quarantine_observer &observer) { m_quarantineObserver = &observer; }
+
     /// \brief Accepts a dispatch. Its outcome is reported to the sink exactly once, possibly before
     /// this function returns.
     void accept(const node_ref &owner, dispatch request, time_point now, action_list &out);
@@ -85,6 +105,8 @@
     };
 
     void publish(const std::vector<overlay_entry> &entries, action_list &out);
+    void refuseQuarantined(run_id run, const fingerprint &identity, time_point now,
+                           action_list &out);
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
     void finish(run_id run, dispatch_response response, time_point now, action_list &out);
     void startReady(time_point now, action_list &out);
@@ -99,6 +121,7 @@
     random_source &m_random;
     response_sink m_responseSink;
     overlay_sink m_publishSink;
+    quarantine_observer *m_quarantineObserver = nullptr;
     crash_tracker m_crashTracker;
     concurrency_limit m_limit;
     admission_queue m_queue;
--- a/src/core/node/node_counters.h
+++ b/src/core/node/node_counters.h
@@ -26,6 +26,9 @@
     handovers_sent,
     handovers_received,
     crashes,
+    suspects_recorded,
+    requests_quarantined,
+    runs_refused_quarantined,
 };
 
 /// \brief Counters of one node, exported on the status page and in the metrics.
@@ -49,11 +52,24 @@
     }
 
 private:
-    static constexpr std::array<std::string_view, 15> names{
-            "calls",          "calls_answered",     "calls_refused", "dispatches",
-            "retries",        "unmatched_answers",  "runs",          "runs_refused",
-            "runs_unknown",   "onward_calls",       "owner_calls",   "log_records_refused",
-            "handovers_sent", "handovers_received", "crashes"};
+    static constexpr std::array<std::string_view, 18> names{"calls",
+                                                            "calls_answered",
+                                                            "calls_refused",
+                                                            "dispatches",
+                                                            "retries",
+                                                            "unmatched_answers",
+                                                            "runs",
+                                                            "runs_refused",
+                                                            "runs_unknown",
+                                                            "onward_calls",
+                                                            "owner_calls",
+                                                            "log_records_refused",
+                                                            "handovers_sent",
+                                                            "handovers_received",
+                                                            "crashes",
+                                                            "suspects_recorded",
+                                                            "requests_quarantined",
+                                                            "runs_refused_quarantined"};
     std::array<std::uint64_t, names.size()> m_values{};
 };
 
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -41,6 +41,14 @@
 
 } // namespace
 
+std::optional<crash_summary> summaryOf(const overlay_entry &entry)
+{
+    const std::optional<payload_fields> fields = parsePayload(entry.payload);
+    if (!fields)
+        return std::nullopt;
+    return crash_summary{static_cast<std::uint32_t>((*fields)[1]), (*fields)[2] != 0};
+}
+
 crash_tracker::crash_tracker(quarantine_options options)
     : m_options(options)
 { }
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -88,7 +88,9 @@
     , m_routingUpdater(m_membership, m_router, m_dispatcher)
     , m_quota(m_options.self, m_options.zones, m_membership, random)
     , m_requestHandler(m_options, m_dispatcher, m_executor, m_quota, m_counters, observer)
-{ }
+{
+    m_executor.observeQuarantine(*this);
+}
 
 std::int64_t sidecar_state::version() const
 {
@@ -255,11 +257,44 @@
         m_observer.knownStateChanged(name, knownState, "overlay");
     }
     for (const overlay_entry &entry : changes.otherEntries) {
-        if (entry.kind == entry_kind::quarantine)
-            m_executor.quarantineEntry(entry, now);
+        if (entry.kind != entry_kind::quarantine)
+            continue;
+        reportQuarantined(entry, "overlay");
+        m_executor.quarantineEntry(entry, now);
     }
 }
 
+void sidecar_state::crashAttributed(std::span<const overlay_entry> entries)
+{
+    const std::ptrdiff_t quarantined =
+            std::ranges::count_if(entries, [](const overlay_entry &entry) {
+                const std::optional<crash_summary> summary = summaryOf(entry);
+                return summary && summary->quarantined;
+            });
+    m_observer.knownStateChanged("crash of " + m_serverReport.instance,
+                                 std::to_string(std::ssize(entries) - quarantined)
+                                         + " requests suspected, " + std::to_string(quarantined)
+                                         + " quarantined",
+                                 "interrupted runs");
+    for (const overlay_entry &entry : entries)
+        reportQuarantined(entry, "crash of " + m_serverReport.instance);
+}
+
+void sidecar_state::reportQuarantined(const overlay_entry &entry, std::string_view source)
+{
+    const std::optional<crash_summary> summary = summaryOf(entry);
+    if (summary && summary->quarantined)
+        m_observer.knownStateChanged("request " + entry.key,
+                                     "quarantined, crashes " + std::to_string(summary->crashes),
+                                     source);
+}
+
+void sidecar_state::quarantinedRefused(const http_request &request, const fingerprint &identity)
+{
+    m_observer.runRefused(headerValue(request.headers, m_options.headers.requestId),
+                          error_kind::request_quarantined, toString(identity));
+}
+
 void sidecar_state::recordDeparture(std::string_view instance,
                                     std::optional<std::int64_t> startedAt, time_point now,
                                     action_list &out)
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -13,20 +13,22 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarackridge::internal {
 
 /// \brief Owns the components of a sidecar_core and passes events and messages between them.
-class sidecar_state
+class sidecar_state : private quarantine_observer
 {
 public:
     sidecar_state(sidecar_options options, set_decoder decoder, decision_observer &observer,
                   random_source &random);
     sidecar_state(const sidecar_state &) = delete;
     sidecar_state &operator=(const sidecar_state &) = delete;
-    ~sidecar_state() = default;
+    ~sidecar_state() override = default;
 
     sidecar_request_handler &requestHandler() { return m_requestHandler; }
     executor &runs() { return m_executor; }
@@ -53,6 +55,9 @@
     node_status status(time_point now);
 
 private:
+    void crashAttributed(std::span<const overlay_entry> entries) override;
+    void quarantinedRefused(const http_request &request, const fingerprint &identity) override;
+    void reportQuarantined(const overlay_entry &entry, std::string_view source);
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
     void applyChanges(const overlay_changes &changes, time_point now, action_list &out);
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -320,6 +320,16 @@
             json_line().add("subject", subject).add("belief", knownState).add("source", source));
 }
 
+void sidecar_app::runRefused(std::string_view requestId, error_kind reason,
+                             std::string_view identity)
+{
+    m_log.write(line_class::refusal, "run refused",
+                json_line()
+                        .add("request", requestId)
+                        .add("error", responseFor(reason).name)
+                        .add("identity", identity));
+}
+
 void sidecar_app::tick()
 {
     post([&](time_point now, action_list &out) { m_core.tick(now, out); });
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -38,6 +38,8 @@
     void requestEnded(const ended_request &request) override;
     void knownStateChanged(std::string_view subject, std::string_view knownState,
                            std::string_view source) override;
+    void runRefused(std::string_view requestId, error_kind reason,
+                    std::string_view identity) override;
 
 private:
     sidecar_options coreOptions() const;
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -33,7 +33,14 @@
                               + std::string(source) + ")");
     }
 
+    void runRefused(std::string_view requestId, error_kind reason, std::string_view) override
+    {
+        refusedRuns.push_back(std::string(requestId) + ": "
+                              + std::string(responseFor(reason).name));
+    }
+
     std::vector<int> statuses;
+    std::vector<std::string> refusedRuns;
     std::vector<std::string> errors;
     std::vector<std::string> knownStates;
 };
