Add known failing tests: a request that crashes servers is run again and again

The four tests let a request end each server that runs it, with the events in the order of the sidecar: the run's connection breaks (or its deadline passes), and the crash is noticed later, by a refused connection or the heartbeat of the next start.

--- /dev/null
+++ b/tests/sidecar_quarantine_test.cpp
@@ -0,0 +1,145 @@
+#include "fakes/sidecar_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::fakeSet;
+using fakes::sidecar_fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Fleet in which `a1` has callers and `a2`, `b1`, `c1` and `d1` have servers that can crash.
+class sidecar_quarantine : public ::testing::Test
+{
+protected:
+    sidecar_quarantine()
+        : fleet({{"a1", "front"},
+                 {"a2", "orders"},
+                 {"b1", "orders"},
+                 {"c1", "orders"},
+                 {"d1", "orders"}})
+    {
+        fleet.publishAll(fakeSet(5));
+        for (const char *node : {"a1", "a2", "b1", "c1", "d1"})
+            EXPECT_TRUE(fleet.report(node, 1));
+        fleet.advance(seconds(1));
+    }
+
+    static backend_result endedBy(error_kind error)
+    {
+        backend_result result;
+        result.bytesSent = true;
+        result.connectionBroken = error == error_kind::backend_failed;
+        result.response = tl::unexpected(error);
+        return result;
+    }
+
+    /// Ends the runs from \a first on in a crash of their servers, which are back after \a
+    /// downtime. \returns the number of servers that crashed.
+    std::size_t crashServersOf(std::size_t first, bool refusesConnections = true,
+                               error_kind error = error_kind::backend_failed,
+                               duration downtime = seconds(3))
+    {
+        std::set<std::string> crashed;
+        // A retry can run on another server, which then crashes as well.
+        for (; first < fleet.runs.size(); ++first) {
+            const std::string node = fleet.runs[first].node;
+            crashed.insert(node);
+            fleet.finish(first, endedBy(error));
+            fleet.advance(milliseconds(20));
+            if (refusesConnections) {
+                fleet.runEvent(node, [&](sidecar_core &core, action_list &out) {
+                    core.backendCrashed(fleet.now(), out);
+                });
+            }
+            fleet.advance(milliseconds(100));
+        }
+        fleet.advance(downtime);
+        ++m_start;
+        for (const std::string &node : crashed)
+            EXPECT_TRUE(fleet.report(node, 1, false, m_start, "i-" + std::to_string(m_start)));
+        fleet.advance(milliseconds(500));
+        return crashed.size();
+    }
+
+    /// Sends a request that crashes the servers that run it, from one node after the other.
+    /// \returns the number of crashes.
+    std::size_t crashesOfRepeatedRequest(const std::string &route, bool refusesConnections = true,
+                                         error_kind error = error_kind::backend_failed)
+    {
+        std::size_t crashes = 0;
+        for (int send = 0; send < 8; ++send) {
+            const std::size_t first = fleet.runs.size();
+            lastCall =
+                    fleet.call(callers.at(static_cast<std::size_t>(send) % callers.size()), route);
+            crashes += crashServersOf(first, refusesConnections, error);
+        }
+        return crashes;
+    }
+
+    const std::vector<std::string> callers{"a1", "b1", "c1", "d1", "a2"};
+    sidecar_fleet fleet;
+    call_id lastCall = 0;
+
+private:
+    std::int64_t m_start = 1;
+};
+
+} // namespace
+
+// Guards against a request that ends one server after the other: the connections of its runs break
+// before the crash is noticed, so that the crash was attributed to no request.
+TEST_F(sidecar_quarantine,
+       a_crash_is_attributed_to_runs_whose_connections_broke_before_it_was_noticed)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
+    EXPECT_EQ(fleet.status(lastCall), 503);
+}
+
+// Guards against the same with a server that is back before anything connects to it, so that only
+// its next heartbeat shows the crash.
+TEST_F(sidecar_quarantine, a_crash_that_only_a_heartbeat_shows_is_attributed_to_interrupted_runs)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write", false), 2U);
+}
+
+// Guards against the same with a server that falls silent, whose runs end by their deadlines.
+TEST_F(sidecar_quarantine, a_silent_crash_is_attributed_to_runs_that_got_no_response)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write", false, error_kind::backend_timeout), 2U);
+}
+
+// Guards against a retry that ends a second server before the crash of the first one is known.
+TEST_F(sidecar_quarantine, retries_of_an_idempotent_request_end_no_more_servers)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("read"), 2U);
+}
+
+// Guards against suspecting requests whose connection broke without a crash: the server goes on
+// responding, and crashes later for another reason.
+TEST_F(sidecar_quarantine, a_broken_connection_is_no_crash_when_the_server_goes_on_responding)
+{
+    fleet.call("a1", "write");
+    fleet.finish(0, endedBy(error_kind::backend_failed));
+    const call_id later = fleet.call("a1", "read");
+    ASSERT_EQ(fleet.runs.back().node, fleet.runs[0].node);
+    fleet.finish(1);
+    EXPECT_EQ(fleet.status(later), 200);
+    fleet.runEvent(fleet.runs[0].node, [&](sidecar_core &core, action_list &out) {
+        core.backendCrashed(fleet.now(), out);
+    });
+    const std::vector<std::string> &states = fleet.observer(fleet.runs[0].node).knownStates;
+    EXPECT_EQ(std::ranges::count(states, "crash of i-1: 0 requests suspected, 0 quarantined "
+                                         "(interrupted runs)"),
+              1);
+}
+
+} // namespace tamarackridge
