Attribute a crash to the runs that it interrupted

Callers saw a request end one server after the other: on the sidecar, a request that crashes the servers that run it was never quarantined.

A server that falls silent, or is back before the next connection, is noticed seconds later. Class: an event is judged by the state at its detection, not by the state when it happened.

Ruled out as the first cause: entries that do not spread (they are never made) and differing fingerprints.

--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -6,7 +6,9 @@
 #include "tamarackridge/src/quarantine/fingerprint.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -19,6 +21,9 @@
     duration suspectPeriod = std::chrono::seconds(60); ///< Since the last crash or clearing.
     duration quarantinePeriod = std::chrono::minutes(10); ///< Since the last crash.
     std::size_t maxEntries = 4096; ///< When exceeded, the oldest suspects are evicted first.
+    /// How long an interrupted run may be attributed to a crash that is noticed later.
+    duration interruptionPeriod = std::chrono::seconds(30);
+    std::size_t maxInterruptedRuns = 1024; ///< When exceeded, the oldest are dropped.
 };
 
 /// \brief Whether a request may run on this node's backend server now.
@@ -53,6 +58,9 @@
 /// suspect that gets a response is cleared, and the only suspect running during another crash is
 /// quarantined. While no suspects are known, no fingerprint is computed.
 ///
+/// A crash ends its runs before anything else shows it, so interrupted runs are kept as possible
+/// causes until the server responds to a later run.
+///
 /// \code
 /// run_decision decision = tracker.permissionFor(source, now);
 /// if (decision.permission == run_permission::run)
@@ -74,6 +82,9 @@
     /// \param success whether the backend server responded.
     /// \returns the changed entries, to be sent to the peers.
     std::vector<overlay_entry> onRunFinished(run_id run, bool success, time_point now);
+    /// \brief Records that a run ended without a response although the backend server may have
+    /// begun it. A crash that is noticed later may be attributed to it.
+    void onRunInterrupted(run_id run, time_point now);
     /// \brief Records a crash of the backend server, which ends all runs.
     /// \returns the changed entries, to be sent to the peers.
     std::vector<overlay_entry> onCrash(time_point now);
@@ -108,6 +119,14 @@
         run_id run = 0;
         const fingerprint_source *source = nullptr;
         std::optional<fingerprint> requestFingerprint;
+        std::uint64_t startNumber = 0;
+    };
+    /// A run that ended without a response.
+    struct interrupted_run
+    {
+        fingerprint requestFingerprint;
+        time_point interruptedAt;
+        std::uint64_t lastStart = 0; ///< Number of the last run that had started by then.
     };
 
     fingerprint computeFingerprint(const fingerprint_source &source);
@@ -120,10 +139,15 @@
     overlay_entry recordCrash(const fingerprint &requestFingerprint, bool setQuarantined,
                               time_point now);
     void evictExcessEntries();
+    /// \returns the requests that were running or interrupted, which are then forgotten.
+    std::set<fingerprint> takePossibleCauses(time_point now);
+    void dropOldInterruptions(time_point now);
 
     quarantine_options m_options;
     std::unordered_map<fingerprint, quarantine_state, internal::fingerprint_hash> m_entries;
     std::vector<active_run> m_activeRuns;
+    std::deque<interrupted_run> m_interruptedRuns; ///< In the order of their interruption.
+    std::uint64_t m_startCount = 0;
     std::uint64_t m_fingerprintsComputed = 0;
 };
 
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -149,8 +149,11 @@
     m_limit.release(now, latency, limitOutcome(result));
     if (result.response)
         m_queue.observeServiceTime(latency, now);
-    publish(m_crashTracker.onRunFinished(run, result.response.has_value(), now), out);
     dispatch_response response = outcomeOf(result);
+    if (response.state == run_state::unknown)
+        m_crashTracker.onRunInterrupted(run, now);
+    else
+        publish(m_crashTracker.onRunFinished(run, result.response.has_value(), now), out);
     if (result.response)
         response.response = std::move(*result.response);
     finish(run, std::move(response), now, out);
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -104,7 +105,7 @@
 void crash_tracker::onRunStarted(run_id run, const fingerprint_source &source,
                                  const run_decision &decision)
 {
-    m_activeRuns.push_back({run, &source, decision.requestFingerprint});
+    m_activeRuns.push_back({run, &source, decision.requestFingerprint, ++m_startCount});
 }
 
 std::vector<overlay_entry> crash_tracker::onRunFinished(run_id run, bool success, time_point now)
@@ -113,6 +114,13 @@
     const auto found = std::ranges::find(m_activeRuns, run, &active_run::run);
     if (found == m_activeRuns.end())
         return updates;
+    if (success) {
+        // The response shows that the server survived what interrupted earlier runs.
+        const std::uint64_t startNumber = found->startNumber;
+        std::erase_if(m_interruptedRuns, [startNumber](const interrupted_run &interrupted) {
+            return interrupted.lastStart < startNumber;
+        });
+    }
     if (success && !m_entries.empty()) {
         const fingerprint requestFingerprint = fingerprintOfRun(*found);
         const quarantine_state *state = findActive(requestFingerprint, now);
@@ -127,18 +135,27 @@
     return updates;
 }
 
+void crash_tracker::onRunInterrupted(run_id run, time_point now)
+{
+    const auto found = std::ranges::find(m_activeRuns, run, &active_run::run);
+    if (found == m_activeRuns.end())
+        return;
+    if (m_interruptedRuns.size() >= m_options.maxInterruptedRuns)
+        m_interruptedRuns.pop_front();
+    m_interruptedRuns.push_back({fingerprintOfRun(*found), now, m_startCount});
+    *found = m_activeRuns.back();
+    m_activeRuns.pop_back();
+}
+
 std::vector<overlay_entry> crash_tracker::onCrash(time_point now)
 {
     std::vector<overlay_entry> updates;
-    std::set<fingerprint> fingerprints;
+    const std::set<fingerprint> fingerprints = takePossibleCauses(now);
     std::set<fingerprint> suspects;
-    for (active_run &run : m_activeRuns) {
-        const fingerprint &requestFingerprint = fingerprintOfRun(run);
-        fingerprints.insert(requestFingerprint);
-        if (findActive(requestFingerprint, now) != nullptr)
-            suspects.insert(requestFingerprint);
-    }
-    m_activeRuns.clear();
+    std::ranges::copy_if(fingerprints, std::inserter(suspects, suspects.end()),
+                         [this, now](const fingerprint &requestFingerprint) {
+                             return findActive(requestFingerprint, now) != nullptr;
+                         });
     if (suspects.size() == 1) {
         // The crash is attributed to the only suspect; the other running requests do not become
         // suspects.
@@ -151,6 +168,26 @@
     return updates;
 }
 
+std::set<fingerprint> crash_tracker::takePossibleCauses(time_point now)
+{
+    std::set<fingerprint> causes;
+    for (active_run &run : m_activeRuns)
+        causes.insert(fingerprintOfRun(run));
+    m_activeRuns.clear();
+    dropOldInterruptions(now);
+    for (const interrupted_run &run : m_interruptedRuns)
+        causes.insert(run.requestFingerprint);
+    m_interruptedRuns.clear();
+    return causes;
+}
+
+void crash_tracker::dropOldInterruptions(time_point now)
+{
+    std::erase_if(m_interruptedRuns, [this, now](const interrupted_run &run) {
+        return now - run.interruptedAt >= m_options.interruptionPeriod;
+    });
+}
+
 overlay_entry crash_tracker::recordCrash(const fingerprint &requestFingerprint, bool setQuarantined,
                                          time_point now)
 {
@@ -229,6 +266,7 @@
 void crash_tracker::expire(time_point now)
 {
     std::erase_if(m_entries, [now](const auto &entry) { return entry.second.expiresAt <= now; });
+    dropOldInterruptions(now);
 }
 
 void crash_tracker::evictExcessEntries()
--- a/tests/quarantine_tracker_test.cpp
+++ b/tests/quarantine_tracker_test.cpp
@@ -142,6 +142,53 @@
     EXPECT_EQ(permission(crashingRequest), run_permission::run_alone);
 }
 
+// Guards against a crash that is attributed to no request because its runs had been reported before
+// the crash was noticed.
+TEST_F(quarantine_rules, CrashIsAttributedToInterruptedRuns)
+{
+    start(1, crashingRequest);
+    tracker.onRunInterrupted(1, now);
+    now += 29s;
+    EXPECT_EQ(tracker.onCrash(now).size(), 1U);
+    EXPECT_EQ(permission(crashingRequest), run_permission::run_alone);
+    EXPECT_TRUE(tracker.onCrash(now).empty()); // Each run is attributed to one crash.
+}
+
+// Guards against suspecting requests whose runs failed while the server went on responding, or long
+// before the crash.
+TEST_F(quarantine_rules, ALaterResponseOrALongTimeClearsInterruptedRuns)
+{
+    start(1, healthyRequest);
+    start(2, otherRequest);
+    tracker.onRunInterrupted(1, now);
+    tracker.onRunFinished(2, true, now); // Started before the interruption, so it shows nothing.
+    EXPECT_EQ(tracker.onCrash(now).size(), 1U);
+    start(3, otherRequest);
+    tracker.onRunInterrupted(3, now);
+    start(4, crashingRequest);
+    tracker.onRunFinished(4, true, now);
+    EXPECT_TRUE(tracker.onCrash(now).empty());
+    start(5, otherRequest);
+    tracker.onRunInterrupted(5, now);
+    now += 30s;
+    EXPECT_TRUE(tracker.onCrash(now).empty());
+}
+
+// Guards against memory use that grows with the number of failed runs.
+TEST(QuarantineMemory, InterruptedRunsAreBounded)
+{
+    crash_tracker tracker({.maxInterruptedRuns = 10});
+    const time_point now(1h);
+    std::vector<test_request> sources;
+    sources.reserve(100);
+    for (run_id run = 0; run < 100; ++run) {
+        sources.emplace_back(std::to_string(run));
+        tracker.onRunStarted(run, sources.back(), {});
+        tracker.onRunInterrupted(run, now);
+    }
+    EXPECT_EQ(tracker.onCrash(now).size(), 10U);
+}
+
 // Guards against a request that remains a suspect for longer than the suspect period of 60 s.
 TEST_F(quarantine_rules, SuspicionExpires)
 {
