Hold suspects until they may run instead of refusing them

Since crashes are attributed on the sidecar, all requests that ran beside a crash are suspects, and suspects run one at a time on each server. A suspect that came while another one ran was refused as overloaded; its retries are bounded by the retry budget, so callers got 503 for healthy requests.

Up to eight of them now wait beside the server until the running suspect ends, until their deadline. New tests in sidecar_quarantine_test: five suspects that come together are all served (one before); a wait ends at the deadline and when the server leaves. A further test shows that nodes that start or return from a cut refuse what the others have quarantined; it passed before, which rules out that entries are missing there.

--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -30,7 +30,8 @@
 enum class run_permission : std::uint8_t {
     run, ///< The request is not a suspect.
     run_alone, ///< The request is a suspect, and no other suspect is running here.
-    wait, ///< The request is a suspect, and another suspect is running here.
+    wait, ///< The request is a suspect, and another suspect is running here. Ask again when that
+          ///< run has ended.
     refuse, ///< The request is quarantined; it is refused with `request_quarantined`.
 };
 
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr duration expiryInterval = std::chrono::seconds(5);
+// Suspects run one at a time, so a longer line would keep requests waiting that another backend
+// server could run.
+constexpr std::size_t maxHeldSuspects = 8;
 constexpr int tooManyRequests = 429;
 constexpr int serviceUnavailable = 503;
 
@@ -90,24 +93,47 @@
     const std::vector<std::uint64_t> expired = m_expired;
     for (std::uint64_t run : expired)
         refuse(run, error_kind::deadline_exceeded, now, out);
+    startHeldSuspects(now, out);
     while (!m_refusalReason && m_limit.inFlight() < m_limit.limit()) {
         const std::optional<std::uint64_t> run = m_queue.popReady(now);
         if (!run)
             return;
-        const run_decision decision = m_crashTracker.permissionFor(m_executions.at(*run), now);
-        if (decision.permission == run_permission::refuse) {
-            refuseQuarantined(*run, *decision.requestFingerprint, now, out);
-        } else if (decision.permission == run_permission::wait) {
-            // Another suspected request is running here. The owner can find a backend server that
-            // runs none.
+        if (startIfPermitted(*run, now, out))
+            continue;
+        if (m_heldSuspects.size() < maxHeldSuspects)
+            m_heldSuspects.push_back(*run);
+        else
             refuse(*run, error_kind::overloaded, now, out);
-        } else if (m_limit.tryAcquire()) {
-            m_crashTracker.onRunStarted(*run, m_executions.at(*run), decision);
-            start(*run, now, out);
-        }
     }
 }
 
+void executor::startHeldSuspects(time_point now, action_list &out)
+{
+    for (std::size_t count = m_heldSuspects.size(); count > 0; --count) {
+        const run_id run = m_heldSuspects.front();
+        m_heldSuspects.pop_front();
+        if (m_executions.at(run).deadline <= now)
+            refuse(run, error_kind::deadline_exceeded, now, out);
+        else if (m_limit.inFlight() >= m_limit.limit() || !startIfPermitted(run, now, out))
+            m_heldSuspects.push_back(run);
+    }
+}
+
+bool executor::startIfPermitted(run_id run, time_point now, action_list &out)
+{
+    const run_decision decision = m_crashTracker.permissionFor(m_executions.at(run), now);
+    if (decision.permission == run_permission::wait)
+        return false;
+    if (decision.permission == run_permission::refuse) {
+        refuseQuarantined(run, *decision.requestFingerprint, now, out);
+        return true;
+    }
+    m_limit.tryAcquire();
+    m_crashTracker.onRunStarted(run, m_executions.at(run), decision);
+    start(run, now, out);
+    return true;
+}
+
 fingerprint_parts executor::execution::parts() const
 {
     return {request.method, request.target, context.customer, bodyView(request.body)};
@@ -230,7 +256,7 @@
     if (found == m_runsByDispatch.end())
         return;
     const run_id run = found->second;
-    if (m_queue.remove(run)) {
+    if (m_queue.remove(run) || std::erase(m_heldSuspects, run) > 0) {
         refuse(run, error_kind::cancelled, now, out);
         return;
     }
@@ -277,6 +303,8 @@
     m_refusalReason = reason;
     while (const std::optional<std::uint64_t> run = m_queue.popReady(now))
         refuse(*run, reason, now, out);
+    for (run_id run : std::exchange(m_heldSuspects, {}))
+        refuse(run, reason, now, out);
     startReady(now, out);
 }
 
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -8,6 +8,7 @@
 #include "tamarackridge/src/quarantine/crash_tracker.h"
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -110,6 +111,10 @@
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
     void finish(run_id run, dispatch_response response, time_point now, action_list &out);
     void startReady(time_point now, action_list &out);
+    void startHeldSuspects(time_point now, action_list &out);
+    /// \brief Starts a run for which there is capacity, or refuses it if it is quarantined.
+    /// \returns false if the run has to wait until no other suspect is running.
+    bool startIfPermitted(run_id run, time_point now, action_list &out);
     void start(run_id run, time_point now, action_list &out);
     http_request backendRequest(run_id run, execution &work, time_point now);
     dispatch_response outcomeOf(const backend_result &result) const;
@@ -125,6 +130,7 @@
     crash_tracker m_crashTracker;
     concurrency_limit m_limit;
     admission_queue m_queue;
+    std::deque<run_id> m_heldSuspects; ///< Admitted; wait until no other suspect is running.
     std::unordered_map<run_id, execution> m_executions;
     std::map<dispatch_id, run_id> m_runsByDispatch;
     std::optional<error_kind> m_refusalReason = error_kind::no_backend_server;
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -130,7 +130,12 @@
     call_id call(const std::string &node, const std::string &route,
                  const std::string &key = "key-1", std::vector<http_header> more = {})
     {
-        http_request request{"GET", "/" + route + "/1?x=2", std::move(more), nullptr};
+        return callTarget(node, "/" + route + "/1?x=2", key, std::move(more));
+    }
+    call_id callTarget(const std::string &node, const std::string &target,
+                       const std::string &key = "key-1", std::vector<http_header> more = {})
+    {
+        http_request request{"GET", target, std::move(more), nullptr};
         const call_id id = ++m_lastCall;
         request.headers.push_back({"Host", "shop.example"});
         request.headers.push_back({"Attempt-Id", "a" + std::to_string(id)});
--- a/tests/sidecar_quarantine_test.cpp
+++ b/tests/sidecar_quarantine_test.cpp
@@ -139,6 +139,68 @@
     EXPECT_LE(crashes, 2U);
 }
 
+// Guards against a node that runs a quarantined request because it has started, or was cut off,
+// after the request was quarantined.
+TEST_F(sidecar_quarantine, nodes_that_start_or_return_refuse_what_the_others_have_quarantined)
+{
+    fleet.isolatedNodes = {"d1"};
+    fleet.advance(seconds(5));
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 4U) << "two on either side of the cut";
+    fleet.isolatedNodes.clear();
+    fleet.advance(seconds(3));
+    const std::size_t before = fleet.runs.size();
+    for (const std::string &node : callers) {
+        fleet.restart(node);
+        fleet.publish(fakeSet(5), node);
+        EXPECT_TRUE(fleet.report(node, 1000, false, 1000, "i-1000"));
+        fleet.advance(seconds(1));
+        fleet.call(node, "write");
+    }
+    EXPECT_EQ(fleet.runs.size(), before);
+}
+
+// Guards against healthy requests that fail because they ran beside one that crashed their server:
+// they are suspects, too, and must not run beside each other.
+TEST_F(sidecar_quarantine, suspects_wait_for_each_other_instead_of_being_refused)
+{
+    constexpr std::size_t neighbours = 5;
+    const auto target = [](std::size_t number) { return "/write/" + std::to_string(number); };
+    for (std::size_t number = 0; number < neighbours; ++number)
+        fleet.callTarget("a1", target(number));
+    ASSERT_EQ(fleet.runs.size(), neighbours);
+    crashServersOf(0);
+    std::vector<call_id> calls;
+    for (std::size_t number = 0; number < neighbours; ++number)
+        calls.push_back(fleet.callTarget("b1", target(number)));
+    for (std::size_t next = neighbours; next < 2 * neighbours; ++next) {
+        ASSERT_EQ(fleet.runs.size(), next + 1);
+        EXPECT_EQ(fleet.runs[next].node, "b1");
+        fleet.advance(milliseconds(100));
+        fleet.finish(next);
+    }
+    for (call_id call : calls)
+        EXPECT_EQ(fleet.status(call), 200);
+}
+
+// Guards against suspects that wait beyond their deadline, or for a server that has gone.
+TEST_F(sidecar_quarantine, waiting_suspects_are_refused_when_they_cannot_run_any_more)
+{
+    for (const char *target : {"/write/1", "/write/2", "/write/3"})
+        fleet.callTarget("a1", target);
+    crashServersOf(0);
+    fleet.callTarget("b1", "/write/1");
+    const call_id expiring = fleet.callTarget("b1", "/write/2");
+    fleet.advance(milliseconds(1100)); // The timeout of the route is 1 s.
+    EXPECT_EQ(fleet.status(expiring), 503);
+    EXPECT_EQ(fleet.runs.size(), 4U);
+    const call_id left = fleet.callTarget("b1", "/write/3");
+    EXPECT_TRUE(fleet.report("b1", 2, true));
+    fleet.advance(milliseconds(100));
+    EXPECT_EQ(fleet.runs.size(), 5U) << "on the server of another node";
+    fleet.finish(4);
+    EXPECT_EQ(fleet.status(left), 200);
+}
+
 // Guards against suspecting requests whose connection broke without a crash: the server goes on
 // responding, and crashes later for another reason.
 TEST_F(sidecar_quarantine, a_broken_connection_is_no_crash_when_the_server_goes_on_responding)
