Let the fault soak send requests that crash servers

Checked is the users' bound: at most three retries later than 3 s after the third crash, by processes that nothing happened to.

The draws of the other faults are unchanged.

--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -27,6 +27,9 @@
     bool idempotent = false;
 };
 
+/// A request with this text in its path crashes each server that begins to run it.
+inline constexpr std::string_view crashingPath = "/crashing-";
+
 /// Ports of a VM; the store uses the address of the first one.
 enum class endpoint : std::uint8_t { callers, health, control, backend, peers, metrics, store };
 
--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -16,6 +16,7 @@
     store_silent, ///< The store accepts requests and does not respond.
     store_rejecting, ///< The store responds with 503.
     store_slow,
+    crashing_request, ///< Callers of all VMs send a request that crashes the servers that run it.
     store_restored, ///< The store is silent and returns from a copy that lacks its last writes.
 };
 
@@ -29,9 +30,10 @@
 
     std::string text() const
     {
-        constexpr std::array<std::string_view, 8> names{
-                "SIGTERM",      "SIGKILL",         "pause",      "configuration",
-                "store silent", "store rejecting", "store slow", "store restored"};
+        constexpr std::array<std::string_view, 9> names{
+                "SIGTERM",       "SIGKILL",          "pause",
+                "configuration", "store silent",     "store rejecting",
+                "store slow",    "crashing request", "store restored"};
         return std::string(names.at(static_cast<std::size_t>(kind))) + ", VM " + std::to_string(vm)
                + ", " + std::to_string(length / milliseconds(1)) + " ms";
     }
@@ -43,8 +45,8 @@
 class fault_script
 {
 public:
-    /// \param restores draws the restores of the store, so that they change no other draw of a
-    /// seed.
+    /// \param restores draws the restores of the store and the requests that crash servers, so that
+    /// they change no other draw of a seed.
     fault_script(random_source &random, random_source &restores, std::size_t vms, std::size_t zones,
                  duration length)
         : m_random(random)
@@ -72,6 +74,10 @@
              at += drawDuration(minRestoreInterval, maxRestoreInterval, restores))
             add(at, fault_kind::store_restored, 0,
                 drawDuration(milliseconds(500), milliseconds(2500), restores));
+        for (duration at = drawDuration(milliseconds(0), milliseconds(5000), restores); at < length;
+             at += drawDuration(milliseconds(8000), milliseconds(20'000), restores))
+            add(at, fault_kind::crashing_request, 0,
+                drawDuration(milliseconds(6000), milliseconds(14'000), restores));
         std::sort(
                 m_steps.begin(), m_steps.end(),
                 [](const fault_step &left, const fault_step &right) { return left.at < right.at; });
--- a/tests/soak/process_history.h
+++ b/tests/soak/process_history.h
@@ -50,6 +50,14 @@
         });
     }
 
+    /// \returns whether anything happened to the process in the interval.
+    bool changed(std::size_t vm, time_point from, time_point to) const
+    {
+        return std::ranges::any_of(m_changes.at(vm), [from, to](const change &item) {
+            return item.at > from && item.at <= to;
+        });
+    }
+
     /// \returns when the process that runs at \a to received SIGTERM, if it did.
     std::optional<time_point> termination(std::size_t vm, time_point to) const
     {
--- a/tests/soak/request_checker.h
+++ b/tests/soak/request_checker.h
@@ -113,6 +113,30 @@
             m_toJudge.push_back(&item);
     }
 
+    /// \brief A server begins to run a request that crashes it. Such a request is not to be run
+    /// again and again by processes that have been left alone.
+    void crashingRunStarted(const std::string &target, const std::string &id, std::size_t vm)
+    {
+        constexpr std::size_t crashesUntilKnown = 3;
+        constexpr std::size_t allowedRetries = 3;
+        constexpr duration stability = std::chrono::seconds(3);
+        const time_point now = monotonicNow();
+        runStarted(id, vm, now);
+        runEnded(id, "crashed its server");
+        crashing_request &item = m_crashingRequests[target];
+        const auto disturbed = [&](std::size_t process) {
+            return processes.changed(process, now - stability, now);
+        };
+        if (item.crashes >= crashesUntilKnown && now > item.knownAt + stability && !disturbed(vm)
+            && !disturbed(m_requests.at(id).vm) && ++item.lateRetries > allowedRetries)
+            violate("a request that crashes servers is not run again and again", m_requests.at(id));
+        if (++item.crashes == crashesUntilKnown)
+            item.knownAt = now;
+        m_maxCrashes = std::max(m_maxCrashes, item.crashes);
+    }
+    /// \returns the most crashes that one request caused.
+    std::size_t maxCrashes() const { return m_maxCrashes; }
+
     void runEnded(const std::string &id, std::string_view how)
     {
         request_record &item = m_requests.at(id);
@@ -171,6 +195,13 @@
         std::vector<std::string> events;
     };
 
+    struct crashing_request
+    {
+        std::size_t crashes = 0;
+        time_point knownAt; ///< Of the crash after which it must not be run again.
+        std::size_t lateRetries = 0;
+    };
+
     static bool promisesNotRun(int status)
     {
         return status == 408 || status == 421 || status == 429 || status == 503;
@@ -233,6 +264,8 @@
     std::vector<std::string> m_remarks;
     time_point m_start = monotonicNow();
     std::unordered_map<std::string, request_record> m_requests; // References stay valid.
+    std::map<std::string, crashing_request> m_crashingRequests; ///< By target.
+    std::size_t m_maxCrashes = 0;
     std::deque<request_record *> m_toJudge;
     std::map<std::string, std::size_t> m_outcomes; ///< How many requests ended in which way.
     std::size_t m_endedCount = 0;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashing_caller.h"
 #include "fakes/platform_store.h"
 #include "fault_script.h"
 #include "fleet.h"
@@ -53,6 +54,7 @@
                {"steps", script.steps().size()},
                {"requests", m_checker.sentCount()},
                {"outcomes", m_checker.outcomes()},
+               {"max_crashes_of_a_request", m_checker.maxCrashes()},
                {"violations", m_checker.violations()}});
         return m_checker.violations() == 0;
     }
@@ -103,6 +105,10 @@
         case fault_kind::publish:
             publish();
             return;
+        case fault_kind::crashing_request:
+            m_crashingCallers.push_back(std::make_unique<crashing_caller>(
+                    m_fleet.context, m_fleet.vms.size(), m_crashingCallers.size(), step.length));
+            return;
         case fault_kind::store_silent:
             m_store.unresponsive = true;
             break;
@@ -203,6 +209,7 @@
     boost::asio::steady_timer m_storeTimer;
     request_checker m_checker;
     fleet m_fleet;
+    std::vector<std::unique_ptr<crashing_caller>> m_crashingCallers;
     std::int64_t m_version = 0;
     std::string m_configuration; ///< The newest one that the operator has written.
     std::size_t m_lostWrites = 0; ///< Of the copy from which the store returns.
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -26,22 +26,16 @@
         , m_vm(vm)
         , m_seed(seed)
         , m_checker(checker)
-        , m_listener(loop, deployment::address(vm, endpoint::backend),
-                     listener_callbacks{
-                             [this](call_id call, const http_request &item) { handle(call, item); },
-                             [this](call_id call) { endRun(call, "dropped"); },
-                             [this]() -> const caller_limits & { return m_limits; },
-                             [] { return false; }},
-                     m_lastCall)
         , m_control(loop, deployment::address(vm, endpoint::control))
         , m_heartbeatTimer(loop)
     {
-        sendHeartbeat();
+        start();
     }
 
     void sweep(time_point now)
     {
-        m_listener.sweep(now);
+        if (m_listener)
+            m_listener->sweep(now);
         m_control.sweep(now);
     }
 
@@ -72,6 +66,12 @@
     void handle(call_id call, const http_request &request)
     {
         const std::string id(headerValue(request.headers, names::requestId));
+        if (request.target.find(crashingPath) != std::string::npos) {
+            m_checker.crashingRunStarted(request.target, id, m_vm);
+            // Posted, since the listener cannot be destroyed in its callback.
+            boost::asio::post(m_loop, [this] { crash(); });
+            return;
+        }
         if (m_runs.size() >= slots) {
             respond(call, 503, id, names::notRun);
             return;
@@ -109,13 +109,45 @@
         response.status = status;
         response.headers = {{std::string(names::requestId), id}, {std::string(mark), "seal-" + id}};
         response.body = std::make_shared<const std::string>(status == 200 ? expectedBody(id) : "");
-        m_listener.respond(call, response);
+        if (m_listener)
+            m_listener->respond(call, response);
+    }
+
+    void start()
+    {
+        m_listener = std::make_unique<http_listener>(
+                m_loop, deployment::address(m_vm, endpoint::backend),
+                listener_callbacks{
+                        [this](call_id call, const http_request &item) { handle(call, item); },
+                        [this](call_id call) { endRun(call, "dropped"); },
+                        [this]() -> const caller_limits & { return m_limits; },
+                        [] { return false; }},
+                m_lastCall);
+        ++m_startedAt;
+        m_sequence = 0;
+        sendHeartbeat();
+    }
+
+    /// \brief Ends all runs and connections, and starts again after a while.
+    void crash()
+    {
+        if (!m_listener)
+            return;
+        m_listener.reset();
+        for (const auto &[call, item] : std::exchange(m_runs, {}))
+            m_checker.runEnded(item.id, "ended in a crash of its server");
+        seeded_random random(m_seed + static_cast<std::uint64_t>(m_startedAt));
+        m_heartbeatTimer.expires_after(drawDuration(milliseconds(300), milliseconds(2000), random));
+        m_heartbeatTimer.async_wait([this](error_code error) {
+            if (!error)
+                start();
+        });
     }
 
     void sendHeartbeat()
     {
         nlohmann::json body = {{"address", deployment::address(m_vm, endpoint::backend).text()},
-                               {"born", 1}};
+                               {"born", m_startedAt}};
         body["info"] = {{"service", deployment::serviceOf(m_vm)},
                         {"zone", deployment::zoneOf(m_vm)},
                         {"slots", slots}};
@@ -140,9 +172,10 @@
     std::map<call_id, run> m_runs;
     call_id m_lastCall = 0;
     caller_limits m_limits;
-    http_listener m_listener;
+    std::unique_ptr<http_listener> m_listener; ///< Absent while the server is down.
     connection_pool m_control;
     boost::asio::steady_timer m_heartbeatTimer;
+    std::int64_t m_startedAt = 0; ///< Increases with each start.
     std::int64_t m_sequence = 0;
 };
 
