Decode what a backend server says about itself in its responses

Servers of the users' platform name a limit of their request rate (Server-Limit) and say that they leave (Server-Leaving) in their responses; nothing read either. A limit that is no decimal number is told apart from none. Nothing is decided yet.

--- a/include/tamarackridge/src/node/node_core.h
+++ b/include/tamarackridge/src/node/node_core.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -44,12 +45,29 @@
     bool leaving = false;
 };
 
+/// \brief What a backend server says about itself in a response.
+struct server_condition
+{
+    /// What a response says about the rate of requests that the server takes.
+    enum class rate_statement : std::uint8_t {
+        unlimited, ///< The response names no limit.
+        limited,
+        malformed, ///< The response names a limit that cannot be decoded.
+    };
+
+    rate_statement rate = rate_statement::unlimited;
+    /// Requests per second, of all nodes together; set with rate_statement::limited.
+    double maxRate = 0;
+    bool leaving = false; ///< The server is going to exit.
+};
+
 /// \brief Outcome of run_backend.
 struct backend_result
 {
     bool bytesSent = false; ///< Whether the backend server may have received any byte.
     bool connectionBroken = false; ///< The connection broke before a complete response.
     tl::expected<http_response, error_kind> response = tl::unexpected(error_kind::backend_failed);
+    std::optional<server_condition> condition{}; ///< Absent if there was no complete response.
 };
 
 /// \brief Values for the status page and the metrics.
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -143,6 +143,7 @@
 {
     execution &work = m_executions.at(run);
     work.running = true;
+    work.instance = m_instance;
     work.started = now;
     work.span = work.context.trace;
     work.span.spanId = newSpanId(m_random);
@@ -185,6 +186,12 @@
     startReady(now, out);
 }
 
+bool executor::isOnCurrentInstance(run_id run) const
+{
+    const auto found = m_executions.find(run);
+    return found != m_executions.end() && found->second.instance == m_instance;
+}
+
 dispatch_response executor::outcomeOf(const backend_result &result) const
 {
     dispatch_response response;
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -86,6 +86,8 @@
     void tick(time_point now, action_list &out);
     executor_load load(time_point now);
     bool ready() const { return !m_refusalReason.has_value(); }
+    /// \returns whether \a run was started on the instance that was announced last.
+    bool isOnCurrentInstance(run_id run) const;
     bool idle() const { return m_executions.empty(); }
     const std::string &service() const { return m_service; }
 
@@ -103,6 +105,7 @@
         time_point started;
         trace_context span;
         bool running = false;
+        std::string instance; ///< Of the backend server that runs it.
     };
 
     void publish(const std::vector<overlay_entry> &entries, action_list &out);
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -80,7 +80,7 @@
 void sidecar_core::backendResponse(run_id run, backend_result result, time_point now,
                                    action_list &out)
 {
-    m_implementation->runs().backendResponse(run, std::move(result), now, out);
+    m_implementation->backendResponse(run, std::move(result), now, out);
 }
 
 void sidecar_core::backendCrashed(time_point now, action_list &out)
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -1,6 +1,7 @@
 #include "core/sidecar/sidecar_state.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -334,9 +335,11 @@
         return true;
     if (!isLocalServer || !isCurrent(report))
         return false;
-    const bool restarted = m_serverUp
-                           && (report.instance != m_serverReport.instance
-                               || report.startedAt != m_serverReport.startedAt);
+    const bool isNewStart = report.instance != m_serverReport.instance
+                            || report.startedAt != m_serverReport.startedAt;
+    if (isNewStart)
+        m_condition = {};
+    const bool restarted = m_serverUp && isNewStart;
     if (!m_serverUp || restarted || report.leaving != m_serverReport.leaving) {
         m_observer.knownStateChanged("backend server",
                                      report.instance + (report.leaving ? " leaving" : " serving")
@@ -376,6 +379,33 @@
     announceSelf(now, out);
 }
 
+void sidecar_state::backendResponse(run_id run, backend_result result, time_point now,
+                                    action_list &out)
+{
+    // A late response of an earlier start says nothing about the current one.
+    if (result.condition && m_executor.isOnCurrentInstance(run))
+        conditionReported(run, *result.condition);
+    m_executor.backendResponse(run, std::move(result), now, out);
+}
+
+void sidecar_state::conditionReported(run_id run, const server_condition &condition)
+{
+    const server_condition before = std::exchange(m_condition, condition);
+    const std::string source = "response to run " + std::to_string(run);
+    if (condition.rate != before.rate || condition.maxRate != before.maxRate) {
+        constexpr std::array<std::string_view, 3> texts{
+                "takes any rate", "takes requests/s: ", "names a malformed rate"};
+        std::string text(texts.at(static_cast<std::size_t>(condition.rate)));
+        if (condition.rate == server_condition::rate_statement::limited)
+            text += std::to_string(condition.maxRate);
+        m_observer.knownStateChanged("backend server", m_serverReport.instance + ' ' + text,
+                                     source);
+    }
+    if (condition.leaving && !before.leaving)
+        m_observer.knownStateChanged("backend server", m_serverReport.instance + " leaving",
+                                     source);
+}
+
 void sidecar_state::backendCrashed(time_point now, action_list &out)
 {
     if (!m_serverUp)
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -31,7 +31,6 @@
     ~sidecar_state() override = default;
 
     sidecar_request_handler &requestHandler() { return m_requestHandler; }
-    executor &runs() { return m_executor; }
 
     void configurationRead(std::string_view text, std::string_view source, time_point now);
     void membersListed(const std::vector<seed_peer> &members, time_point now);
@@ -43,6 +42,7 @@
     bool serverReported(const server_report &report, time_point now, action_list &out);
     void serverLeaving(std::string_view instance, std::optional<std::int64_t> startedAt,
                        time_point now, action_list &out);
+    void backendResponse(run_id run, backend_result result, time_point now, action_list &out);
     void backendCrashed(time_point now, action_list &out);
 
     void tick(time_point now, action_list &out);
@@ -57,6 +57,8 @@
 private:
     void crashAttributed(std::span<const overlay_entry> entries) override;
     void quarantinedRefused(const http_request &request, const fingerprint &identity) override;
+    /// \brief Handles what the server of \a run says about itself.
+    void conditionReported(run_id run, const server_condition &condition);
     void reportQuarantined(const overlay_entry &entry, std::string_view source);
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
@@ -90,6 +92,7 @@
     sidecar_request_handler m_requestHandler;
     server_report m_serverReport; ///< The last report that took effect.
     std::map<std::string, departure, std::less<>> m_departures; ///< By instance.
+    server_condition m_condition; ///< From the last response of the current start of the server.
     bool m_serverUp = false;
     bool m_leaving = false;
     time_point m_admissionEnd; ///< While leaving: callers' requests are admitted until then.
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -1,6 +1,8 @@
 #include "sidecar/server_runner.h"
 
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace tamarackridge {
@@ -19,6 +21,17 @@
     return status >= 200 && status < 300;
 }
 
+std::optional<double> parseRate(std::string_view text)
+{
+    double rate = 0;
+    const auto [end, error] =
+            std::from_chars(text.data(), text.data() + text.size(), rate, std::chars_format::fixed);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    if (!isNumber || !std::isfinite(rate) || rate < 0)
+        return std::nullopt;
+    return rate;
+}
+
 } // namespace
 
 void server_runner::run(const run_backend &item)
@@ -46,11 +59,27 @@
         m_pool.cancel(found->second.exchange);
 }
 
+server_condition server_runner::conditionOf(const http_response &response) const
+{
+    server_condition condition;
+    condition.leaving = !headerValue(response.headers, m_names.leaving).empty();
+    const std::string_view text = headerValue(response.headers, m_names.maxRate);
+    if (text.empty())
+        return condition;
+    const std::optional<double> rate = parseRate(text);
+    condition.rate = rate ? server_condition::rate_statement::limited
+                          : server_condition::rate_statement::malformed;
+    condition.maxRate = rate.value_or(0);
+    return condition;
+}
+
 void server_runner::exchangeEnded(run_id run, exchange_result result)
 {
     const running_request work = std::move(m_running.extract(run).mapped());
     backend_result outcome;
     outcome.bytesSent = result.bytesSent;
+    if (result.end == exchange_outcome::completed)
+        outcome.condition = conditionOf(result.response);
     if (result.end != exchange_outcome::completed) {
         outcome.connectionBroken = result.end == exchange_outcome::broken;
         outcome.response = tl::unexpected(errorOf(result.end));
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -17,6 +17,8 @@
     std::string requestId; ///< Echoes the request's id.
     std::string notRun; ///< Present when the server rejected the request without running it.
     std::string seal; ///< Present in every complete response with a 2xx status.
+    std::string maxRate; ///< Requests per second that the server takes from all nodes together.
+    std::string leaving; ///< Present when the server is going to exit.
 };
 
 /// \brief Sends requests to the backend server of this VM, each at most once.
@@ -54,6 +56,7 @@
     };
 
     void exchangeEnded(run_id run, exchange_result result);
+    server_condition conditionOf(const http_response &response) const;
 
     connection_pool m_pool;
     response_header_names m_names;
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -319,7 +319,7 @@
     std::vector<std::pair<backend_result, bool>> results;
     server_runner runner{loop,
                          address,
-                         {"Id", "Not-Run", "Seal"},
+                         {"Id", "Not-Run", "Seal", "Rate", "Leaving"},
                          [this](run_id, backend_result result, bool connectionRefused) {
                              results.emplace_back(std::move(result), connectionRefused);
                          }};
@@ -478,6 +478,46 @@
     EXPECT_TRUE(results.back().second);
 }
 
+// Guards against a limit that is missed, misread or taken from a response that belongs to another
+// request.
+TEST_F(sidecar_server_runner, what_a_server_says_about_itself_is_decoded)
+{
+    using rate_statement = server_condition::rate_statement;
+    struct sample
+    {
+        std::string headers;
+        rate_statement rate;
+        double maxRate;
+        bool leaving;
+    };
+    const std::vector<sample> samples{
+            {"", rate_statement::unlimited, 0, false},
+            {"Rate: 12.5\r\n", rate_statement::limited, 12.5, false},
+            {"rate: 0\r\nLeaving: 1\r\n", rate_statement::limited, 0, true},
+            {"Rate: -1\r\n", rate_statement::malformed, 0, false},
+            {"Rate: 1e3\r\n", rate_statement::malformed, 0, false},
+            {"Rate: 12 x\r\nLeaving: 1\r\n", rate_statement::malformed, 0, true},
+            {"Rate: nan\r\n", rate_statement::malformed, 0, false},
+            {"Rate: inf\r\n", rate_statement::malformed, 0, false}};
+    for (const sample &expected : samples) {
+        server->script = [&](const std::string &) {
+            return rawResponse("a", "y", expected.headers);
+        };
+        const backend_result &result = run(item("a"));
+        ASSERT_TRUE(result.condition) << expected.headers;
+        EXPECT_EQ(result.condition->rate, expected.rate) << expected.headers;
+        EXPECT_EQ(result.condition->maxRate, expected.maxRate) << expected.headers;
+        EXPECT_EQ(result.condition->leaving, expected.leaving) << expected.headers;
+    }
+    server->script = [](const std::string &) {
+        return std::string("HTTP/1.1 503 Full\r\nId: a\r\nNot-Run: 1\r\nRate: 7\r\n"
+                           "Content-Length: 0\r\n\r\n");
+    };
+    EXPECT_EQ(run(item("a")).condition->maxRate, 7) << "in a refusal";
+    server->script = [](const std::string &) { return std::string("garbage\r\n\r\n"); };
+    EXPECT_FALSE(run(item("a")).condition);
+}
+
 // Guards against a failed run that can't be found in the log by its request id.
 TEST_F(sidecar_server_runner, every_run_is_reported_with_its_request_id)
 {
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -34,7 +34,10 @@
     {
         return {"Id", "Time-Left", "Key", "Customer", "Caller", "Instance"};
     }
-    response_header_names responseHeaderNames() const override { return {"Id", "Not-Run", "Seal"}; }
+    response_header_names responseHeaderNames() const override
+    {
+        return {"Id", "Not-Run", "Seal", "Rate", "Leaving"};
+    }
     tl::expected<published_set, std::string> decodeSet(std::string_view) const override
     {
         return set;
