--- /dev/null
+++ b/tests/sidecar_server_condition_test.cpp
@@ -0,0 +1,247 @@
+#include "fakes/sidecar_fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::fakeSet;
+using fakes::sidecar_fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Fleet in which `a1` has callers and `a2` and `b1` have servers that name a limit of their rate.
+class sidecar_server_condition : public ::testing::Test
+{
+protected:
+    sidecar_server_condition()
+        : fleet({{"a1", "front"}, {"a2", "orders"}, {"b1", "orders"}})
+    {
+        fleet.publishAll(fakeSet(5));
+        for (const char *node : {"a1", "a2", "b1"})
+            EXPECT_TRUE(fleet.report(node, 1));
+        fleet.advance(seconds(1));
+    }
+
+    static server_condition limited(double rate)
+    {
+        return {server_condition::rate_statement::limited, rate, false};
+    }
+    static server_condition leaving()
+    {
+        return {server_condition::rate_statement::unlimited, 0, true};
+    }
+
+    void respond(std::size_t run, const server_condition &condition, int status = 200)
+    {
+        backend_result result;
+        result.bytesSent = true;
+        http_response response;
+        response.status = status;
+        if (condition.leaving)
+            response.headers.push_back({"Server-Leaves", "1"});
+        result.response = response;
+        result.condition = condition;
+        fleet.finish(run, std::move(result));
+    }
+
+    /// Callers of \a from send \a rate requests per second for \a time; servers respond after 100
+    /// ms.
+    void load(const std::string &from, double rate, duration time,
+              const std::function<server_condition()> &condition)
+    {
+        constexpr milliseconds step(20);
+        double due = 0;
+        for (duration elapsed{}; elapsed < time; elapsed += step) {
+            for (due += rate * 0.02; due >= 1; --due)
+                fleet.call(from, "write");
+            advance(step, condition);
+        }
+    }
+
+    void advance(duration time, const std::function<server_condition()> &condition)
+    {
+        fleet.advance(time);
+        for (; starts.size() < fleet.runs.size();)
+            starts.push_back({fleet.runs[starts.size()].node, fleet.now()});
+        for (; responded < starts.size() && fleet.now() - starts[responded].at >= milliseconds(100);
+             ++responded)
+            respond(responded, condition());
+    }
+
+    /// \returns the most runs that began on \a node in any 4 s from \a from on.
+    std::size_t mostInFourSeconds(const std::string &node, time_point from) const
+    {
+        std::size_t most = 0;
+        for (const run_start &first : starts) {
+            const auto inWindow = [&](const run_start &start) {
+                return start.node == node && start.at >= first.at
+                       && start.at < first.at + seconds(4);
+            };
+            if (first.at >= from)
+                most = std::max(most,
+                                static_cast<std::size_t>(std::ranges::count_if(starts, inWindow)));
+        }
+        return most;
+    }
+    /// The users' bound for 4 s.
+    static std::size_t allowed(double rate)
+    {
+        return static_cast<std::size_t>(std::floor(1.5 * 4 * rate + 5));
+    }
+
+    struct run_start
+    {
+        std::string node;
+        time_point at;
+    };
+    std::vector<run_start> starts;
+    std::size_t responded = 0;
+    sidecar_fleet fleet;
+};
+
+} // namespace
+
+// Guards against a server that gets more requests than the limit that it names in its responses,
+// and against using less than the limit while requests are refused.
+TEST_F(sidecar_server_condition, a_server_gets_no_more_than_the_rate_that_it_names)
+{
+    const auto condition = [] { return limited(20); };
+    load("a1", 150, seconds(10), condition);
+    const time_point from = fleet.now() - seconds(7);
+    for (const char *node : {"a2", "b1"}) {
+        EXPECT_LE(mostInFourSeconds(node, from), allowed(20)) << node;
+        EXPECT_GE(mostInFourSeconds(node, from), 70U) << node;
+    }
+}
+
+// Guards against a burst when the node beside a limited server has been restarted and has not seen
+// a response yet.
+TEST_F(sidecar_server_condition, a_restarted_node_does_not_exceed_a_limit_that_it_has_not_seen)
+{
+    const auto condition = [] { return limited(10); };
+    load("a1", 200, seconds(6), condition);
+    const time_point from = fleet.now() - seconds(3);
+    for (int restart = 0; restart < 3; ++restart) {
+        fleet.restart("a2");
+        fleet.publish(fakeSet(5), "a2");
+        EXPECT_TRUE(fleet.report("a2", 100 + restart));
+        load("a1", 200, seconds(6), condition);
+    }
+    EXPECT_LE(mostInFourSeconds("a2", from), allowed(10));
+    EXPECT_GE(mostInFourSeconds("a2", from), 30U);
+}
+
+// Guards against a limit that outlives the need: a later response or a new start of the server ends
+// it, and a late response of the earlier start does not set it again.
+TEST_F(sidecar_server_condition, a_limit_ends_with_the_responses_that_name_it_and_with_the_server)
+{
+    load("a1", 100, seconds(4), [] { return limited(5); });
+    const std::size_t before = starts.size();
+    load("a1", 100, seconds(4), [] { return server_condition{}; });
+    EXPECT_GE(starts.size() - before, 300U);
+
+    load("a1", 100, seconds(2), [] { return limited(5); });
+    const std::size_t last = fleet.runs.size();
+    fleet.call("a1", "write");
+    for (const char *node : {"a2", "b1"})
+        EXPECT_TRUE(fleet.report(node, 1, false, 2, "i-2"));
+    for (std::size_t run = last; run < fleet.runs.size(); ++run)
+        respond(run, limited(5));
+    responded = fleet.runs.size();
+    advance({}, [] { return server_condition{}; });
+    const std::size_t restarted = starts.size();
+    load("a1", 100, seconds(4), [] { return server_condition{}; });
+    EXPECT_GE(starts.size() - restarted, 300U);
+}
+
+// Guards against a server that names a limit of nothing and is never asked again.
+TEST_F(sidecar_server_condition, a_limit_of_nothing_is_asked_again_from_time_to_time)
+{
+    const auto none = [] { return limited(0); };
+    load("a1", 50, seconds(10), none);
+    EXPECT_LE(mostInFourSeconds("a2", fleet.now() - seconds(7)), allowed(0));
+    const std::size_t before = starts.size();
+    load("a1", 50, seconds(10), [] { return server_condition{}; });
+    EXPECT_GE(starts.size() - before, 250U);
+}
+
+// Guards against a limit that cannot be decoded and lifts the one in force.
+TEST_F(sidecar_server_condition, a_malformed_limit_changes_nothing)
+{
+    load("a1", 100, seconds(4), [] { return limited(5); });
+    const time_point from = fleet.now();
+    load("a1", 100, seconds(5), [] {
+        return server_condition{server_condition::rate_statement::malformed, 0, false};
+    });
+    EXPECT_LE(mostInFourSeconds("a2", from), allowed(5));
+}
+
+// Guards against requests to a server that says in its responses that it leaves, while its
+// heartbeats still say that it serves.
+TEST_F(sidecar_server_condition, a_server_that_says_it_leaves_gets_no_further_requests)
+{
+    fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.at(0).node, "a2");
+    respond(0, leaving());
+    EXPECT_TRUE(fleet.report("a2", 2));
+    for (std::size_t run = 1; run <= 20; ++run) {
+        const call_id call = fleet.call(run % 2 == 0 ? "a1" : "a2", "write");
+        ASSERT_EQ(fleet.runs.size(), run + 1);
+        EXPECT_EQ(fleet.runs[run].node, "b1");
+        respond(run, {});
+        EXPECT_EQ(fleet.status(call), 200);
+        fleet.advance(milliseconds(300));
+        EXPECT_TRUE(fleet.report("a2", 2 + static_cast<std::int64_t>(run)));
+    }
+    // A new start at the same address has not said that it leaves.
+    EXPECT_TRUE(fleet.report("a2", 1, false, 2, "i-2"));
+    fleet.advance(milliseconds(100));
+    fleet.call("a1", "write");
+    EXPECT_EQ(fleet.runs.back().node, "a2");
+}
+
+// Guards against a node that forgets, when it is restarted, that the server beside it leaves.
+TEST_F(sidecar_server_condition,
+       a_leaving_server_gets_no_requests_after_the_node_beside_it_restarts)
+{
+    fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.at(0).node, "a2");
+    respond(0, leaving());
+    fleet.advance(seconds(1));
+    // The new process gets reports of its server before it hears of any peer.
+    fleet.isolatedNodes = {"a2"};
+    fleet.restart("a2");
+    fleet.publish(fakeSet(5), "a2");
+    EXPECT_TRUE(fleet.report("a2", 100));
+    fleet.advance(milliseconds(100));
+    fleet.isolatedNodes.clear();
+    for (int request = 0; request < 100; ++request) {
+        fleet.call("a1", "write");
+        fleet.advance(milliseconds(20));
+        EXPECT_TRUE(fleet.report("a2", 101 + request));
+    }
+    for (std::size_t run = 1; run < fleet.runs.size(); ++run)
+        EXPECT_EQ(fleet.runs[run].node, "b1");
+}
+
+// Guards against a late response of an earlier start, by which a new server seems to leave.
+TEST_F(sidecar_server_condition, a_response_of_an_earlier_start_does_not_make_a_new_one_leave)
+{
+    fleet.call("a1", "write");
+    ASSERT_EQ(fleet.runs.at(0).node, "a2");
+    EXPECT_TRUE(fleet.report("a2", 1, false, 2, "i-2"));
+    fleet.advance(milliseconds(100));
+    respond(0, leaving());
+    fleet.advance(milliseconds(100));
+    fleet.call("a1", "write");
+    EXPECT_EQ(fleet.runs.back().node, "a2");
+}
+
+} // namespace tamarackridge
