Keep to the rate that a backend server names in its responses

A server in need names the rate of requests that it takes from all machines together.

Cause: a state that only responses tell was not part of the decision. Every request to a server passes the node beside it, so that node holds the bound: requests wait in its queue or are refused as not run, and the load that it reports shows the lower capacity, so that other nodes choose other servers first. The limit belongs to the start of the server: a new start ends it and a response of an earlier start does not set it. A node that starts beside a server in use, which may have named a limit to the earlier process, lets 8 runs begin before the first response. A limit of nothing is asked again every 2 s.

The test of the restarted node no longer answers the runs of the earlier process.

--- a/include/tamarackridge/src/overload/admission_queue.h
+++ b/include/tamarackridge/src/overload/admission_queue.h
@@ -98,6 +98,9 @@
         m_serviceTime.observe(latency, now);
     }
 
+    /// \returns the estimated duration of a run.
+    duration serviceTime(time_point now) const { return m_serviceTime.estimate(now); }
+
     /// \returns the lowest rank that is admitted; 0 when nothing is shed.
     std::uint8_t shedThreshold(time_point now);
 
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -3,6 +3,7 @@
 #include "core/node/trace.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace tamarackridge::internal {
@@ -12,6 +13,13 @@
 // Suspects run one at a time, so a longer line would keep requests waiting that another backend
 // server could run.
 constexpr std::size_t maxHeldSuspects = 8;
+// Enough for the first responses to arrive soon, and few for a server that takes few requests.
+constexpr std::uint32_t cautiousRuns = 8;
+// A server that takes no requests is asked at this rate, in requests per second, to notice when it
+// does again.
+constexpr double minRate = 0.5;
+// Responses that the server wrote before it named a limit can arrive after those that name it.
+constexpr duration rateRetention = std::chrono::seconds(1);
 constexpr int tooManyRequests = 429;
 constexpr int serviceUnavailable = 503;
 
@@ -94,7 +102,7 @@
     for (std::uint64_t run : expired)
         refuse(run, error_kind::deadline_exceeded, now, out);
     startHeldSuspects(now, out);
-    while (!m_refusalReason && m_limit.inFlight() < m_limit.limit()) {
+    while (!m_refusalReason && hasCapacity(now)) {
         const std::optional<std::uint64_t> run = m_queue.popReady(now);
         if (!run)
             return;
@@ -107,6 +115,25 @@
     }
 }
 
+bool executor::hasCapacity(time_point now)
+{
+    const std::uint32_t runs = m_limit.inFlight();
+    return runs < m_limit.limit() && (!m_awaitsCondition || runs < cautiousRuns)
+           && m_rateLimit.permits(now);
+}
+
+void executor::conditionReported(const server_condition &condition, time_point now)
+{
+    m_awaitsCondition = false;
+    if (condition.rate == server_condition::rate_statement::limited) {
+        m_rateLimit.set(std::max(condition.maxRate, minRate), now);
+        m_rateNamedAt = now;
+    } else if (condition.rate == server_condition::rate_statement::unlimited
+               && now - m_rateNamedAt >= rateRetention) {
+        m_rateLimit.clear();
+    }
+}
+
 void executor::startHeldSuspects(time_point now, action_list &out)
 {
     for (std::size_t count = m_heldSuspects.size(); count > 0; --count) {
@@ -114,7 +141,7 @@
         m_heldSuspects.pop_front();
         if (m_executions.at(run).deadline <= now)
             refuse(run, error_kind::deadline_exceeded, now, out);
-        else if (m_limit.inFlight() >= m_limit.limit() || !startIfPermitted(run, now, out))
+        else if (!hasCapacity(now) || !startIfPermitted(run, now, out))
             m_heldSuspects.push_back(run);
     }
 }
@@ -129,6 +156,7 @@
         return true;
     }
     m_limit.tryAcquire();
+    m_rateLimit.take();
     m_crashTracker.onRunStarted(run, m_executions.at(run), decision);
     start(run, now, out);
     return true;
@@ -302,6 +330,7 @@
     if (announcement.instance == m_instance)
         return;
     m_instance = announcement.instance;
+    m_rateLimit.clear();
     m_limit.restart(now, announcement.slots);
 }
 
@@ -326,7 +355,12 @@
 
 executor_load executor::load(time_point now)
 {
-    return {m_queue.shedThreshold(now), m_limit.limit(), m_limit.inFlight(), m_queue.size()};
+    std::uint32_t limit = m_limit.limit();
+    if (const std::optional<double> &rate = m_rateLimit.perSecond()) {
+        const double seconds = std::chrono::duration<double>(m_queue.serviceTime(now)).count();
+        limit = std::min(limit, static_cast<std::uint32_t>(std::ceil(*rate * seconds)));
+    }
+    return {m_queue.shedThreshold(now), std::max(limit, 1U), m_limit.inFlight(), m_queue.size()};
 }
 
 } // namespace tamarackridge::internal
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -5,6 +5,7 @@
 #include "tamarackridge/src/node/node_core.h"
 #include "tamarackridge/src/overload/admission_queue.h"
 #include "tamarackridge/src/overload/concurrency_limit.h"
+#include "tamarackridge/src/overload/request_rate_limit.h"
 #include "tamarackridge/src/quarantine/crash_tracker.h"
 
 #include <chrono>
@@ -75,6 +76,11 @@
 
     /// \brief Accepts dispatches from now on; a new instance starts with the cold-start ramp.
     void backendReady(const backend_announcement &announcement, time_point now);
+    /// \brief Limits the runs in progress until the first response of the backend server, which may
+    /// name a limit of its rate. For a process that starts beside a server that is in use.
+    void beginCautiously() { m_awaitsCondition = true; }
+    /// \brief Keeps to what the current instance of the backend server says about itself.
+    void conditionReported(const server_condition &condition, time_point now);
     /// \brief Handles a crash of the backend server, in which all running requests ended.
     void backendCrashed(time_point now, action_list &out);
     /// \brief Handles a peer's overlay entry about a request that crashes backend servers.
@@ -113,6 +119,7 @@
                            action_list &out);
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
     void finish(run_id run, dispatch_response response, time_point now, action_list &out);
+    bool hasCapacity(time_point now);
     void startReady(time_point now, action_list &out);
     void startHeldSuspects(time_point now, action_list &out);
     /// \brief Starts a run for which there is capacity, or refuses it if it is quarantined.
@@ -132,6 +139,9 @@
     quarantine_observer *m_quarantineObserver = nullptr;
     crash_tracker m_crashTracker;
     concurrency_limit m_limit;
+    request_rate_limit m_rateLimit;
+    time_point m_rateNamedAt; ///< When a response last named a limit of the rate.
+    bool m_awaitsCondition = false; ///< Until the first response to this process.
     admission_queue m_queue;
     std::deque<run_id> m_heldSuspects; ///< Admitted; wait until no other suspect is running.
     std::unordered_map<run_id, execution> m_executions;
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -339,6 +339,10 @@
                             || report.startedAt != m_serverReport.startedAt;
     if (isNewStart)
         m_condition = {};
+    // An earlier process of this node has taken the first reports of this start, and may have seen
+    // responses that name a limit.
+    if (m_serverReport.instance.empty() && report.sequence > 1)
+        m_executor.beginCautiously();
     const bool restarted = m_serverUp && isNewStart;
     if (!m_serverUp || restarted || report.leaving != m_serverReport.leaving) {
         m_observer.knownStateChanged("backend server",
@@ -383,8 +387,10 @@
                                     action_list &out)
 {
     // A late response of an earlier start says nothing about the current one.
-    if (result.condition && m_executor.isOnCurrentInstance(run))
+    if (result.condition && m_executor.isOnCurrentInstance(run)) {
+        m_executor.conditionReported(*result.condition, now);
         conditionReported(run, *result.condition);
+    }
     m_executor.backendResponse(run, std::move(result), now, out);
 }
 
--- a/tests/sidecar_server_condition_test.cpp
+++ b/tests/sidecar_server_condition_test.cpp
@@ -69,10 +69,11 @@
     {
         fleet.advance(time);
         for (; starts.size() < fleet.runs.size();)
-            starts.push_back({fleet.runs[starts.size()].node, fleet.now()});
+            starts.push_back({fleet.runs[starts.size()].node, fleet.now(), false});
         for (; responded < starts.size() && fleet.now() - starts[responded].at >= milliseconds(100);
              ++responded)
-            respond(responded, condition());
+            if (!starts[responded].lost)
+                respond(responded, condition());
     }
 
     /// \returns the most runs that began on \a node in any 4 s from \a from on.
@@ -100,6 +101,7 @@
     {
         std::string node;
         time_point at;
+        bool lost = false; ///< The process that sent it to the server has ended.
     };
     std::vector<run_start> starts;
     std::size_t responded = 0;
@@ -129,6 +131,8 @@
     load("a1", 200, seconds(6), condition);
     const time_point from = fleet.now() - seconds(3);
     for (int restart = 0; restart < 3; ++restart) {
+        for (run_start &start : starts)
+            start.lost = start.lost || start.node == "a2";
         fleet.restart("a2");
         fleet.publish(fakeSet(5), "a2");
         EXPECT_TRUE(fleet.report("a2", 100 + restart));
@@ -237,7 +241,6 @@
     fleet.call("a1", "write");
     ASSERT_EQ(fleet.runs.at(0).node, "a2");
     EXPECT_TRUE(fleet.report("a2", 1, false, 2, "i-2"));
-    fleet.advance(milliseconds(100));
     respond(0, leaving());
     fleet.advance(milliseconds(100));
     fleet.call("a1", "write");
