Stop using a server when a response says that it leaves

A leaving server says so in all its responses, also while its heartbeats say that it serves and before any notice of it arrives. Nothing read this, so a server got requests until its notice, and again from a node beside it that had been restarted.

Now - the node beside the server takes such a response of the current start as the server's notice: it accepts nothing more, announces it, and the departure reaches its next process through the other nodes; - the node where the request began excludes that start of the server by itself, since the other node may be restarted while it reaches no peer. Directory entries name the start of the server, so that a new start at the same address is used at once, and a response is attributed to the start that was announced when its dispatch was sent.

--- a/include/tamarackridge/src/membership/member.h
+++ b/include/tamarackridge/src/membership/member.h
@@ -22,6 +22,15 @@
 /// \returns the lower-case name of \a state.
 std::string_view toString(member_state state);
 
+/// \brief Identifies one start of a backend server.
+struct server_start
+{
+    std::string instance;
+    std::int64_t startedAt = 0; ///< Unix milliseconds, by the server's clock.
+
+    friend bool operator==(const server_start &, const server_start &) = default;
+};
+
 /// \brief A start of a backend server that has announced that it leaves.
 struct server_departure
 {
@@ -43,6 +52,8 @@
     /// Whether the node holds quota slots, so that tokens can be requested from it.
     bool holdsQuota = false;
     std::string successor; ///< Node that took over the ledger, set with member_state::left.
+    /// The start of the backend server that the node knows; absent if it has not reported.
+    std::optional<server_start> server{};
     /// Last departure of the backend server on the node's VM. Kept by the other nodes, it reaches
     /// the node's next process.
     std::optional<server_departure> departure{};
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -67,8 +67,10 @@
     /// neighbours of the restarted node are enough.
     void restoreMembershipOf(std::string_view node, action_list &out);
     /// \brief Updates this node's own entry and disseminates it.
+    /// \param server the start of the backend server, if it has reported one.
     void setSelf(std::string_view service, std::uint32_t slots, member_state state,
-                 std::string_view successor, action_list &out);
+                 std::string_view successor, action_list &out,
+                 const std::optional<server_start> &server = std::nullopt);
     void setHoldsQuota(bool holdsQuota, action_list &out);
     /// \brief Records that the backend server of this VM has announced that it leaves.
     void setDeparture(server_departure departure, action_list &out);
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -29,6 +29,7 @@
     std::string customer; ///< Tells the backend server the name of the customer.
     std::string callerService; ///< Tells the backend server which service sent the request.
     std::string expectedInstance; ///< A server with another instance id refuses the request.
+    std::string serverLeaving; ///< In responses: the backend server is going to exit.
 };
 
 /// \brief Settings of a sidecar_core.
--- a/src/core/membership/member.cpp
+++ b/src/core/membership/member.cpp
@@ -34,6 +34,10 @@
                            {"state", std::string(toString(source.state))},
                            {"quota", source.holdsQuota},
                            {"successor", source.successor}};
+    if (source.server) {
+        payload["server"] = source.server->instance;
+        payload["server_start"] = source.server->startedAt;
+    }
     if (source.departure) {
         payload["departed"] = source.departure->instance;
         if (source.departure->startedAt)
@@ -61,6 +65,9 @@
         result.state = *state;
         result.holdsQuota = payload.at("quota").get<bool>();
         result.successor = payload.at("successor").get<std::string>();
+        if (payload.contains("server"))
+            result.server = {payload.at("server").get<std::string>(),
+                             payload.at("server_start").get<std::int64_t>()};
         if (payload.contains("departed")) {
             server_departure &departure = result.departure.emplace();
             departure.instance = payload.at("departed").get<std::string>();
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -37,11 +37,13 @@
 }
 
 void overlay::setSelf(std::string_view service, std::uint32_t slots, member_state state,
-                      std::string_view successor, action_list &out)
+                      std::string_view successor, action_list &out,
+                      const std::optional<server_start> &server)
 {
     if (m_self.service == service && m_self.slots == slots && m_self.state == state
-        && m_self.successor == successor)
+        && m_self.successor == successor && m_self.server == server)
         return;
+    m_self.server = server;
     m_self.service = service;
     m_self.slots = slots;
     m_self.state = state;
--- a/src/core/node/dispatcher.cpp
+++ b/src/core/node/dispatcher.cpp
@@ -94,6 +94,7 @@
     work.executorNode = std::string(node);
     const directory::record *known = m_membership.members().find(node);
     work.executorIncarnation = known == nullptr ? 0 : known->info.node.incarnation;
+    work.executorServer = known == nullptr ? std::nullopt : known->info.server;
     work.sent = now;
     work.attemptDeadline = work.request.deadline + responseGrace;
     // The other half of the time remains for another executor if this one does not respond.
@@ -228,6 +229,15 @@
     return {work.executorNode, static_cast<std::uint32_t>(work.tried.size() + inProgress)};
 }
 
+std::optional<server_start> dispatcher::serverOf(const dispatch_id &id) const
+{
+    const auto dispatched = m_dispatches.find(id.sequence);
+    if (id.owner != m_self.incarnation || dispatched == m_dispatches.end())
+        return std::nullopt;
+    const auto found = m_requests.find(dispatched->second);
+    return found == m_requests.end() ? std::nullopt : found->second.executorServer;
+}
+
 void dispatcher::abandon(request_number requestNumber, time_point now, action_list &out)
 {
     const auto found = m_requests.find(requestNumber);
--- a/src/core/node/dispatcher.h
+++ b/src/core/node/dispatcher.h
@@ -101,6 +101,9 @@
     request_number nextRequestNumber() const { return m_nextRequestNumber; }
     /// \returns the attempts of a request that has no outcome yet.
     attempt_summary attemptsOf(request_number requestNumber) const;
+    /// \returns the start of the backend server that the executor of a dispatch had announced when
+    /// the dispatch was sent; nothing if it is not known or the dispatch has ended.
+    std::optional<server_start> serverOf(const dispatch_id &id) const;
     bool idle() const { return m_requests.empty(); }
     std::size_t size() const { return m_requests.size(); }
     attempt_timeout attemptTimeout() const { return m_attemptTimeout; }
@@ -114,6 +117,7 @@
         std::uint64_t dispatchSequence = 0; ///< 0 while there is no attempt in flight.
         std::string executorNode;
         incarnation_id executorIncarnation = 0; ///< Process that the attempt was sent to.
+        std::optional<server_start> executorServer; ///< Announced when the attempt was sent.
         std::uint32_t attemptShare = 0; ///< Attempts that the current dispatch may use.
         time_point sent;
         time_point attemptDeadline;
--- a/src/core/node/routing_updater.cpp
+++ b/src/core/node/routing_updater.cpp
@@ -24,10 +24,24 @@
 
 bool routing_updater::isServing(const directory::record &record, time_point now) const
 {
+    const auto leavingServer = m_leavingServers.find(record.info.node.name);
+    if (leavingServer != m_leavingServers.end() && record.info.server == leavingServer->second)
+        return false;
     return record.info.state == member_state::serving && record.health == liveness::alive
            && m_membership.timeSinceContact(record.info.node.zone, now) < zoneContactTimeout;
 }
 
+bool routing_updater::setServerLeaving(std::string_view node, const server_start &server,
+                                       time_point now)
+{
+    const auto [known, isNew] = m_leavingServers.try_emplace(std::string(node), server);
+    if (!isNew && known->second == server)
+        return false;
+    known->second = server;
+    updateExecutor(node, now);
+    return true;
+}
+
 void routing_updater::updateExecutor(std::string_view name, time_point now)
 {
     const directory::record *record = m_membership.members().find(name);
@@ -35,6 +49,8 @@
                       || record->info.state == member_state::left || record->info.service.empty();
     if (gone) {
         m_routes.removeExecutor(name);
+        if (record == nullptr)
+            m_leavingServers.erase(std::string(name));
         return;
     }
     executor_info info;
--- a/src/core/node/routing_updater.h
+++ b/src/core/node/routing_updater.h
@@ -27,6 +27,9 @@
     void applyMembers(const overlay_changes &changes, time_point now, action_list &out);
     /// \brief Updates which zones are reachable, from the time since the last contact with each.
     void updateReachability(time_point now, action_list &out);
+    /// \brief Excludes a start of the backend server beside \a node from routing.
+    /// \returns false if it was excluded before.
+    bool setServerLeaving(std::string_view node, const server_start &server, time_point now);
     /// \returns whether a member accepts requests and its zone is reachable.
     bool isServing(const directory::record &record, time_point now) const;
 
@@ -37,6 +40,7 @@
     router &m_routes;
     dispatcher &m_dispatcher;
     std::map<std::string, bool, std::less<>> m_zoneReachable;
+    std::map<std::string, server_start, std::less<>> m_leavingServers; ///< By node, the last one.
 };
 
 } // namespace tamarackridge::internal
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -146,6 +146,7 @@
 void sidecar_state::handle(const node_ref &from, dispatch_response &message, time_point now,
                            action_list &out)
 {
+    noteLeavingServer(from.name, message, now);
     m_dispatcher.dispatchResponse(from.name, std::move(message), now, out);
 }
 
@@ -387,14 +388,18 @@
                                     action_list &out)
 {
     // A late response of an earlier start says nothing about the current one.
-    if (result.condition && m_executor.isOnCurrentInstance(run)) {
+    const bool isCurrent = result.condition && m_executor.isOnCurrentInstance(run);
+    const bool leaves = isCurrent && result.condition->leaving && !m_serverReport.leaving;
+    if (isCurrent) {
         m_executor.conditionReported(*result.condition, now);
-        conditionReported(run, *result.condition);
+        logCondition(run, *result.condition);
     }
     m_executor.backendResponse(run, std::move(result), now, out);
+    if (leaves)
+        serverLeaving(m_serverReport.instance, m_serverReport.startedAt, now, out);
 }
 
-void sidecar_state::conditionReported(run_id run, const server_condition &condition)
+void sidecar_state::logCondition(run_id run, const server_condition &condition)
 {
     const server_condition before = std::exchange(m_condition, condition);
     const std::string source = "response to run " + std::to_string(run);
@@ -412,6 +417,16 @@
                                      source);
 }
 
+void sidecar_state::noteLeavingServer(std::string_view node, const dispatch_response &response,
+                                      time_point now)
+{
+    if (headerValue(response.response.headers, m_options.headers.serverLeaving).empty())
+        return;
+    const std::optional<server_start> server = m_dispatcher.serverOf(response.id);
+    if (server && m_routingUpdater.setServerLeaving(node, *server, now))
+        m_observer.knownStateChanged(node, "server " + server->instance + " leaving", "response");
+}
+
 void sidecar_state::backendCrashed(time_point now, action_list &out)
 {
     if (!m_serverUp)
@@ -431,7 +446,10 @@
         state = member_state::leaving;
     else if (m_serverUp)
         state = member_state::serving;
-    m_membership.setSelf(m_options.service, m_serverReport.slots, state, {}, out);
+    std::optional<server_start> server;
+    if (!m_serverReport.instance.empty())
+        server = {m_serverReport.instance, m_serverReport.startedAt};
+    m_membership.setSelf(m_options.service, m_serverReport.slots, state, {}, out, server);
     m_routingUpdater.updateExecutor(m_options.self.name, now);
 }
 
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -57,8 +57,12 @@
 private:
     void crashAttributed(std::span<const overlay_entry> entries) override;
     void quarantinedRefused(const http_request &request, const fingerprint &identity) override;
-    /// \brief Handles what the server of \a run says about itself.
-    void conditionReported(run_id run, const server_condition &condition);
+    /// \brief Logs what the server of \a run says about itself, if that has changed.
+    void logCondition(run_id run, const server_condition &condition);
+    /// \brief Sends no further requests to a server whose response says that it leaves. The node
+    /// beside it does the same, but forgets it if it is restarted while it reaches no peer.
+    void noteLeavingServer(std::string_view node, const dispatch_response &response,
+                           time_point now);
     void reportQuarantined(const overlay_entry &entry, std::string_view source);
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -56,7 +56,7 @@
 
 inline header_names fakeHeaders()
 {
-    return {"Attempt-Id", "Time-Left", "Key", "Customer", "Caller", "Instance"};
+    return {"Attempt-Id", "Time-Left", "Key", "Customer", "Caller", "Instance", "Server-Leaves"};
 }
 
 inline published_route fakeRoute(std::string name, std::string service, bool idempotent = true)
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -32,7 +32,7 @@
 public:
     header_names headers() const override
     {
-        return {"Id", "Time-Left", "Key", "Customer", "Caller", "Instance"};
+        return {"Id", "Time-Left", "Key", "Customer", "Caller", "Instance", "Leaving"};
     }
     response_header_names responseHeaderNames() const override
     {
