Do not take a response that ends in its head for a complete one

Cause: libcurl takes the end of the connection for the end of the headers and reports success; a Content-Length of 0 or a status without a body then passed the check of the body. The client now requires the empty line that ends the headers.

--- a/src/process/http_exchange.cpp
+++ b/src/process/http_exchange.cpp
@@ -139,6 +139,7 @@
     m_response = {};
     m_contentLength.clear();
     m_chunked = false;
+    m_headersComplete = false;
     const std::size_t space = line.find(' ');
     if (space == std::string_view::npos)
         return false;
@@ -197,7 +198,8 @@
     if (result == CURLE_OPERATION_TIMEDOUT)
         return tl::unexpected(error_kind::backend_timeout);
     if (result == CURLE_OK) {
-        if (!isBodyDelimited())
+        // libcurl takes the end of the connection for the end of the headers.
+        if (!m_headersComplete || !isBodyDelimited())
             return tl::unexpected(error_kind::backend_answer_incomplete);
         removeHopHeaders(m_response.headers);
         if (!m_body.empty())
--- a/tests/process_http_client_test.cpp
+++ b/tests/process_http_client_test.cpp
@@ -211,6 +211,37 @@
               200);
 }
 
+// Guards against a complete response made of one that the server broke off in its head or its body.
+TEST(process_http_client, responses_that_end_early_are_never_complete)
+{
+    const std::vector<std::string> complete{
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX: y\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\nX: y\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: y\r\n\r\nok"};
+    for (const std::string &text : complete) {
+        // A chunked body is complete with its last chunk (RFC 9112, section 8).
+        const std::string lastChunk = "\r\n\r\n0\r\n";
+        const std::size_t chunkedEnd = text.find(lastChunk);
+        const std::size_t completeSize =
+                chunkedEnd == std::string::npos ? text.size() : chunkedEnd + lastChunk.size();
+        std::vector<raw_server::script> scripts;
+        for (std::size_t size = 0; size <= text.size(); ++size)
+            scripts.push_back(replyWith(text.substr(0, size)));
+        raw_server server(std::move(scripts));
+        client_driver driver;
+        for (std::size_t size = 0; size < text.size(); ++size) {
+            if (size >= completeSize) {
+                driver.exchange(server.port(), post("text"));
+                continue;
+            }
+            const http_outcome outcome = driver.exchange(server.port(), post("text"));
+            EXPECT_FALSE(outcome.response) << text.substr(0, size);
+        }
+        EXPECT_TRUE(driver.exchange(server.port(), post("text")).response) << text;
+    }
+}
+
 // Guards against reporting a refused connection as a request that the server may have executed.
 TEST(process_http_client, refused_connections_are_distinguished)
 {
