--- a/tests/platform_decoder_test.cpp
+++ b/tests/platform_decoder_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/store_gateway.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <string>
 #include <variant>
@@ -108,6 +109,92 @@
             std::holds_alternative<invalid_notice>(decodeNotice({"PUT", "/other", {}, nullptr})));
 }
 
+// Guards against numbers that are cut to fit: a report with too large a sequence number would make
+// all later ones look outdated, and one with too many slots would name a server with few.
+TEST(platform_decoder, notices_with_numbers_out_of_range_name_no_server)
+{
+    const auto report = [](const std::string &slots, const std::string &sequence,
+                           const std::string &born) {
+        return decodeNotice(put(R"({"address":"a:1","born":)" + born
+                                + R"(,"info":{"service":"s","slots":)" + slots
+                                + R"(},"status":{"state":"ready","sequence":)" + sequence + "}}"));
+    };
+    ASSERT_TRUE(std::holds_alternative<server_report>(report("4", "1", "1700000000123")));
+    for (const char *odd : {"-1", "1.5", "1e300", "18446744073709551615", "18446744073709551616",
+                            "true", "null", "\"7\"", "[1]", "1e400"}) {
+        EXPECT_TRUE(std::holds_alternative<invalid_notice>(report(odd, "1", "1"))) << odd;
+        EXPECT_TRUE(std::holds_alternative<invalid_notice>(report("4", odd, "1"))) << odd;
+        EXPECT_TRUE(std::holds_alternative<invalid_notice>(report("4", "1", odd))) << odd;
+    }
+    EXPECT_TRUE(std::holds_alternative<invalid_notice>(report("4294967297", "1", "1")));
+    const server_notice left =
+            decodeNotice({"DELETE",
+                          "/api/instances/i-8",
+                          {},
+                          std::make_shared<const std::string>(R"({"born":18446744073709551615})")});
+    EXPECT_FALSE(std::get<leave_notice>(left).startedAt);
+}
+
+// Guards against a set whose times or rates overflow when they are converted.
+TEST(platform_decoder, sets_with_numbers_out_of_range_are_refused)
+{
+    const auto set = [](const std::string &timeout, const std::string &attempts,
+                        const std::string &rate) {
+        return decodeSet(
+                R"({"version":7,"resources":[{"type":"routes","metadata":{"name":"r"},"spec":{
+                "hostname":"h","pathPrefix":"/a/","routeType":"idempotent","service":"s","timeoutS":)"
+                + timeout + R"(,"attempts":)" + attempts
+                + R"(}},{"type":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["k"],"ratePerS":)"
+                + rate + "}}]}");
+    };
+    ASSERT_TRUE(set("0.5", "2", "215.5"));
+    for (const char *odd : {"-1", "1e300", "true", "null", "\"7\"", "[1]", "1e400"}) {
+        EXPECT_FALSE(set(odd, "2", "1")) << odd;
+        EXPECT_FALSE(set("1", odd, "1")) << odd;
+        EXPECT_FALSE(set("1", "2", odd)) << odd;
+    }
+    EXPECT_FALSE(set("1", "1.5", "1"));
+    EXPECT_FALSE(set("1", "4294967297", "1"));
+}
+
+// Guards against a process that ends because it reads a deeply nested text.
+TEST(platform_decoder, deeply_nested_texts_are_refused)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    EXPECT_FALSE(decodeSet(nested));
+    EXPECT_FALSE(decodeSet(R"({"version":1,"resources":)" + nested + "}"));
+    EXPECT_TRUE(std::holds_alternative<invalid_notice>(decodeNotice(put(nested))));
+    EXPECT_TRUE(std::holds_alternative<invalid_notice>(
+            decodeNotice(put(R"({"address":"a","info":)" + nested + R"(,"status":{}})"))));
+}
+
+// Guards against texts of other writers that end the process.
+RC_GTEST_PROP(platform_decoder, any_text_is_decoded_or_refused, (const std::string &text))
+{
+    static_cast<void>(decodeSet(text));
+    static_cast<void>(decodeNotice(put(text)));
+    static_cast<void>(decodeRecords(text));
+}
+
+// Guards against fields of any type and size that end the process or are taken for others.
+RC_GTEST_PROP(platform_decoder, reports_with_odd_fields_are_valid_or_refused, ())
+{
+    const auto value = [] {
+        return *rc::gen::element<std::string>("1", "-1", "1e308", "2.5", "9223372036854775807",
+                                              "18446744073709551615", "null", "true", "\"ready\"",
+                                              "{}", "[[]]", "{\"a\":{}}", "\"\"");
+    };
+    const server_notice notice = decodeNotice(
+            put("{\"address\":" + value() + ",\"born\":" + value()
+                + ",\"info\":{\"service\":" + value() + ",\"slots\":" + value()
+                + "},\"status\":{\"state\":" + value() + ",\"sequence\":" + value() + "}}"));
+    if (const server_report *report = std::get_if<server_report>(&notice)) {
+        RC_ASSERT(report->slots == 1U);
+        RC_ASSERT(report->sequence == 1);
+    }
+}
+
 TEST(platform_decoder, records_are_decoded_as_they_are_encoded)
 {
     const std::string bytes = std::string(7, '\0') + '\x09' + std::string(8, '\0')
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -518,6 +518,51 @@
     EXPECT_FALSE(run(item("a")).condition);
 }
 
+// Guards against a complete response made of one that the server broke off in its head or its body.
+TEST_F(sidecar_server_runner, responses_that_end_early_are_never_complete)
+{
+    server->closesAfterResponse = true;
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n";
+    for (const std::string &text :
+         {head + "Content-Length: 0\r\nX: y\r\n\r\n", head + "Content-Length: 2\r\n\r\nok",
+          head + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+          std::string("HTTP/1.1 204 No Content\r\nId: a\r\nSeal: s\r\nX: y\r\n\r\n")}) {
+        for (std::size_t size = 1; size < text.size(); ++size) {
+            server->script = [&](const std::string &) { return text.substr(0, size); };
+            EXPECT_FALSE(run(item("a")).response) << text.substr(0, size);
+        }
+        server->script = [&](const std::string &) { return text; };
+        EXPECT_TRUE(run(item("a")).response) << text;
+    }
+    // Without a length, only the head shows whether the response was cut.
+    const std::string endless = head + "X: y\r\n\r\n";
+    for (std::size_t size = 1; size < endless.size(); ++size) {
+        server->script = [&](const std::string &) { return endless.substr(0, size); };
+        EXPECT_FALSE(run(item("a")).response) << endless.substr(0, size);
+    }
+}
+
+// Guards against a refusal that a faulty server writes once more: the next request on that
+// connection would be reported as not run while the server runs it, and be sent to a second server.
+TEST_F(sidecar_server_runner, a_repeated_refusal_is_not_taken_for_the_next_response)
+{
+    const auto refusalOf = [](const std::string &idHeader) {
+        return "HTTP/1.1 503 Full\r\n" + idHeader + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    };
+    for (const std::string &repeated : {refusalOf("Id: a\r\n"), refusalOf("")}) {
+        server->script = [&](const std::string &) { return refusalOf("Id: a\r\n"); };
+        EXPECT_EQ(run(item("a")).response.error(), error_kind::overloaded);
+        server->script = [&](const std::string &) { return repeated + rawResponse("b", "y"); };
+        const backend_result &next = run(item("b"));
+        ASSERT_TRUE(next.response) << repeated;
+        EXPECT_EQ(next.response->status, 200);
+        server->script = [&](const std::string &) { return repeated; };
+        const backend_result &silent = run(item("c", std::chrono::milliseconds(200)));
+        EXPECT_TRUE(silent.bytesSent) << repeated;
+        EXPECT_EQ(silent.response.error(), error_kind::backend_timeout) << repeated;
+    }
+}
+
 // Guards against a failed run that can't be found in the log by its request id.
 TEST_F(sidecar_server_runner, every_run_is_reported_with_its_request_id)
 {
