Skip odd records of other writers instead of failing the whole read

Reported by operators of similar systems: one odd entry among those of the servers stopped machines from following the list. Here the records of a page were decoded all or none, so one record with a key or value of another type hid all nodes and the configuration; a page of the log that does not decode was read at the same position again and again, so that no later change was seen; and a record with a port out of range became a node that is connected to at port 0.

Each record is now decoded by itself and refused with a log line; a page of which no record decodes is malformed as before; after a malformed page of the log the newest set is read as a whole, past it. Endpoints are parsed by one function, used by settings, links and the list of nodes. platform_store_gateway_test: odd_entries_name_no_node_and_the_others_hold and the test of store_watch failed before.

--- a/src/sidecar/event_loop.cpp
+++ b/src/sidecar/event_loop.cpp
@@ -4,8 +4,25 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <charconv>
+
 namespace tamarackridge {
 
+std::optional<socket_address> parseSocketAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    socket_address address{std::string(text.substr(0, colon)), 0};
+    const char *const end = text.data() + text.size();
+    const auto [parsedEnd, result] = std::from_chars(text.data() + colon + 1, end, address.port);
+    boost::system::error_code error;
+    boost::asio::ip::make_address_v4(address.host, error);
+    if (result != std::errc() || parsedEnd != end || error || address.port == 0)
+        return std::nullopt;
+    return address;
+}
+
 void setKeepAlive(tcp::socket &socket)
 {
     // After one second without data, two keep-alive probes are sent, one second apart.
--- a/src/sidecar/event_loop.h
+++ b/src/sidecar/event_loop.h
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace tamarackridge {
 
@@ -23,6 +25,10 @@
     tcp::endpoint endpoint() const { return {boost::asio::ip::make_address(host), port}; }
 };
 
+/// \brief Parses the format of socket_address::text().
+/// \returns nothing unless \a text is an IPv4 address and a port other than 0.
+std::optional<socket_address> parseSocketAddress(std::string_view text);
+
 /// \brief Sets TCP options so that a connection whose other side stops responding fails within
 /// about three seconds; also disables Nagle's algorithm.
 void setKeepAlive(tcp::socket &socket);
--- a/src/sidecar/peer_sender.cpp
+++ b/src/sidecar/peer_sender.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -37,26 +36,13 @@
     return stateTimeToLive;
 }
 
-tcp::endpoint parseEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    std::uint16_t port = 0;
-    if (colon == std::string_view::npos)
-        return {};
-    std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    error_code error;
-    const boost::asio::ip::address address =
-            boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    return error ? tcp::endpoint() : tcp::endpoint(address, port);
-}
-
 } // namespace
 
 peer_sender::peer_sender(link_context &context, std::string node, const std::string &endpoint)
     : m_context(context)
     , m_node(std::move(node))
     , m_endpointText(endpoint)
-    , m_endpoint(parseEndpoint(endpoint))
+    , m_endpoint(parseSocketAddress(endpoint).value_or(socket_address{"0.0.0.0", 0}).endpoint())
     , m_socket(context.loop)
     , m_retryDelay(initialRetryDelay)
 { }
--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -75,6 +76,9 @@
     /// from a copy: writes that it had confirmed may be lost, and earlier positions are no longer
     /// valid. It is called before the handler of that response.
     virtual void onStoreRestored(std::function<void()> restored) = 0;
+    /// \brief Sets the handler that is called for each record that cannot be decoded, which is
+    /// skipped.
+    virtual void onRecordRefused(std::function<void(std::string_view reason)> refused) = 0;
     /// \brief Adds the endpoint of this node to the node list in the store.
     virtual void registerNode(const std::string &node, const std::string &endpoint,
                               handler<std::monostate> done) = 0;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -157,6 +157,9 @@
         m_log.write(line_class::process, "store restored",
                     json_line().add("configuration", m_core.status(monotonicNow()).configVersion));
     };
+    callbacks.recordRefused = [this](std::string_view reason) {
+        m_log.write(line_class::failure, "record refused", json_line().add("fault", reason));
+    };
     return callbacks;
 }
 
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace tamarackridge {
@@ -11,30 +11,18 @@
 
 constexpr std::int64_t stopSecondsLimit = 3600;
 
-bool parseAddress(const std::string &text, socket_address &out)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    const char *const first = text.data() + colon + 1;
-    const char *const last = text.data() + text.size();
-    std::uint16_t port = 0;
-    const auto [end, result] = std::from_chars(first, last, port);
-    boost::system::error_code error;
-    out.host = text.substr(0, colon);
-    boost::asio::ip::make_address_v4(out.host, error);
-    out.port = port;
-    return result == std::errc() && end == last && !error;
-}
-
 settings_field addressField(std::string path, socket_address &target)
 {
     const std::string expected = "an IPv4 address and a port, for example 10.0.0.5:8080";
     return {std::move(path), expected, field_presence::required,
             [&target, expected](const nlohmann::json &value) -> std::vector<settings_error> {
-                if (value.is_string() && parseAddress(value.get<std::string>(), target))
-                    return {};
-                return {{"", expected}};
+                const std::optional<socket_address> address =
+                        value.is_string() ? parseSocketAddress(value.get<std::string>())
+                                          : std::nullopt;
+                if (!address)
+                    return {{"", expected}};
+                target = *address;
+                return {};
             }};
 }
 
--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -44,6 +44,8 @@
     , m_retryDelay(initialRetryDelay)
 {
     m_platform.onStoreRestored([this] { storeRestored(); });
+    if (m_callbacks.recordRefused)
+        m_platform.onRecordRefused(m_callbacks.recordRefused);
 }
 
 void store_watch::start()
@@ -130,6 +132,9 @@
         readSet();
         return;
     }
+    // Reading at the same position would fail in the same way.
+    if (result.error() == store_error::malformed)
+        m_nextPosition.reset();
     schedule(m_setTimer, recordFailure(result.error()), &store_watch::resumeSet);
 }
 
--- a/src/sidecar/store_watch.h
+++ b/src/sidecar/store_watch.h
@@ -24,6 +24,8 @@
     std::function<bool()> knowsPeers;
     /// The store was restored from a copy; what it may have lost is read and written again.
     std::function<void()> restored;
+    /// A record of the store cannot be decoded and is skipped.
+    std::function<void(std::string_view reason)> recordRefused;
 };
 
 /// \brief Follows the published set and the node list in the platform's store.
--- a/tests/fakes/platform_store.h
+++ b/tests/fakes/platform_store.h
@@ -46,6 +46,7 @@
 class platform_store
 {
 public:
+    std::string oddItems; ///< JSON that each list of newest records contains besides its own.
     platform_store(boost::asio::io_context &loop, const socket_address &address)
         : m_loop(loop)
         , m_listener(std::make_unique<http_listener>(
@@ -216,6 +217,8 @@
             items += (count++ == 0 ? "" : ",");
             items += R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","offset":0})";
         }
+        if (!oddItems.empty())
+            items += (count == 0 ? "" : ",") + oddItems;
         return R"({"items":[)" + items + R"(],"hasMore":)" + (more ? "true" : "false")
                + R"(,"end":)" + std::to_string(m_ends[topic]) + "}";
     }
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -18,6 +18,42 @@
 
 using fakes::runUntil;
 
+/// Platform whose log has an odd record between two sets.
+class odd_page_platform final : public platform_gateway
+{
+public:
+    header_names headers() const override { return {}; }
+    response_header_names responseHeaderNames() const override { return {}; }
+    tl::expected<published_set, std::string> decodeSet(std::string_view) const override
+    {
+        return published_set{};
+    }
+    server_notice decodeNotice(const http_request &) const override { return {}; }
+    void readSet(handler<stored_set> done) override
+    {
+        ++m_setReads;
+        done(stored_set{"set " + std::to_string(m_setReads), m_setReads});
+    }
+    void readNextSet(std::int64_t position, duration, handler<stored_set> done) override
+    {
+        positions.push_back(position);
+        if (position == 1)
+            done(tl::unexpected(store_error::malformed));
+    }
+    void onStoreRestored(std::function<void()>) override { }
+    void onRecordRefused(std::function<void(std::string_view)>) override { }
+    void registerNode(const std::string &, const std::string &, handler<std::monostate>) override {
+    }
+    void unregisterNode(const std::string &, handler<std::monostate>) override { }
+    void listNodes(handler<std::vector<seed_peer>>) override { }
+    void sweep(time_point) override { }
+
+    std::vector<std::int64_t> positions; ///< Of the reads that wait for the next set.
+
+private:
+    std::int64_t m_setReads = 0;
+};
+
 struct platform_store_gateway : testing::Test
 {
     boost::asio::io_context loop;
@@ -169,6 +205,61 @@
     }));
 }
 
+// Guards against one odd entry of another writer that hides all nodes, or names a node without a
+// usable endpoint.
+TEST_F(platform_store_gateway, odd_entries_name_no_node_and_the_others_hold)
+{
+    std::vector<std::string> refused;
+    gateway.onRecordRefused([&refused](std::string_view reason) { refused.emplace_back(reason); });
+    store->put("keyed.members", "n2", "10.0.0.9:7000");
+    for (const auto &[name, endpoint] :
+         std::vector<std::pair<std::string, std::string>>{{"o1", "10.0.0.9:99999"},
+                                                          {"o2", "10.0.0.9:0"},
+                                                          {"o3", "10.0.0.9"},
+                                                          {"o4", "host:7000"},
+                                                          {"o5", std::string(100'000, '[')},
+                                                          {"o6", "10.0.0.9:7000x"}})
+        store->put("keyed.members", name, endpoint);
+    store->oddItems = R"(7,{"key":3,"value":"eA=="},{"key":"k"},{"key":"k","value":"%%"},)"
+                      + std::string(100'000, '[') + std::string(100'000, ']');
+    std::optional<std::vector<seed_peer>> list;
+    gateway.listNodes([&](const tl::expected<std::vector<seed_peer>, store_error> &result) {
+        list = result.value_or(std::vector<seed_peer>());
+    });
+    ASSERT_TRUE(run([&] { return list.has_value(); }));
+    ASSERT_EQ(list->size(), 1U);
+    EXPECT_EQ(list->front().node, "n2");
+    EXPECT_GE(refused.size(), 6U + 5U);
+    store->put("keyed.op", "config", "one");
+    std::optional<std::string> set;
+    gateway.readSet([&](const tl::expected<stored_set, store_error> &result) {
+        set = result ? result->text.value_or("none") : "error";
+    });
+    ASSERT_TRUE(run([&] { return set.has_value(); }));
+    EXPECT_EQ(*set, "one");
+}
+
+// Guards against a node that reads the same odd record again and again and follows no change any
+// more.
+TEST(store_watch, a_page_that_does_not_decode_is_passed_by_reading_the_newest_set)
+{
+    boost::asio::io_context loop;
+    odd_page_platform platform;
+    seeded_random random{1};
+    std::vector<std::string> sets;
+    store_watch watch(loop, platform, "n1", "10.0.0.1:7000", random,
+                      {[&sets](const std::string &text) { sets.push_back(text); },
+                       [](const std::vector<seed_peer> &) {},
+                       [](bool, std::string_view) {},
+                       [] { return true; },
+                       [] {},
+                       {}});
+    watch.start();
+    EXPECT_TRUE(runUntil(loop, [&] { return platform.positions.size() == 2; }));
+    EXPECT_EQ(platform.positions, (std::vector<std::int64_t>{1, 2}));
+    EXPECT_EQ(sets, (std::vector<std::string>{"set 1", "set 2"}));
+}
+
 // Guards against a node that exits or stops trying while the store rejects or does not answer its
 // requests.
 TEST_F(platform_store_gateway, rejected_and_unanswered_requests_are_retried)
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -46,6 +46,7 @@
     void readSet(handler<stored_set> done) override { done(stored_set{"set", 1}); }
     void readNextSet(std::int64_t, duration, handler<stored_set>) override { }
     void onStoreRestored(std::function<void()>) override { }
+    void onRecordRefused(std::function<void(std::string_view)>) override { }
     void registerNode(const std::string &, const std::string &,
                       handler<std::monostate> done) override
     {
