--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -23,6 +23,9 @@
     std::size_t maxEntries = 4096; ///< When exceeded, the oldest suspects are evicted first.
     /// How long an interrupted run may be attributed to a crash that is noticed later.
     duration interruptionPeriod = std::chrono::seconds(30);
+    /// How long an interrupted suspect keeps other suspects from running. A crash is usually
+    /// noticed sooner, by the next connection.
+    duration interruptionHold = std::chrono::milliseconds(200);
     std::size_t maxInterruptedRuns = 1024; ///< When exceeded, the oldest are dropped.
 };
 
@@ -30,8 +33,8 @@
 enum class run_permission : std::uint8_t {
     run, ///< The request is not a suspect.
     run_alone, ///< The request is a suspect, and no other suspect is running here.
-    wait, ///< The request is a suspect, and another suspect is running here. Ask again when that
-          ///< run has ended.
+    wait, ///< The request is a suspect, and another suspect is running here or has just been
+          ///< interrupted. Ask again later.
     refuse, ///< The request is quarantined; it is refused with `request_quarantined`.
 };
 
@@ -132,7 +135,7 @@
 
     fingerprint computeFingerprint(const fingerprint_source &source);
     const quarantine_state *findActive(const fingerprint &requestFingerprint, time_point now) const;
-    std::size_t countRunningSuspects(time_point now);
+    std::size_t countUnresolvedSuspects(time_point now);
     const fingerprint &fingerprintOfRun(active_run &run);
     static bool supersedes(const quarantine_state &peer, const quarantine_state &known);
     overlay_entry encode(const fingerprint &requestFingerprint, const quarantine_state &state,
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -69,11 +69,15 @@
     return &found->second;
 }
 
-std::size_t crash_tracker::countRunningSuspects(time_point now)
+std::size_t crash_tracker::countUnresolvedSuspects(time_point now)
 {
     std::size_t count = 0;
     for (active_run &run : m_activeRuns)
         count += findActive(fingerprintOfRun(run), now) != nullptr ? 1 : 0;
+    for (const interrupted_run &run : m_interruptedRuns) {
+        const bool isRecent = now - run.interruptedAt < m_options.interruptionHold;
+        count += isRecent && findActive(run.requestFingerprint, now) != nullptr ? 1 : 0;
+    }
     return count;
 }
 
@@ -95,7 +99,7 @@
         return decision;
     if (state->quarantined)
         decision.permission = run_permission::refuse;
-    else if (countRunningSuspects(now) > 0)
+    else if (countUnresolvedSuspects(now) > 0)
         decision.permission = run_permission::wait;
     else
         decision.permission = run_permission::run_alone;
--- a/tests/quarantine_tracker_test.cpp
+++ b/tests/quarantine_tracker_test.cpp
@@ -154,6 +154,36 @@
     EXPECT_TRUE(tracker.onCrash(now).empty()); // Each run is attributed to one crash.
 }
 
+// Guards against a request that escapes quarantine because another suspect was started on the
+// server that it had just crashed: with two suspects, the crash is attributed to neither.
+TEST_F(quarantine_rules, ASuspectWaitsUntilTheInterruptionOfAnotherOneIsExplained)
+{
+    start(1, crashingRequest);
+    start(2, healthyRequest);
+    tracker.onCrash(now);
+    start(3, crashingRequest);
+    tracker.onRunInterrupted(3, now);
+    EXPECT_EQ(permission(healthyRequest), run_permission::wait);
+    EXPECT_EQ(permission(otherRequest), run_permission::run);
+    now += 100ms;
+    tracker.onCrash(now);
+    EXPECT_EQ(permission(crashingRequest), run_permission::refuse);
+    EXPECT_EQ(permission(healthyRequest), run_permission::run_alone);
+}
+
+// Guards against suspects that wait for long on a server that has not crashed.
+TEST_F(quarantine_rules, AnInterruptionHoldsOtherSuspectsBackForAShortTimeOnly)
+{
+    start(1, otherRequest);
+    start(2, healthyRequest);
+    tracker.onCrash(now);
+    start(3, otherRequest);
+    tracker.onRunInterrupted(3, now);
+    EXPECT_EQ(permission(healthyRequest), run_permission::wait);
+    now += 200ms;
+    EXPECT_EQ(permission(healthyRequest), run_permission::run_alone);
+}
+
 // Guards against suspecting requests whose runs failed while the server went on responding, or long
 // before the crash.
 TEST_F(quarantine_rules, ALaterResponseOrALongTimeClearsInterruptedRuns)
