--- a/tests/sidecar_quarantine_test.cpp
+++ b/tests/sidecar_quarantine_test.cpp
@@ -21,16 +21,16 @@
 {
 protected:
     sidecar_quarantine()
-        : fleet({{"a1", "front"},
-                 {"a2", "orders"},
-                 {"b1", "orders"},
-                 {"c1", "orders"},
-                 {"d1", "orders"}})
+        : m_fleet({{"a1", "front"},
+                   {"a2", "orders"},
+                   {"b1", "orders"},
+                   {"c1", "orders"},
+                   {"d1", "orders"}})
     {
-        fleet.publishAll(fakeSet(5));
+        m_fleet.publishAll(fakeSet(5));
         for (const char *node : {"a1", "a2", "b1", "c1", "d1"})
-            EXPECT_TRUE(fleet.report(node, 1));
-        fleet.advance(seconds(1));
+            EXPECT_TRUE(m_fleet.report(node, 1));
+        m_fleet.advance(seconds(1));
     }
 
     static backend_result endedBy(error_kind error)
@@ -50,23 +50,23 @@
     {
         std::set<std::string> crashed;
         // A retry can run on another server, which then crashes as well.
-        for (; first < fleet.runs.size(); ++first) {
-            const std::string node = fleet.runs[first].node;
+        for (; first < m_fleet.runs.size(); ++first) {
+            const std::string node = m_fleet.runs[first].node;
             crashed.insert(node);
-            fleet.finish(first, endedBy(error));
-            fleet.advance(milliseconds(20));
+            m_fleet.finish(first, endedBy(error));
+            m_fleet.advance(milliseconds(20));
             if (refusesConnections) {
-                fleet.runEvent(node, [&](sidecar_core &core, action_list &out) {
-                    core.backendCrashed(fleet.now(), out);
+                m_fleet.runEvent(node, [&](sidecar_core &core, action_list &out) {
+                    core.backendCrashed(m_fleet.now(), out);
                 });
             }
-            fleet.advance(milliseconds(100));
+            m_fleet.advance(milliseconds(100));
         }
-        fleet.advance(downtime);
+        m_fleet.advance(downtime);
         ++m_start;
         for (const std::string &node : crashed)
-            EXPECT_TRUE(fleet.report(node, 1, false, m_start, "i-" + std::to_string(m_start)));
-        fleet.advance(milliseconds(500));
+            EXPECT_TRUE(m_fleet.report(node, 1, false, m_start, "i-" + std::to_string(m_start)));
+        m_fleet.advance(milliseconds(500));
         return crashed.size();
     }
 
@@ -77,17 +77,17 @@
     {
         std::size_t crashes = 0;
         for (int send = 0; send < 8; ++send) {
-            const std::size_t first = fleet.runs.size();
-            lastCall =
-                    fleet.call(callers.at(static_cast<std::size_t>(send) % callers.size()), route);
+            const std::size_t first = m_fleet.runs.size();
+            m_lastCall = m_fleet.call(
+                    m_callers.at(static_cast<std::size_t>(send) % m_callers.size()), route);
             crashes += crashServersOf(first, refusesConnections, error);
         }
         return crashes;
     }
 
-    const std::vector<std::string> callers{"a1", "b1", "c1", "d1", "a2"};
-    sidecar_fleet fleet;
-    call_id lastCall = 0;
+    const std::vector<std::string> m_callers{"a1", "b1", "c1", "d1", "a2"};
+    sidecar_fleet m_fleet;
+    call_id m_lastCall = 0;
 
 private:
     std::int64_t m_start = 1;
@@ -101,7 +101,7 @@
        a_crash_is_attributed_to_runs_whose_connections_broke_before_it_was_noticed)
 {
     EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
-    EXPECT_EQ(fleet.status(lastCall), 503);
+    EXPECT_EQ(m_fleet.status(m_lastCall), 503);
 }
 
 // Guards against the same with a server that is back before anything connects to it, so that only
@@ -131,9 +131,9 @@
     for (std::int64_t version = 6; version < 14; ++version) {
         published_set set = fakeSet(version);
         set.routes.back().name = "write-" + std::to_string(version);
-        fleet.publishAll(set);
-        const std::size_t first = fleet.runs.size();
-        fleet.call("a1", "write", version % 2 == 0 ? "key-1" : "key-2");
+        m_fleet.publishAll(set);
+        const std::size_t first = m_fleet.runs.size();
+        m_fleet.call("a1", "write", version % 2 == 0 ? "key-1" : "key-2");
         crashes += crashServersOf(first);
     }
     EXPECT_LE(crashes, 2U);
@@ -143,20 +143,20 @@
 // after the request was quarantined.
 TEST_F(sidecar_quarantine, nodes_that_start_or_return_refuse_what_the_others_have_quarantined)
 {
-    fleet.isolatedNodes = {"d1"};
-    fleet.advance(seconds(5));
+    m_fleet.isolatedNodes = {"d1"};
+    m_fleet.advance(seconds(5));
     EXPECT_LE(crashesOfRepeatedRequest("write"), 4U) << "two on either side of the cut";
-    fleet.isolatedNodes.clear();
-    fleet.advance(seconds(3));
-    const std::size_t before = fleet.runs.size();
-    for (const std::string &node : callers) {
-        fleet.restart(node);
-        fleet.publish(fakeSet(5), node);
-        EXPECT_TRUE(fleet.report(node, 1000, false, 1000, "i-1000"));
-        fleet.advance(seconds(1));
-        fleet.call(node, "write");
+    m_fleet.isolatedNodes.clear();
+    m_fleet.advance(seconds(3));
+    const std::size_t before = m_fleet.runs.size();
+    for (const std::string &node : m_callers) {
+        m_fleet.restart(node);
+        m_fleet.publish(fakeSet(5), node);
+        EXPECT_TRUE(m_fleet.report(node, 1000, false, 1000, "i-1000"));
+        m_fleet.advance(seconds(1));
+        m_fleet.call(node, "write");
     }
-    EXPECT_EQ(fleet.runs.size(), before);
+    EXPECT_EQ(m_fleet.runs.size(), before);
 }
 
 // Guards against healthy requests that fail because they ran beside one that crashed their server:
@@ -166,55 +166,55 @@
     constexpr std::size_t neighbours = 5;
     const auto target = [](std::size_t number) { return "/write/" + std::to_string(number); };
     for (std::size_t number = 0; number < neighbours; ++number)
-        fleet.callTarget("a1", target(number));
-    ASSERT_EQ(fleet.runs.size(), neighbours);
+        m_fleet.callTarget("a1", target(number));
+    ASSERT_EQ(m_fleet.runs.size(), neighbours);
     crashServersOf(0);
     std::vector<call_id> calls;
     for (std::size_t number = 0; number < neighbours; ++number)
-        calls.push_back(fleet.callTarget("b1", target(number)));
+        calls.push_back(m_fleet.callTarget("b1", target(number)));
     for (std::size_t next = neighbours; next < 2 * neighbours; ++next) {
-        ASSERT_EQ(fleet.runs.size(), next + 1);
-        EXPECT_EQ(fleet.runs[next].node, "b1");
-        fleet.advance(milliseconds(100));
-        fleet.finish(next);
+        ASSERT_EQ(m_fleet.runs.size(), next + 1);
+        EXPECT_EQ(m_fleet.runs[next].node, "b1");
+        m_fleet.advance(milliseconds(100));
+        m_fleet.finish(next);
     }
     for (call_id call : calls)
-        EXPECT_EQ(fleet.status(call), 200);
+        EXPECT_EQ(m_fleet.status(call), 200);
 }
 
 // Guards against suspects that wait beyond their deadline, or for a server that has gone.
 TEST_F(sidecar_quarantine, waiting_suspects_are_refused_when_they_cannot_run_any_more)
 {
     for (const char *target : {"/write/1", "/write/2", "/write/3"})
-        fleet.callTarget("a1", target);
+        m_fleet.callTarget("a1", target);
     crashServersOf(0);
-    fleet.callTarget("b1", "/write/1");
-    const call_id expiring = fleet.callTarget("b1", "/write/2");
-    fleet.advance(milliseconds(1100)); // The timeout of the route is 1 s.
-    EXPECT_EQ(fleet.status(expiring), 503);
-    EXPECT_EQ(fleet.runs.size(), 4U);
-    const call_id left = fleet.callTarget("b1", "/write/3");
-    EXPECT_TRUE(fleet.report("b1", 2, true));
-    fleet.advance(milliseconds(100));
-    EXPECT_EQ(fleet.runs.size(), 5U) << "on the server of another node";
-    fleet.finish(4);
-    EXPECT_EQ(fleet.status(left), 200);
+    m_fleet.callTarget("b1", "/write/1");
+    const call_id expiring = m_fleet.callTarget("b1", "/write/2");
+    m_fleet.advance(milliseconds(1100)); // The timeout of the route is 1 s.
+    EXPECT_EQ(m_fleet.status(expiring), 503);
+    EXPECT_EQ(m_fleet.runs.size(), 4U);
+    const call_id left = m_fleet.callTarget("b1", "/write/3");
+    EXPECT_TRUE(m_fleet.report("b1", 2, true));
+    m_fleet.advance(milliseconds(100));
+    EXPECT_EQ(m_fleet.runs.size(), 5U) << "on the server of another node";
+    m_fleet.finish(4);
+    EXPECT_EQ(m_fleet.status(left), 200);
 }
 
 // Guards against suspecting requests whose connection broke without a crash: the server goes on
 // responding, and crashes later for another reason.
 TEST_F(sidecar_quarantine, a_broken_connection_is_no_crash_when_the_server_goes_on_responding)
 {
-    fleet.call("a1", "write");
-    fleet.finish(0, endedBy(error_kind::backend_failed));
-    const call_id later = fleet.call("a1", "read");
-    ASSERT_EQ(fleet.runs.back().node, fleet.runs[0].node);
-    fleet.finish(1);
-    EXPECT_EQ(fleet.status(later), 200);
-    fleet.runEvent(fleet.runs[0].node, [&](sidecar_core &core, action_list &out) {
-        core.backendCrashed(fleet.now(), out);
+    m_fleet.call("a1", "write");
+    m_fleet.finish(0, endedBy(error_kind::backend_failed));
+    const call_id later = m_fleet.call("a1", "read");
+    ASSERT_EQ(m_fleet.runs.back().node, m_fleet.runs[0].node);
+    m_fleet.finish(1);
+    EXPECT_EQ(m_fleet.status(later), 200);
+    m_fleet.runEvent(m_fleet.runs[0].node, [&](sidecar_core &core, action_list &out) {
+        core.backendCrashed(m_fleet.now(), out);
     });
-    const std::vector<std::string> &states = fleet.observer(fleet.runs[0].node).knownStates;
+    const std::vector<std::string> &states = m_fleet.observer(m_fleet.runs[0].node).knownStates;
     EXPECT_EQ(std::ranges::count(states, "crash of i-1: 0 requests suspected, 0 quarantined "
                                          "(interrupted runs)"),
               1);
--- a/tests/sidecar_server_condition_test.cpp
+++ b/tests/sidecar_server_condition_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -21,12 +22,12 @@
 {
 protected:
     sidecar_server_condition()
-        : fleet({{"a1", "front"}, {"a2", "orders"}, {"b1", "orders"}})
+        : m_fleet({{"a1", "front"}, {"a2", "orders"}, {"b1", "orders"}})
     {
-        fleet.publishAll(fakeSet(5));
+        m_fleet.publishAll(fakeSet(5));
         for (const char *node : {"a1", "a2", "b1"})
-            EXPECT_TRUE(fleet.report(node, 1));
-        fleet.advance(seconds(1));
+            EXPECT_TRUE(m_fleet.report(node, 1));
+        m_fleet.advance(seconds(1));
     }
 
     static server_condition limited(double rate)
@@ -48,7 +49,7 @@
             response.headers.push_back({"Server-Leaves", "1"});
         result.response = response;
         result.condition = condition;
-        fleet.finish(run, std::move(result));
+        m_fleet.finish(run, std::move(result));
     }
 
     /// Callers of \a from send \a rate requests per second for \a time; servers respond after 100
@@ -60,34 +61,35 @@
         double due = 0;
         for (duration elapsed{}; elapsed < time; elapsed += step) {
             for (due += rate * 0.02; due >= 1; --due)
-                fleet.call(from, "write");
+                m_fleet.call(from, "write");
             advance(step, condition);
         }
     }
 
     void advance(duration time, const std::function<server_condition()> &condition)
     {
-        fleet.advance(time);
-        for (; starts.size() < fleet.runs.size();)
-            starts.push_back({fleet.runs[starts.size()].node, fleet.now(), false});
-        for (; responded < starts.size() && fleet.now() - starts[responded].at >= milliseconds(100);
-             ++responded)
-            if (!starts[responded].lost)
-                respond(responded, condition());
+        m_fleet.advance(time);
+        for (; m_starts.size() < m_fleet.runs.size();)
+            m_starts.push_back({m_fleet.runs[m_starts.size()].node, m_fleet.now(), false});
+        for (; m_responded < m_starts.size()
+               && m_fleet.now() - m_starts[m_responded].at >= milliseconds(100);
+             ++m_responded)
+            if (!m_starts[m_responded].lost)
+                respond(m_responded, condition());
     }
 
     /// \returns the most runs that began on \a node in any 4 s from \a from on.
     std::size_t mostInFourSeconds(const std::string &node, time_point from) const
     {
         std::size_t most = 0;
-        for (const run_start &first : starts) {
+        for (const run_start &first : m_starts) {
             const auto inWindow = [&](const run_start &start) {
                 return start.node == node && start.at >= first.at
                        && start.at < first.at + seconds(4);
             };
             if (first.at >= from)
-                most = std::max(most,
-                                static_cast<std::size_t>(std::ranges::count_if(starts, inWindow)));
+                most = std::max(
+                        most, static_cast<std::size_t>(std::ranges::count_if(m_starts, inWindow)));
         }
         return most;
     }
@@ -103,9 +105,9 @@
         time_point at;
         bool lost = false; ///< The process that sent it to the server has ended.
     };
-    std::vector<run_start> starts;
-    std::size_t responded = 0;
-    sidecar_fleet fleet;
+    std::vector<run_start> m_starts;
+    std::size_t m_responded = 0;
+    sidecar_fleet m_fleet;
 };
 
 } // namespace
@@ -116,7 +118,7 @@
 {
     const auto condition = [] { return limited(20); };
     load("a1", 150, seconds(10), condition);
-    const time_point from = fleet.now() - seconds(7);
+    const time_point from = m_fleet.now() - seconds(7);
     for (const char *node : {"a2", "b1"}) {
         EXPECT_LE(mostInFourSeconds(node, from), allowed(20)) << node;
         EXPECT_GE(mostInFourSeconds(node, from), 70U) << node;
@@ -129,13 +131,13 @@
 {
     const auto condition = [] { return limited(10); };
     load("a1", 200, seconds(6), condition);
-    const time_point from = fleet.now() - seconds(3);
+    const time_point from = m_fleet.now() - seconds(3);
     for (int restart = 0; restart < 3; ++restart) {
-        for (run_start &start : starts)
+        for (run_start &start : m_starts)
             start.lost = start.lost || start.node == "a2";
-        fleet.restart("a2");
-        fleet.publish(fakeSet(5), "a2");
-        EXPECT_TRUE(fleet.report("a2", 100 + restart));
+        m_fleet.restart("a2");
+        m_fleet.publish(fakeSet(5), "a2");
+        EXPECT_TRUE(m_fleet.report("a2", 100 + restart));
         load("a1", 200, seconds(6), condition);
     }
     EXPECT_LE(mostInFourSeconds("a2", from), allowed(10));
@@ -147,22 +149,22 @@
 TEST_F(sidecar_server_condition, a_limit_ends_with_the_responses_that_name_it_and_with_the_server)
 {
     load("a1", 100, seconds(4), [] { return limited(5); });
-    const std::size_t before = starts.size();
+    const std::size_t before = m_starts.size();
     load("a1", 100, seconds(4), [] { return server_condition{}; });
-    EXPECT_GE(starts.size() - before, 300U);
+    EXPECT_GE(m_starts.size() - before, 300U);
 
     load("a1", 100, seconds(2), [] { return limited(5); });
-    const std::size_t last = fleet.runs.size();
-    fleet.call("a1", "write");
+    const std::size_t last = m_fleet.runs.size();
+    m_fleet.call("a1", "write");
     for (const char *node : {"a2", "b1"})
-        EXPECT_TRUE(fleet.report(node, 1, false, 2, "i-2"));
-    for (std::size_t run = last; run < fleet.runs.size(); ++run)
+        EXPECT_TRUE(m_fleet.report(node, 1, false, 2, "i-2"));
+    for (std::size_t run = last; run < m_fleet.runs.size(); ++run)
         respond(run, limited(5));
-    responded = fleet.runs.size();
+    m_responded = m_fleet.runs.size();
     advance({}, [] { return server_condition{}; });
-    const std::size_t restarted = starts.size();
+    const std::size_t restarted = m_starts.size();
     load("a1", 100, seconds(4), [] { return server_condition{}; });
-    EXPECT_GE(starts.size() - restarted, 300U);
+    EXPECT_GE(m_starts.size() - restarted, 300U);
 }
 
 // Guards against a server that names a limit of nothing and is never asked again.
@@ -170,17 +172,17 @@
 {
     const auto none = [] { return limited(0); };
     load("a1", 50, seconds(10), none);
-    EXPECT_LE(mostInFourSeconds("a2", fleet.now() - seconds(7)), allowed(0));
-    const std::size_t before = starts.size();
+    EXPECT_LE(mostInFourSeconds("a2", m_fleet.now() - seconds(7)), allowed(0));
+    const std::size_t before = m_starts.size();
     load("a1", 50, seconds(10), [] { return server_condition{}; });
-    EXPECT_GE(starts.size() - before, 250U);
+    EXPECT_GE(m_starts.size() - before, 250U);
 }
 
 // Guards against a limit that cannot be decoded and lifts the one in force.
 TEST_F(sidecar_server_condition, a_malformed_limit_changes_nothing)
 {
     load("a1", 100, seconds(4), [] { return limited(5); });
-    const time_point from = fleet.now();
+    const time_point from = m_fleet.now();
     load("a1", 100, seconds(5), [] {
         return server_condition{server_condition::rate_statement::malformed, 0, false};
     });
@@ -191,60 +193,60 @@
 // heartbeats still say that it serves.
 TEST_F(sidecar_server_condition, a_server_that_says_it_leaves_gets_no_further_requests)
 {
-    fleet.call("a1", "write");
-    ASSERT_EQ(fleet.runs.at(0).node, "a2");
+    m_fleet.call("a1", "write");
+    ASSERT_EQ(m_fleet.runs.at(0).node, "a2");
     respond(0, leaving());
-    EXPECT_TRUE(fleet.report("a2", 2));
+    EXPECT_TRUE(m_fleet.report("a2", 2));
     for (std::size_t run = 1; run <= 20; ++run) {
-        const call_id call = fleet.call(run % 2 == 0 ? "a1" : "a2", "write");
-        ASSERT_EQ(fleet.runs.size(), run + 1);
-        EXPECT_EQ(fleet.runs[run].node, "b1");
+        const call_id call = m_fleet.call(run % 2 == 0 ? "a1" : "a2", "write");
+        ASSERT_EQ(m_fleet.runs.size(), run + 1);
+        EXPECT_EQ(m_fleet.runs[run].node, "b1");
         respond(run, {});
-        EXPECT_EQ(fleet.status(call), 200);
-        fleet.advance(milliseconds(300));
-        EXPECT_TRUE(fleet.report("a2", 2 + static_cast<std::int64_t>(run)));
+        EXPECT_EQ(m_fleet.status(call), 200);
+        m_fleet.advance(milliseconds(300));
+        EXPECT_TRUE(m_fleet.report("a2", 2 + static_cast<std::int64_t>(run)));
     }
     // A new start at the same address has not said that it leaves.
-    EXPECT_TRUE(fleet.report("a2", 1, false, 2, "i-2"));
-    fleet.advance(milliseconds(100));
-    fleet.call("a1", "write");
-    EXPECT_EQ(fleet.runs.back().node, "a2");
+    EXPECT_TRUE(m_fleet.report("a2", 1, false, 2, "i-2"));
+    m_fleet.advance(milliseconds(100));
+    m_fleet.call("a1", "write");
+    EXPECT_EQ(m_fleet.runs.back().node, "a2");
 }
 
 // Guards against a node that forgets, when it is restarted, that the server beside it leaves.
 TEST_F(sidecar_server_condition,
        a_leaving_server_gets_no_requests_after_the_node_beside_it_restarts)
 {
-    fleet.call("a1", "write");
-    ASSERT_EQ(fleet.runs.at(0).node, "a2");
+    m_fleet.call("a1", "write");
+    ASSERT_EQ(m_fleet.runs.at(0).node, "a2");
     respond(0, leaving());
-    fleet.advance(seconds(1));
+    m_fleet.advance(seconds(1));
     // The new process gets reports of its server before it hears of any peer.
-    fleet.isolatedNodes = {"a2"};
-    fleet.restart("a2");
-    fleet.publish(fakeSet(5), "a2");
-    EXPECT_TRUE(fleet.report("a2", 100));
-    fleet.advance(milliseconds(100));
-    fleet.isolatedNodes.clear();
+    m_fleet.isolatedNodes = {"a2"};
+    m_fleet.restart("a2");
+    m_fleet.publish(fakeSet(5), "a2");
+    EXPECT_TRUE(m_fleet.report("a2", 100));
+    m_fleet.advance(milliseconds(100));
+    m_fleet.isolatedNodes.clear();
     for (int request = 0; request < 100; ++request) {
-        fleet.call("a1", "write");
-        fleet.advance(milliseconds(20));
-        EXPECT_TRUE(fleet.report("a2", 101 + request));
+        m_fleet.call("a1", "write");
+        m_fleet.advance(milliseconds(20));
+        EXPECT_TRUE(m_fleet.report("a2", 101 + request));
     }
-    for (std::size_t run = 1; run < fleet.runs.size(); ++run)
-        EXPECT_EQ(fleet.runs[run].node, "b1");
+    for (std::size_t run = 1; run < m_fleet.runs.size(); ++run)
+        EXPECT_EQ(m_fleet.runs[run].node, "b1");
 }
 
 // Guards against a late response of an earlier start, by which a new server seems to leave.
 TEST_F(sidecar_server_condition, a_response_of_an_earlier_start_does_not_make_a_new_one_leave)
 {
-    fleet.call("a1", "write");
-    ASSERT_EQ(fleet.runs.at(0).node, "a2");
-    EXPECT_TRUE(fleet.report("a2", 1, false, 2, "i-2"));
+    m_fleet.call("a1", "write");
+    ASSERT_EQ(m_fleet.runs.at(0).node, "a2");
+    EXPECT_TRUE(m_fleet.report("a2", 1, false, 2, "i-2"));
     respond(0, leaving());
-    fleet.advance(milliseconds(100));
-    fleet.call("a1", "write");
-    EXPECT_EQ(fleet.runs.back().node, "a2");
+    m_fleet.advance(milliseconds(100));
+    m_fleet.call("a1", "write");
+    EXPECT_EQ(m_fleet.runs.back().node, "a2");
 }
 
 } // namespace tamarackridge
