Let a crashed server of the fault soak start again while its address is still held

A series ended with an exception: a child process holds the listening socket of the crashed server between fork() and close_range(), so that binding fails when the child is not scheduled for 0.3 s. The server now tries again. A heartbeat that was due at the crash no longer replaces the timer of the restart.

--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -28,6 +28,7 @@
         , m_checker(checker)
         , m_control(loop, deployment::address(vm, endpoint::control))
         , m_heartbeatTimer(loop)
+        , m_startTimer(loop)
     {
         start();
     }
@@ -115,19 +116,34 @@
 
     void start()
     {
-        m_listener = std::make_unique<http_listener>(
-                m_loop, deployment::address(m_vm, endpoint::backend),
-                listener_callbacks{
-                        [this](call_id call, const http_request &item) { handle(call, item); },
-                        [this](call_id call) { endRun(call, "dropped"); },
-                        [this]() -> const caller_limits & { return m_limits; },
-                        [] { return false; }},
-                m_lastCall);
+        try {
+            m_listener = std::make_unique<http_listener>(
+                    m_loop, deployment::address(m_vm, endpoint::backend),
+                    listener_callbacks{
+                            [this](call_id call, const http_request &item) { handle(call, item); },
+                            [this](call_id call) { endRun(call, "dropped"); },
+                            [this]() -> const caller_limits & { return m_limits; },
+                            [] { return false; }},
+                    m_lastCall);
+        } catch (const boost::system::system_error &) {
+            // A child process holds the earlier socket from fork() until it runs its program.
+            startAfter(milliseconds(100));
+            return;
+        }
         ++m_startedAt;
         m_sequence = 0;
         sendHeartbeat();
     }
 
+    void startAfter(duration delay)
+    {
+        m_startTimer.expires_after(delay);
+        m_startTimer.async_wait([this](error_code error) {
+            if (!error)
+                start();
+        });
+    }
+
     /// \brief Ends all runs and connections, and starts again after a while.
     void crash()
     {
@@ -137,15 +153,14 @@
         for (const auto &[call, item] : std::exchange(m_runs, {}))
             m_checker.runEnded(item.id, "ended in a crash of its server");
         seeded_random random(m_seed + static_cast<std::uint64_t>(m_startedAt));
-        m_heartbeatTimer.expires_after(drawDuration(milliseconds(300), milliseconds(2000), random));
-        m_heartbeatTimer.async_wait([this](error_code error) {
-            if (!error)
-                start();
-        });
+        m_heartbeatTimer.cancel();
+        startAfter(drawDuration(milliseconds(300), milliseconds(2000), random));
     }
 
     void sendHeartbeat()
     {
+        if (!m_listener) // A heartbeat that was due when the server crashed.
+            return;
         nlohmann::json body = {{"address", deployment::address(m_vm, endpoint::backend).text()},
                                {"born", m_startedAt}};
         body["info"] = {{"service", deployment::serviceOf(m_vm)},
@@ -175,6 +190,7 @@
     std::unique_ptr<http_listener> m_listener; ///< Absent while the server is down.
     connection_pool m_control;
     boost::asio::steady_timer m_heartbeatTimer;
+    boost::asio::steady_timer m_startTimer;
     std::int64_t m_startedAt = 0; ///< Increases with each start.
     std::int64_t m_sequence = 0;
 };
