--- a/bench/quarantine_bench.cpp
+++ b/bench/quarantine_bench.cpp
@@ -16,10 +16,7 @@
     explicit body_source(std::size_t size)
         : m_body(size, 'x')
     { }
-    fingerprint_parts parts() const override
-    {
-        return {"POST", "/invoices", "customer-3", m_body};
-    }
+    fingerprint_parts parts() const override { return {"POST", "/invoices", "customer-3", m_body}; }
 
 private:
     std::string m_body;
