--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -319,6 +319,7 @@
 {
     if (m_stopped.exchange(true))
         return;
+    shutdown(m_listener, SHUT_RDWR);
     m_acceptor.join();
     close(m_listener);
     {
@@ -452,9 +453,9 @@
 {
     m_stopped = true;
     m_reporting = false;
+    m_service.stop();
     if (m_reporter.joinable())
         m_reporter.join();
-    m_service.stop();
 }
 
 std::vector<run> server::runs()
@@ -535,6 +536,8 @@
         headers.emplace_back("X-Instance-Id", m_options.instance);
         return stream.write(formatMessage("HTTP/1.1 421 Misdirected Request", headers, ""));
     }
+    if (m_stopped)
+        return false;
     run item{id, methodOf(request), targetOf(request), request.body.size(), secondsSinceStart()};
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -789,7 +792,8 @@
 deployment::deployment(const std::string &root, const std::vector<place> &places,
                        record_file &record,
                        const std::function<milliseconds(const http_message &)> &workTime)
-    : m_folder(temporaryFolder())
+    : m_record(record)
+    , m_folder(temporaryFolder())
     , m_storeAddress(freeAddress(ipOf(250)))
     , m_store(m_storeAddress)
 {
@@ -809,10 +813,21 @@
         options.where = m_machines.back()->backend();
         options.control = m_machines.back()->control();
         options.workTime = workTime;
-        m_servers.push_back(std::make_unique<server>(std::move(options), record));
+        m_servers.push_back(std::make_unique<server>(options, record));
+        m_serverOptions.push_back(std::move(options));
     }
 }
 
+void deployment::crashServer(std::size_t index, milliseconds down)
+{
+    m_record.line("server " + m_serverOptions[index].instance + " crashes");
+    m_servers[index].reset();
+    sleepFor(down);
+    m_serverOptions[index].instance += "-again";
+    m_servers[index] = std::make_unique<server>(m_serverOptions[index], m_record);
+    m_servers[index]->beginReports();
+}
+
 deployment::~deployment()
 {
     for (const std::unique_ptr<server> &item : m_servers)
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -328,16 +328,20 @@
     /// \returns false if a sidecar does not get ready.
     bool start(const std::string &document);
 
+    /// \brief Ends a server at once; it is back after \a down with another id.
+    void crashServer(std::size_t index, milliseconds down);
     store &platformStore() { return m_store; }
     machine &vm(std::size_t index) { return *m_machines[index]; }
     server &serverOf(std::size_t index) { return *m_servers[index]; }
     std::size_t size() const { return m_machines.size(); }
 
 private:
+    record_file &m_record;
     std::string m_folder;
     address m_storeAddress;
     store m_store;
     std::vector<std::unique_ptr<machine>> m_machines;
+    std::vector<server_options> m_serverOptions;
     std::vector<std::unique_ptr<server>> m_servers;
 };
 
