A server that reported that it is leaving is not used again

What callers saw: requests that reached a server later than drainS after the acknowledgement of its `leaving` report, when a report that it is ready with a higher sequence number followed.

Cause: only the leave notice was held as a departure. A report with the state `leaving` lasted until the next report, and unlike the notice it was not part of the node's overlay entry, so that the node's next process did not learn of it from the others either. Both kinds now record the same departure, and a start of a server that has left stays so.

Test: sidecar_departure.later_reports_do_not_revoke_a_departure; with the report it failed before (a request ran beside a2), with the two forms of the leave notice it passed. sidecar_core_test: 34 of 34.

A report with a sequence number below that of an earlier one is now refused as outdated after a leave notice, too; before it was acknowledged without effect.

--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -310,6 +310,9 @@
 
 bool sidecar_state::hasDeparted(const server_report &report, time_point now)
 {
+    if (m_serverReport.leaving && report.instance == m_serverReport.instance
+        && report.startedAt == m_serverReport.startedAt)
+        return true;
     const auto found = m_departures.find(report.instance);
     if (found == m_departures.end() || now >= found->second.until)
         return false;
@@ -330,12 +333,14 @@
 {
     const bool isLocalServer =
             report.service == m_options.service && report.address == m_options.serverAddress;
-    // A server that is leaving may go on reporting that it is ready; this does not revoke its
-    // notice.
-    if (isLocalServer && hasDeparted(report, now))
-        return true;
     if (!isLocalServer || !isCurrent(report))
         return false;
+    // A server that is leaving may go on reporting, also that it is ready; this does not revoke its
+    // notice.
+    if (hasDeparted(report, now))
+        return true;
+    if (report.leaving)
+        recordDeparture(report.instance, report.startedAt, now, out);
     const bool isNewStart = report.instance != m_serverReport.instance
                             || report.startedAt != m_serverReport.startedAt;
     if (isNewStart)
@@ -377,9 +382,6 @@
         || startedAt.value_or(m_serverReport.startedAt) < m_serverReport.startedAt)
         return;
     m_serverReport.leaving = true;
-    // Reports of this start that arrive later were sent before the notice, so none of them
-    // takes effect.
-    m_serverReport.sequence = std::numeric_limits<std::int64_t>::max();
     m_executor.stopAccepting(error_kind::leaving, now, out);
     announceSelf(now, out);
 }
