Departures of backend servers are in the store before they are acknowledged

Cause: the acknowledgement of a leave notice is a promise that outlives the process, but the departure was held in memory only, here and in the overlay entries of the other nodes. A report from before the notice that arrived after the kill was the first that the new process got, and made the server usable.

Now the departure is written to the topic keyed.retained before the notice is acknowledged, and each process reads the topic before a report makes its server usable. Without the store there is no acknowledgement, but no new request either; a process that restarts alone takes the word of nodes that know an earlier process which knew its server. A restored store gets the record again; records expire.

The fake fleet now replaces all processes at the same moment in restartAll(): before, each new process met some of the earlier ones.

--- a/docs/snippets/embed_node.cpp
+++ b/docs/snippets/embed_node.cpp
@@ -108,6 +108,7 @@
     void perform(connect_peer &) { }
     void perform(disconnect_peer &) { }
     void perform(emit_span &) { }
+    void perform(record_departure &) { } // Returned by sidecar_core only.
 
     time_point m_now{std::chrono::hours(1)};
     node_core m_core;
--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -46,6 +46,9 @@
     std::vector<overlay_entry> otherEntries;
     /// Departure that an earlier process of this node had announced.
     std::optional<server_departure> earlierDeparture{};
+    /// Another node knows an earlier process of this node that used or had used its backend server,
+    /// and with it the departures that this process had announced.
+    bool earlierServerKnown = false;
 };
 
 /// \brief Membership, failure detection and dissemination of entries.
--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -2,6 +2,7 @@
 
 #include "tamarackridge/src/base/http_message.h"
 #include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/peer_message.h"
 
 #include <cstdint>
@@ -88,6 +89,13 @@
     std::string stream;
 };
 
+/// \brief Writes to durable storage that a backend server leaves, so that every later process of
+/// the node learns of it before it uses the server.
+struct record_departure
+{
+    server_departure departure;
+};
+
 /// \brief One span of a trace, or one recorded request.
 struct emit_span
 {
@@ -102,7 +110,8 @@
 
 /// \brief One effect that the embedding program carries out.
 using action = std::variant<respond_to_caller, run_backend, cancel_run, send_peer, connect_peer,
-                            disconnect_peer, append_log, read_log, stop_reading, emit_span>;
+                            disconnect_peer, append_log, read_log, stop_reading, record_departure,
+                            emit_span>;
 
 /// \brief Actions in the order in which they must be carried out.
 ///
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -4,6 +4,7 @@
 #include "tamarackridge/src/base/identity.h"
 #include "tamarackridge/src/base/random_source.h"
 #include "tamarackridge/src/base/time.h"
+#include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
 #include "tamarackridge/src/sidecar/published_set.h"
@@ -147,6 +148,12 @@
     void dispatchNotSent(std::string_view node, std::uint64_t sequence, time_point now,
                          action_list &out);
 
+    /// \brief Takes the departures that earlier processes of this node have recorded.
+    ///
+    /// A report that the backend server is ready may be older than its departure. Such reports take
+    /// effect only after this call, or when other nodes know an earlier process of this node.
+    void departuresRead(const std::vector<server_departure> &departures, time_point now,
+                        action_list &out);
     /// \brief Takes a heartbeat of the backend server on this VM.
     /// \returns false if the report is outdated or about another server; such a report has no
     /// effect.
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -204,6 +204,8 @@
             return;
         if (update->departure && !m_self.departure)
             changes.earlierDeparture = update->departure;
+        changes.earlierServerKnown =
+                changes.earlierServerKnown || update->server || update->departure;
         // An entry of an earlier incarnation of this node: the counter is raised above it.
         if (isNewer(update->version(), m_self.version())) {
             m_self.counter = update->counter;
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -66,6 +66,12 @@
     m_implementation->dispatches().dispatchNotSent(node, sequence, now, out);
 }
 
+void sidecar_core::departuresRead(const std::vector<server_departure> &departures, time_point now,
+                                  action_list &out)
+{
+    m_implementation->departuresRead(departures, now, out);
+}
+
 bool sidecar_core::serverReported(const server_report &report, time_point now, action_list &out)
 {
     return m_implementation->serverReported(report, now, out);
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -27,6 +27,14 @@
 // limit of the deployments (0.2 of the requests, including retries of onward calls).
 constexpr retry_budget_options serviceRetryBudget{5, 0, 3};
 
+/// \returns whether \a report was sent after \a other by a server at the same address.
+bool isNewer(const server_report &report, const server_report &other)
+{
+    if (report.startedAt != other.startedAt)
+        return report.startedAt > other.startedAt;
+    return report.instance != other.instance || report.sequence > other.sequence;
+}
+
 member selfMember(const sidecar_options &options)
 {
     member self;
@@ -248,6 +256,8 @@
     m_routingUpdater.applyMembers(changes, now, out);
     if (const std::optional<server_departure> &earlier = changes.earlierDeparture)
         serverLeaving(earlier->instance, earlier->startedAt, now, out);
+    if (changes.earlierServerKnown)
+        acceptReadyReports(now, out);
     for (const std::string &name : changes.members) {
         const directory::record *record = m_membership.members().find(name);
         if (record == nullptr)
@@ -304,11 +314,55 @@
     std::erase_if(m_departures, [now](const auto &entry) { return now >= entry.second.until; });
     if (!startedAt && instance == m_serverReport.instance)
         startedAt = m_serverReport.startedAt;
-    m_departures[std::string(instance)] = {startedAt, now + departureRetention};
-    m_membership.setDeparture({std::string(instance), startedAt}, out);
+    const auto [entry, isNew] = m_departures.try_emplace(std::string(instance));
+    departure &known = entry->second;
+    const bool isChanged = isNew || (startedAt && known.startedAt != startedAt);
+    const bool expiresSoon = known.until - now < departureRetention / 2;
+    if (isChanged)
+        known.startedAt = startedAt;
+    if (isChanged || expiresSoon) {
+        known.until = now + departureRetention;
+        out.push_back(record_departure{{std::string(instance), known.startedAt}});
+    }
+    m_membership.setDeparture({std::string(instance), known.startedAt}, out);
+}
+
+void sidecar_state::applyDeparture(const server_departure &departure, std::string_view source,
+                                   time_point now, action_list &out)
+{
+    m_observer.knownStateChanged("backend server", departure.instance + " leaving", source);
+    // A process that has just started can receive a notice before the first report.
+    if (departure.instance != m_serverReport.instance
+        || departure.startedAt.value_or(m_serverReport.startedAt) < m_serverReport.startedAt)
+        return;
+    m_serverReport.leaving = true;
+    m_executor.stopAccepting(error_kind::leaving, now, out);
+    announceSelf(now, out);
+}
+
+void sidecar_state::departuresRead(const std::vector<server_departure> &departures, time_point now,
+                                   action_list &out)
+{
+    for (const server_departure &item : departures) {
+        const auto [entry, isNew] = m_departures.try_emplace(
+                item.instance, departure{item.startedAt, now + departureRetention});
+        if (!isNew)
+            continue;
+        m_membership.setDeparture(item, out);
+        applyDeparture(item, "store", now, out);
+    }
+    acceptReadyReports(now, out);
 }
 
-bool sidecar_state::hasDeparted(const server_report &report, time_point now)
+void sidecar_state::acceptReadyReports(time_point now, action_list &out)
+{
+    m_departuresKnown = true;
+    const std::optional<server_report> report = std::exchange(m_waitingReport, std::nullopt);
+    if (report)
+        serverReported(*report, now, out);
+}
+
+bool sidecar_state::hasDeparted(const server_report &report, time_point now, action_list &out)
 {
     if (m_serverReport.leaving && report.instance == m_serverReport.instance
         && report.startedAt == m_serverReport.startedAt)
@@ -316,17 +370,16 @@
     const auto found = m_departures.find(report.instance);
     if (found == m_departures.end() || now >= found->second.until)
         return false;
-    // A notice without a start time is taken to be about the start that reports next.
+    // A notice without a start time is taken to be about the start that reports next. Recorded
+    // anew, so that a later process does not take it to be about another start.
     if (!found->second.startedAt)
-        found->second.startedAt = report.startedAt;
+        recordDeparture(report.instance, report.startedAt, now, out);
     return report.startedAt <= *found->second.startedAt;
 }
 
 bool sidecar_state::isCurrent(const server_report &report) const
 {
-    if (report.startedAt != m_serverReport.startedAt)
-        return report.startedAt > m_serverReport.startedAt;
-    return report.instance != m_serverReport.instance || report.sequence > m_serverReport.sequence;
+    return isNewer(report, m_serverReport);
 }
 
 bool sidecar_state::serverReported(const server_report &report, time_point now, action_list &out)
@@ -337,10 +390,15 @@
         return false;
     // A server that is leaving may go on reporting, also that it is ready; this does not revoke its
     // notice.
-    if (hasDeparted(report, now))
+    if (hasDeparted(report, now, out))
         return true;
-    if (report.leaving)
+    if (report.leaving) {
         recordDeparture(report.instance, report.startedAt, now, out);
+    } else if (!m_departuresKnown) {
+        if (!m_waitingReport || isNewer(report, *m_waitingReport))
+            m_waitingReport = report;
+        return true;
+    }
     const bool isNewStart = report.instance != m_serverReport.instance
                             || report.startedAt != m_serverReport.startedAt;
     if (isNewStart)
@@ -375,15 +433,7 @@
                                   time_point now, action_list &out)
 {
     recordDeparture(instance, startedAt, now, out);
-    m_observer.knownStateChanged("backend server", std::string(instance) + " leaving",
-                                 "leave notice");
-    // A process that has just started can receive a notice before the first report.
-    if (instance != m_serverReport.instance
-        || startedAt.value_or(m_serverReport.startedAt) < m_serverReport.startedAt)
-        return;
-    m_serverReport.leaving = true;
-    m_executor.stopAccepting(error_kind::leaving, now, out);
-    announceSelf(now, out);
+    applyDeparture({std::string(instance), startedAt}, "leave notice", now, out);
 }
 
 void sidecar_state::backendResponse(run_id run, backend_result result, time_point now,
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -39,6 +39,8 @@
                        action_list &out);
     void peerUnresponsive(std::string_view node, time_point now, action_list &out);
     dispatcher &dispatches() { return m_dispatcher; }
+    void departuresRead(const std::vector<server_departure> &departures, time_point now,
+                        action_list &out);
     bool serverReported(const server_report &report, time_point now, action_list &out);
     void serverLeaving(std::string_view instance, std::optional<std::int64_t> startedAt,
                        time_point now, action_list &out);
@@ -77,7 +79,14 @@
     /// \brief Records that a start of \a instance is leaving, even if no report of it was received.
     void recordDeparture(std::string_view instance, std::optional<std::int64_t> startedAt,
                          time_point now, action_list &out);
-    bool hasDeparted(const server_report &report, time_point now);
+    /// \brief Stops using the backend server if \a departure is about it.
+    /// \param source where this process learned of the departure, for the log.
+    void applyDeparture(const server_departure &departure, std::string_view source, time_point now,
+                        action_list &out);
+    bool hasDeparted(const server_report &report, time_point now, action_list &out);
+    /// \brief Lets reports that the backend server is ready take effect, since the departures that
+    /// earlier processes of this node recorded are known.
+    void acceptReadyReports(time_point now, action_list &out);
     bool isCurrent(const server_report &report) const;
     void announceSelf(time_point now, action_list &out);
     std::int64_t version() const;
@@ -96,6 +105,9 @@
     sidecar_request_handler m_requestHandler;
     server_report m_serverReport; ///< The last report that took effect.
     std::map<std::string, departure, std::less<>> m_departures; ///< By instance.
+    bool m_departuresKnown = false;
+    /// Newest report that waits for the departures of earlier processes.
+    std::optional<server_report> m_waitingReport;
     server_condition m_condition; ///< From the last response of the current start of the server.
     bool m_serverUp = false;
     bool m_leaving = false;
--- a/src/scenario/virtual_fleet.h
+++ b/src/scenario/virtual_fleet.h
@@ -141,6 +141,7 @@
     void applyAction(live_member &, connect_peer &) { }
     void applyAction(live_member &, disconnect_peer &) { }
     void applyAction(live_member &, emit_span &) { }
+    void applyAction(live_member &, record_departure &) { }
 
     fleet_options m_options;
     event_queue m_events;
--- /dev/null
+++ b/src/sidecar/departure_log.cpp
@@ -0,0 +1,199 @@
+#include "sidecar/departure_log.h"
+
+#include "process/monotonic_time.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace tamarackridge {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A server that has announced that it is leaving exits well within this time.
+constexpr seconds retention{120};
+// A backend server takes an acknowledgement that comes later than a second for none.
+constexpr duration confirmationTimeout = milliseconds(800);
+constexpr duration initialRetryDelay = milliseconds(200);
+constexpr duration maxRetryDelay = milliseconds(700);
+
+seconds unixTime()
+{
+    return std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+} // namespace
+
+departure_log::departure_log(platform_gateway &platform, std::string node, random_source &random,
+                             departure_callbacks callbacks)
+    : m_platform(platform)
+    , m_node(std::move(node))
+    , m_random(random)
+    , m_callbacks(std::move(callbacks))
+    , m_retryDelay(initialRetryDelay)
+{ }
+
+void departure_log::start()
+{
+    read();
+}
+
+void departure_log::recordFailure()
+{
+    ++m_errors;
+    m_retryAt = monotonicNow() + m_retryDelay;
+    m_retryDelay = std::min(2 * m_retryDelay, maxRetryDelay);
+}
+
+void departure_log::read()
+{
+    m_reading = true;
+    m_platform.listDepartures(
+            [this](const tl::expected<std::vector<stored_departure>, store_error> &list) {
+                m_reading = false;
+                if (!list) {
+                    recordFailure();
+                    return;
+                }
+                m_read = true;
+                m_retryDelay = initialRetryDelay;
+                takeList(*list);
+            });
+}
+
+void departure_log::takeList(const std::vector<stored_departure> &list)
+{
+    const seconds now = unixTime();
+    std::vector<server_departure> departures;
+    std::vector<std::string> expired;
+    for (const stored_departure &item : list) {
+        const seconds expiresAt(item.expiresAt);
+        // The clocks of VMs differ.
+        if (expiresAt + retention < now)
+            expired.push_back(item.departure.instance);
+        if (item.node != m_node || expiresAt <= now)
+            continue;
+        departures.push_back(item.departure);
+        const time_point begin = monotonicNow();
+        m_entries.try_emplace(item.departure.instance,
+                              entry{item.departure, begin,
+                                    begin + std::min(expiresAt - now, retention), 0, false, true});
+    }
+    eraseOneOf(expired);
+    m_callbacks.read(departures);
+}
+
+void departure_log::eraseOneOf(const std::vector<std::string> &expired)
+{
+    if (expired.empty())
+        return;
+    m_platform.eraseDeparture(expired[m_random.below(expired.size())],
+                              [this](const tl::expected<std::monostate, store_error> &result) {
+                                  m_errors += result ? 0 : 1;
+                              });
+}
+
+void departure_log::record(const server_departure &departure)
+{
+    entry &item = m_entries[departure.instance];
+    item.departure = departure;
+    item.beganAt = monotonicNow();
+    item.expiresAt = item.beganAt + retention;
+    ++item.revision;
+    item.recorded = false;
+    if (!item.writing)
+        write(item);
+}
+
+void departure_log::write(entry &item)
+{
+    item.writing = true;
+    const std::int64_t expiresAt = (unixTime() + retention).count();
+    m_platform.putDeparture({m_node, item.departure, expiresAt},
+                            [this, instance = item.departure.instance, revision = item.revision](
+                                    const tl::expected<std::monostate, store_error> &result) {
+                                written(instance, revision, result.has_value());
+                            });
+}
+
+void departure_log::written(const std::string &instance, std::uint32_t revision, bool succeeded)
+{
+    if (!succeeded)
+        recordFailure();
+    const auto found = m_entries.find(instance);
+    if (found == m_entries.end())
+        return;
+    entry &item = found->second;
+    item.writing = false;
+    if (!succeeded)
+        return;
+    m_retryDelay = initialRetryDelay;
+    if (revision != item.revision) {
+        write(item);
+        return;
+    }
+    item.recorded = true;
+    m_callbacks.recorded(item.departure, monotonicNow() - item.beganAt);
+    std::vector<waiter> waiters = std::exchange(m_waiters, {});
+    for (waiter &waiting : waiters) {
+        if (waiting.instance == instance)
+            waiting.done(true);
+        else
+            m_waiters.push_back(std::move(waiting));
+    }
+}
+
+void departure_log::whenRecorded(const std::string &instance,
+                                 std::function<void(bool recorded)> done)
+{
+    const auto found = m_entries.find(instance);
+    if (found == m_entries.end() || found->second.recorded)
+        done(true);
+    else
+        m_waiters.push_back({instance, monotonicNow() + confirmationTimeout, std::move(done)});
+}
+
+void departure_log::storeRestored()
+{
+    for (auto &[instance, item] : m_entries) {
+        ++item.revision;
+        item.recorded = false;
+        if (!item.writing)
+            write(item);
+    }
+}
+
+void departure_log::sweep(time_point now)
+{
+    std::vector<waiter> waiters = std::exchange(m_waiters, {});
+    for (waiter &waiting : waiters) {
+        if (now >= waiting.until)
+            waiting.done(false);
+        else
+            m_waiters.push_back(std::move(waiting));
+    }
+    if (now < m_retryAt)
+        return;
+    if (!m_read && !m_reading)
+        read();
+    for (auto item = m_entries.begin(); item != m_entries.end();) {
+        if (now >= item->second.expiresAt && !item->second.writing) {
+            eraseOneOf({item->first});
+            item = m_entries.erase(item);
+            continue;
+        }
+        if (!item->second.recorded && !item->second.writing)
+            write(item->second);
+        ++item;
+    }
+}
+
+std::size_t departure_log::unrecorded() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+            m_entries, [](const auto &item) { return !item.second.recorded; }));
+}
+
+} // namespace tamarackridge
--- /dev/null
+++ b/src/sidecar/departure_log.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "sidecar/platform_gateway.h"
+#include "tamarackridge/src/base/random_source.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief Callbacks of a departure_log.
+struct departure_callbacks
+{
+    /// The departures of this node's servers were read, and have not expired. Called once.
+    std::function<void(const std::vector<server_departure> &departures)> read;
+    /// The store has confirmed a departure.
+    std::function<void(const server_departure &departure, duration took)> recorded;
+};
+
+/// \brief Records in the platform's store which backend servers of this VM leave, and reads it when
+/// the process starts.
+///
+/// Records expire, and are then erased. All times are taken from sweep(), which also retries failed
+/// calls.
+class departure_log
+{
+public:
+    departure_log(platform_gateway &platform, std::string node, random_source &random,
+                  departure_callbacks callbacks);
+
+    /// \brief Reads the departures until that succeeds.
+    void start();
+    void record(const server_departure &departure);
+    /// \brief Calls \a done when the departure of \a instance is in the store, or with false after
+    /// confirmationTimeout.
+    void whenRecorded(const std::string &instance, std::function<void(bool recorded)> done);
+    /// \brief Must be called when the store may have lost what it had confirmed.
+    void storeRestored();
+    /// \brief Must be called a few times a second.
+    void sweep(time_point now);
+    /// \returns the number of departures that the store has not confirmed.
+    std::size_t unrecorded() const;
+    /// \returns the number of failed calls to the store.
+    std::uint64_t errors() const { return m_errors; }
+
+private:
+    struct entry
+    {
+        server_departure departure;
+        time_point beganAt;
+        time_point expiresAt;
+        std::uint32_t revision = 0; ///< Of the content; a write confirms the revision it contains.
+        bool writing = false;
+        bool recorded = false;
+    };
+    struct waiter
+    {
+        std::string instance;
+        time_point until;
+        std::function<void(bool recorded)> done;
+    };
+
+    void read();
+    void takeList(const std::vector<stored_departure> &list);
+    /// \brief Erases one of the expired records of other nodes, which may not exist any more.
+    void eraseOneOf(const std::vector<std::string> &expired);
+    void write(entry &item);
+    void written(const std::string &instance, std::uint32_t revision, bool succeeded);
+    void recordFailure();
+
+    platform_gateway &m_platform;
+    std::string m_node;
+    random_source &m_random;
+    departure_callbacks m_callbacks;
+    std::map<std::string, entry> m_entries; ///< By instance.
+    std::vector<waiter> m_waiters;
+    duration m_retryDelay;
+    time_point m_retryAt; ///< No call is made before.
+    std::uint64_t m_errors = 0;
+    bool m_reading = false;
+    bool m_read = false;
+};
+
+} // namespace tamarackridge
--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -33,6 +33,14 @@
     std::int64_t next = 0; ///< Position after the newest record.
 };
 
+/// \brief A departure of a backend server as it is recorded in the store.
+struct stored_departure
+{
+    std::string node; ///< The node on the server's VM.
+    server_departure departure;
+    std::int64_t expiresAt = 0; ///< Unix seconds; no report of the server is on its way any more.
+};
+
 /// \brief Notice that the backend server of this VM is shutting down.
 struct leave_notice
 {
@@ -84,6 +92,11 @@
                               handler<std::monostate> done) = 0;
     virtual void unregisterNode(const std::string &node, handler<std::monostate> done) = 0;
     virtual void listNodes(handler<std::vector<seed_peer>> done) = 0;
+    /// \brief Records a departure, in place of an earlier one of the same instance.
+    virtual void putDeparture(const stored_departure &item, handler<std::monostate> done) = 0;
+    virtual void eraseDeparture(const std::string &instance, handler<std::monostate> done) = 0;
+    /// \brief Lists the recorded departures of the servers of all nodes.
+    virtual void listDepartures(handler<std::vector<stored_departure>> done) = 0;
     /// \brief Ends calls that are past their deadline; must be called a few times a second.
     virtual void sweep(time_point now) = 0;
 };
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -29,6 +29,16 @@
     return plainResponse(status, "application/json", body.finish());
 }
 
+/// \returns the instance that \a notice says is leaving, if it says so.
+std::optional<std::string> leavingInstance(const server_notice &notice)
+{
+    if (const leave_notice *leave = std::get_if<leave_notice>(&notice))
+        return leave->instance;
+    const server_report *report = std::get_if<server_report>(&notice);
+    return report != nullptr && report->leaving ? std::optional<std::string>(report->instance)
+                                                : std::nullopt;
+}
+
 std::int64_t microseconds(duration time)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
@@ -60,6 +70,7 @@
                })
     , m_peers(loop, settings.peers, m_self, linkCallbacks())
     , m_store(loop, platform, settings.name, settings.peers.text(), m_random, storeCallbacks())
+    , m_departures(platform, settings.name, m_random, departureCallbacks())
     , m_tickTimer(loop)
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
@@ -154,6 +165,7 @@
     };
     callbacks.knowsPeers = [this] { return m_core.status(monotonicNow()).membersKnown > 1; };
     callbacks.restored = [this] {
+        m_departures.storeRestored();
         m_log.write(line_class::process, "store restored",
                     json_line().add("configuration", m_core.status(monotonicNow()).configVersion));
     };
@@ -163,6 +175,22 @@
     return callbacks;
 }
 
+departure_callbacks sidecar_app::departureCallbacks()
+{
+    departure_callbacks callbacks;
+    callbacks.read = [this](const std::vector<server_departure> &departures) {
+        post([&](time_point now, action_list &out) {
+            m_core.departuresRead(departures, now, out);
+        });
+    };
+    callbacks.recorded = [this](const server_departure &departure, duration took) {
+        m_log.write(
+                line_class::process, "departure recorded",
+                json_line().add("instance", departure.instance).add("took_us", microseconds(took)));
+    };
+    return callbacks;
+}
+
 template <typename Event>
 void sidecar_app::post(Event event)
 {
@@ -193,6 +221,8 @@
         m_peers.connect(connect->node, connect->endpoint);
     else if (const disconnect_peer *disconnect = std::get_if<disconnect_peer>(&item))
         m_peers.disconnect(disconnect->node);
+    else if (const record_departure *record = std::get_if<record_departure>(&item))
+        m_departures.record(record->departure);
 }
 
 void sidecar_app::serveHealth(call_id call, const http_request &)
@@ -213,10 +243,29 @@
         m_control.respond(call, jsonResponse(badRequest, invalid->error));
         return;
     }
-    if (forwardNotice(notice))
-        m_control.respond(call, jsonResponse(ok, {}));
-    else
+    if (!forwardNotice(notice))
         m_control.respond(call, jsonResponse(badRequest, "out of date, or about another server"));
+    else if (const std::optional<std::string> leaving = leavingInstance(notice))
+        acknowledgeDeparture(call, *leaving);
+    else
+        m_control.respond(call, jsonResponse(ok, {}));
+}
+
+void sidecar_app::acknowledgeDeparture(call_id call, const std::string &instance)
+{
+    m_departures.whenRecorded(instance, [this, call, instance](bool recorded) {
+        constexpr int ok = 200;
+        constexpr int unavailable = 503;
+        if (recorded) {
+            m_control.respond(call, jsonResponse(ok, {}));
+            return;
+        }
+        m_log.write(line_class::failure, "departure not acknowledged",
+                    json_line().add("instance", instance).add("fault", "not in the store yet"));
+        m_control.respond(call, jsonResponse(unavailable,
+                                             "the server gets no new requests, but this is not in "
+                                             "the store yet; send the notice again"));
+    });
 }
 
 bool sidecar_app::forwardNotice(const server_notice &notice)
@@ -271,7 +320,8 @@
     add("peer_acknowledgements_sent_total", m_peers.counts().acknowledgementsSent);
     add("peer_frames_expired_total", m_peers.counts().framesExpired);
     add("peer_frames_refused_total", m_peers.counts().framesRefused);
-    add("store_faults_total", m_store.errors());
+    add("store_faults_total", m_store.errors() + m_departures.errors());
+    add("departures_unrecorded", m_departures.unrecorded());
     add("log_lines_dropped_total", m_log.dropped());
     m_latency.appendText("tamarackridge_call_seconds", text);
     return text;
@@ -354,6 +404,7 @@
     m_server.sweep(now);
     m_peers.sweep(now);
     m_platform.sweep(now);
+    m_departures.sweep(now);
     m_log.flush(now);
     endIfStopped(now);
     if (m_loop.stopped())
@@ -438,6 +489,7 @@
     tick();
     sweep();
     m_store.start();
+    m_departures.start();
 }
 
 } // namespace tamarackridge
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/secure_random.h"
+#include "sidecar/departure_log.h"
 #include "sidecar/http_listener.h"
 #include "sidecar/latency_buckets.h"
 #include "sidecar/output_log.h"
@@ -49,6 +50,7 @@
                                                                      const http_request &));
     peer_callbacks linkCallbacks();
     store_callbacks storeCallbacks();
+    departure_callbacks departureCallbacks();
 
     /// \brief Passes an event to the core and performs the actions that it returns.
     template <typename Event>
@@ -59,6 +61,9 @@
     void runEnded(std::string_view requestId, const backend_result &result, duration elapsed);
     void serveHealth(call_id call, const http_request &request);
     void serveNotice(call_id call, const http_request &request);
+    /// \brief Responds to the notice that a server leaves when it is recorded: the acknowledgement
+    /// must hold for later processes of this node.
+    void acknowledgeDeparture(call_id call, const std::string &instance);
     void serveMetrics(call_id call, const http_request &request);
     std::string metricsText();
     /// \brief Passes a heartbeat or leave notice to the core.
@@ -91,6 +96,7 @@
     server_runner m_server;
     peer_network m_peers;
     store_watch m_store;
+    departure_log m_departures;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::signal_set m_signals;
--- a/tests/fakes/platform_store.h
+++ b/tests/fakes/platform_store.h
@@ -109,6 +109,7 @@
     std::vector<std::string> calls;
     std::vector<std::string> waits; ///< How long each read may wait, in milliseconds.
     int failureStatus = 0; ///< Status of every response, if not 0.
+    std::string rejectedTopic; ///< Calls about this topic get 503.
     bool unresponsive = false;
     duration responseDelay{}; ///< From the arrival of a request until it is handled.
     std::string bodyOverride; ///< Body of every response, if not empty.
@@ -179,8 +180,8 @@
         if (unresponsive)
             return;
         const std::string topic = queryOf(request.target, "topic");
-        if (failureStatus != 0)
-            respond(call, failureStatus, "{}");
+        if (failureStatus != 0 || topic == rejectedTopic)
+            respond(call, failureStatus != 0 ? failureStatus : 503, "{}");
         else if (request.target.starts_with("/api/log-newest"))
             respond(call, 200, newestPage(topic, queryOf(request.target, "after")));
         else if (request.target.starts_with("/api/log-append"))
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -193,6 +193,16 @@
         }
     }
 
+    /// \brief Lets \a node read the departures of its server from the store, if it can.
+    void readDepartures(const std::string &node)
+    {
+        if (nodesWithoutStore.contains(node))
+            return;
+        runEvent(node, [&](sidecar_core &core, action_list &out) {
+            core.departuresRead(recordedDepartures[node], m_now, out);
+        });
+    }
+
     /// \brief Replaces the process of \a node by a new one, which reads the list of nodes; all
     /// other nodes have links to it, which report the restart.
     void restart(const std::string &node)
@@ -206,11 +216,14 @@
             });
         }
     }
-    /// \brief Replaces all processes at the same moment.
+    /// \brief Replaces all processes at the same moment: no new one reaches an earlier one.
     void restartAll()
     {
-        for (const auto &[name, state] : m_nodes)
-            replaceProcess(name);
+        const std::map<std::string, std::string> services = servicesOfNodes();
+        for (const auto &[name, service] : services)
+            addNode(name, zoneOf(name), service);
+        for (const auto &[name, service] : services)
+            listMembersTo(name);
     }
 
     /// \returns the status of the response to a call, or 0 if there is none yet.
@@ -228,6 +241,9 @@
     /// Returns whether a message that is not lost otherwise is lost.
     std::function<bool(const std::string &from, const send_peer &message)> isLost =
             [](const std::string &, const send_peer &) { return false; };
+    /// Nodes that cannot reach the store, in which departures of servers are recorded.
+    std::set<std::string> nodesWithoutStore;
+    std::map<std::string, std::vector<server_departure>> recordedDepartures; ///< By node.
     std::set<std::string> isolatedNodes; ///< Nodes whose messages are lost in both directions.
 
 private:
@@ -276,6 +292,7 @@
         runEvent(node, [&](sidecar_core &core, action_list &out) {
             core.membersListed(members, m_now, out);
         });
+        readDepartures(node);
     }
     void announceMembers()
     {
@@ -283,6 +300,13 @@
             listMembersTo(name);
         advance(std::chrono::seconds(2));
     }
+    std::map<std::string, std::string> servicesOfNodes() const
+    {
+        std::map<std::string, std::string> services;
+        for (const auto &[name, state] : m_nodes)
+            services[name] = state.service;
+        return services;
+    }
     void replaceProcess(const std::string &node)
     {
         const std::string service = m_nodes.at(node).service;
@@ -311,6 +335,14 @@
             responses[response->call] = response->response;
         } else if (const run_backend *run = std::get_if<run_backend>(&item)) {
             runs.push_back({node, run->run, run->request, false});
+        } else if (const record_departure *record = std::get_if<record_departure>(&item)) {
+            if (!nodesWithoutStore.contains(node)) {
+                std::vector<server_departure> &recorded = recordedDepartures[node];
+                std::erase_if(recorded, [record](const server_departure &other) {
+                    return other.instance == record->departure.instance;
+                });
+                recorded.push_back(record->departure);
+            }
         } else if (const cancel_run *cancel = std::get_if<cancel_run>(&item)) {
             for (fake_run &known : runs)
                 known.cancelled =
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -46,6 +46,9 @@
     }
     void unregisterNode(const std::string &, handler<std::monostate>) override { }
     void listNodes(handler<std::vector<seed_peer>>) override { }
+    void putDeparture(const stored_departure &, handler<std::monostate>) override { }
+    void eraseDeparture(const std::string &, handler<std::monostate>) override { }
+    void listDepartures(handler<std::vector<stored_departure>>) override { }
     void sweep(time_point) override { }
 
     std::vector<std::int64_t> positions; ///< Of the reads that wait for the next set.
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -54,6 +54,12 @@
     }
     void unregisterNode(const std::string &, handler<std::monostate>) override { }
     void listNodes(handler<std::vector<seed_peer>> done) override { done(nodes); }
+    void putDeparture(const stored_departure &, handler<std::monostate> done) override
+    {
+        done(std::monostate());
+    }
+    void eraseDeparture(const std::string &, handler<std::monostate>) override { }
+    void listDepartures(handler<std::vector<stored_departure>> done) override { done({}); }
     void sweep(time_point) override { }
 
     published_set set;
