A planned stop uses the grace time of the platform

Cause: a stop gave up what was in progress after stop.longest_s, 5 s by default. The deploy file did not set it, and nothing read the grace time. Ruled out: a shortened deadline (the record shows X-Deadline-Ms 10000) and the server's sidecar (not stopped in the script).

The platform's bounds now come with the command line; a stop ends 0.7 s before the grace time. Without them, requests from before SIGTERM get 9 s. What is admitted later still has to complete within 5 s, so that it does not end with SIGKILL where the grace time is 6 s. The soak passes its grace time as well.

--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -172,8 +172,8 @@
     time_point nextTick() const;
     /// \brief Begins a graceful shutdown. Callers' requests are served until callers have had time
     /// to switch to other nodes, and refused from then on.
-    /// \param exitAt when the process exits, even if it is not drained. Requests that are admitted
-    /// during the shutdown get a deadline shortly before it.
+    /// \param exitAt when the process may have to exit, even if it is not drained. Requests that
+    /// are admitted or sent again during the shutdown get a deadline shortly before it.
     void beginShutdown(time_point now, time_point exitAt, action_list &out);
     /// \returns true when shutdown has begun, no request is in progress, and callers have had time
     /// to switch to other nodes.
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -1,3 +1,4 @@
+#include "platform/bounds_decoder.h"
 #include "platform/store_gateway.h"
 #include "sidecar/sidecar_app.h"
 #include "sidecar/sidecar_settings.h"
@@ -10,6 +11,8 @@
 #include <exception>
 
 DEFINE_string(settings, "", "Settings file: JSON with comments.");
+DEFINE_string(platform_bounds, "",
+              "Bounds of the platform, name=value separated by commas; the grace time is used.");
 DEFINE_bool(check_settings, false, "Check the settings file and exit.");
 
 namespace {
@@ -30,8 +33,13 @@
     for (const tamarackridge::settings_error &error : errors)
         std::fprintf(stderr, "%s: %s\n", FLAGS_settings.c_str(),
                      tamarackridge::toString(error).c_str());
-    if (!errors.empty())
+    const tl::expected<std::optional<tamarackridge::duration>, std::string> graceTime =
+            tamarackridge::platform::decodeGraceTime(FLAGS_platform_bounds);
+    if (!graceTime)
+        std::fprintf(stderr, "--platform_bounds: %s\n", graceTime.error().c_str());
+    if (!errors.empty() || !graceTime)
         return exitSettings;
+    settings.graceTime = *graceTime;
     if (FLAGS_check_settings)
         return EXIT_SUCCESS;
     // With SIGPIPE ignored, writing to a connection that the other side has closed returns an error
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -465,9 +465,13 @@
 {
     if (m_core.leaving())
         return;
-    m_log.write(line_class::process, "stopping", json_line().add("cause", cause));
-    m_stopDeadline = monotonicNow() + std::chrono::seconds(m_settings.maxStopSeconds);
-    post([&](time_point now, action_list &out) { m_core.beginShutdown(now, m_stopDeadline, out); });
+    const stop_limits limits = stopLimits(m_settings);
+    m_log.write(line_class::process, "stopping",
+                json_line().add("cause", cause).add("limit_us", microseconds(limits.all)));
+    m_stopDeadline = monotonicNow() + limits.all;
+    post([&](time_point now, action_list &out) {
+        m_core.beginShutdown(now, now + limits.admitted, out);
+    });
     m_store.leave();
 }
 
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -10,6 +11,10 @@
 namespace {
 
 constexpr std::int64_t stopSecondsLimit = 3600;
+// Time before SIGKILL in which callers get the last responses and the process exits.
+constexpr duration exitMargin = std::chrono::milliseconds(700);
+// While the grace time is not known, it is at least this much longer than exitMargin.
+constexpr duration shortestStop = std::chrono::seconds(5);
 
 settings_field addressField(std::string path, socket_address &target)
 {
@@ -28,6 +33,16 @@
 
 } // namespace
 
+stop_limits stopLimits(const sidecar_settings &settings)
+{
+    if (settings.graceTime) {
+        const duration limit = std::max(*settings.graceTime - exitMargin, *settings.graceTime / 2);
+        return {limit, limit};
+    }
+    const duration longest = std::chrono::seconds(settings.maxStopSeconds);
+    return {std::min(longest, shortestStop), longest};
+}
+
 std::vector<settings_error> readSidecarSettings(const std::string &fileName, sidecar_settings &out)
 {
     const std::vector<settings_field> fields = {
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -3,6 +3,7 @@
 #include "process/settings.h"
 #include "sidecar/event_loop.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,20 @@
     socket_address peers;
     socket_address metrics;
     socket_address store;
-    std::int64_t maxStopSeconds = 5; ///< From SIGTERM to the end of the process.
+    std::int64_t maxStopSeconds = 9; ///< From SIGTERM to the end of the process.
+    /// From SIGTERM to SIGKILL, if the platform tells; takes precedence over maxStopSeconds.
+    std::optional<duration> graceTime{};
 };
 
+/// \brief Times from SIGTERM within which the requests of a stopping process end.
+struct stop_limits
+{
+    duration admitted{}; ///< Requests that are admitted or sent again after SIGTERM.
+    duration all{}; ///< All requests; what is in progress then is given up.
+};
+
+stop_limits stopLimits(const sidecar_settings &settings);
+
 /// \brief Reads a settings file in JSON with comments into \a out.
 /// \returns all errors; empty on success.
 std::vector<settings_error> readSidecarSettings(const std::string &fileName, sidecar_settings &out);
--- a/tests/sidecar_settings_test.cpp
+++ b/tests/sidecar_settings_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <string>
@@ -48,5 +49,32 @@
     }
 }
 
+// Guards against a stop that uses half of the grace time, and against one that outlasts it.
+TEST(stop_limits, follow_the_grace_time)
+{
+    for (const int grace : {6, 10, 30}) {
+        sidecar_settings settings;
+        settings.graceTime = std::chrono::seconds(grace);
+        const stop_limits limits = stopLimits(settings);
+        EXPECT_EQ(limits.admitted, limits.all) << grace;
+        EXPECT_GT(limits.all, std::chrono::milliseconds(grace * 1000 * 5 / 6)) << grace;
+        EXPECT_LE(limits.all, std::chrono::seconds(grace) - std::chrono::milliseconds(500))
+                << grace;
+    }
+}
+
+// Guards against requests that are admitted during a stop and end with SIGKILL, where the grace
+// time is not known.
+TEST(stop_limits, without_a_grace_time_admitted_requests_end_early)
+{
+    const stop_limits limits = stopLimits(sidecar_settings());
+    EXPECT_LE(limits.admitted, std::chrono::seconds(5));
+    EXPECT_GE(limits.all, std::chrono::milliseconds(8400)); // Five sixths of ten seconds.
+    sidecar_settings shortStop;
+    shortStop.maxStopSeconds = 2;
+    EXPECT_EQ(stopLimits(shortStop).admitted, std::chrono::seconds(2));
+    EXPECT_EQ(stopLimits(shortStop).all, std::chrono::seconds(2));
+}
+
 } // namespace
 } // namespace tamarackridge
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -378,6 +378,20 @@
     EXPECT_GT(count(503), 0U);
 }
 
+// Guards against a stop that gives up requests at which a server is at work long before the grace
+// time of the platform is over. Found by an independent review (LOST).
+TEST_F(sidecar_stop, what_a_server_completes_within_the_grace_time_is_answered)
+{
+    routeTimeout = seconds(10);
+    frontSettings.maxStopSeconds = sidecar_settings().maxStopSeconds;
+    delayed_server server(loop, ordersSettings.backend, milliseconds(6500));
+    startNodes();
+    startCallers(2);
+    ASSERT_TRUE(runUntil(loop, [&server] { return server.startedIds.size() == 2; }));
+    stopFront();
+    EXPECT_EQ(count(200), 2U);
+}
+
 // Guards against a stop that takes its whole time for a response that nobody waits for: the peer is
 // cut off, and the deadline of its request has passed.
 TEST_F(sidecar_stop, a_response_whose_request_has_expired_does_not_prolong_the_stop)
--- a/tests/soak/sidecar_process.h
+++ b/tests/soak/sidecar_process.h
@@ -14,7 +14,8 @@
 namespace tamarackridge::soak {
 
 /// The platform sends SIGKILL this long after SIGTERM.
-constexpr duration graceTime = std::chrono::seconds(6);
+constexpr std::int64_t graceSeconds = 6;
+constexpr duration graceTime = std::chrono::seconds(graceSeconds);
 
 /// \brief The sidecar process of a VM, which receives signals and is started again when it exits.
 class sidecar_process
@@ -110,7 +111,8 @@
     {
         constexpr int logFileMode = 0644;
         constexpr int execFailed = 127;
-        const std::array<char *, 3> arguments{m_binary.data(), m_settings.data(), nullptr};
+        const std::array<char *, 4> arguments{m_binary.data(), m_settings.data(), m_bounds.data(),
+                                              nullptr};
         // The process does not outlive the soak, even when that is killed.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, logFileMode);
@@ -150,6 +152,7 @@
     std::size_t m_vm;
     std::string m_binary;
     std::string m_settings;
+    std::string m_bounds = "--platform_bounds=graceS=" + std::to_string(graceSeconds);
     std::string m_logFile;
     request_checker &m_checker;
     pid_t m_pid = 0;
