Requests that a stopping sidecar cannot complete are refused, not cut

Here: late in a stop a request without a key counts as an onward call while the local server runs a request, so callers' requests on open routes were admitted until 0.5 s before the exit and ended with 504 while their server was at work.

Cause: admission looked at the time left, not at the time that the request needs. Now the time left has to suffice for the slowest recent response of the route; that value decays by a hundredth with each response.

Ruled out as a remedy: refusing all requests without a key, which fails the running requests that make onward calls (sidecar_core.onward_calls_are_admitted_during_a_shutdown).

Test: sidecar_core.requests_that_need_more_time_than_a_shutdown_has_left_are_refused failed before (a request that needs 0.6 s was admitted with 0.4 s left).

--- a/src/core/sidecar/sidecar_request_handler.cpp
+++ b/src/core/sidecar/sidecar_request_handler.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <unordered_set>
 #include <utility>
 
 namespace tamarackridge::internal {
@@ -27,6 +28,8 @@
 constexpr duration responseDelivery = std::chrono::milliseconds(200);
 // An onward call that gets less time than this could not complete before the process exits.
 constexpr duration minOnwardTime = std::chrono::milliseconds(300);
+/// Each response lowers the longest known latency of its route by one part in so many.
+constexpr std::int64_t latencyDecay = 100;
 // A process that no longer admits requests because it is shutting down is usually replaced within
 // this time. Callers come back to this VM, so an earlier return would be refused again.
 constexpr duration successorDelay = std::chrono::seconds(1);
@@ -71,6 +74,16 @@
     , m_observer(observer)
 { }
 
+void sidecar_request_handler::install(std::shared_ptr<route_table> table)
+{
+    m_table = std::move(table);
+    std::unordered_set<std::string_view> routes;
+    for (const published_route &route : m_table->set().routes)
+        routes.insert(route.name);
+    std::erase_if(m_longestLatencies,
+                  [&routes](const auto &entry) { return !routes.contains(entry.first); });
+}
+
 void sidecar_request_handler::callerRequest(call_id call, http_request request, time_point now,
                                             action_list &out)
 {
@@ -152,7 +165,7 @@
             customerOf(*route, request);
     if (!customer)
         return tl::unexpected(customer.error());
-    if (exitsTooSoon(*customer != nullptr, now))
+    if (exitsTooSoon(*route, *customer != nullptr, now))
         return tl::unexpected(error_kind::leaving);
     if (*customer != nullptr)
         item.customer = (*customer)->name;
@@ -252,20 +265,32 @@
 void sidecar_request_handler::beginShutdown(time_point admissionEnd, time_point exitAt)
 {
     const time_point completeBy = exitAt - responseDelivery;
-    m_shutdown = {admissionEnd, completeBy - minOnwardTime, completeBy};
+    m_shutdown = {admissionEnd, completeBy};
     for (waiting_request &waiting : m_waiting)
         waiting.work.deadline = std::min(waiting.work.deadline, completeBy);
     m_dispatcher.limitDeadlines(completeBy);
 }
 
-bool sidecar_request_handler::exitsTooSoon(bool hasCustomer, time_point now) const
+bool sidecar_request_handler::exitsTooSoon(const published_route &route, bool hasCustomer,
+                                           time_point now) const
 {
-    if (!m_shutdown)
+    if (!m_shutdown || now < m_shutdown->admissionEnd)
         return false;
     // Callers, too, send requests without a key. Onward calls come only while the local backend
     // server is running a request.
     const bool isOnwardCall = !hasCustomer && !m_executor.idle();
-    return now >= (isOnwardCall ? m_shutdown->onwardAdmissionEnd : m_shutdown->admissionEnd);
+    if (!isOnwardCall)
+        return true;
+    const auto latency = m_longestLatencies.find(route.name);
+    const duration needed =
+            latency == m_longestLatencies.end() ? duration::zero() : latency->second;
+    return now + std::max(needed, minOnwardTime) >= m_shutdown->completeBy;
+}
+
+void sidecar_request_handler::recordLatency(const std::string &route, duration elapsed)
+{
+    duration &longest = m_longestLatencies[route];
+    longest = std::max(elapsed, longest - longest / latencyDecay);
 }
 
 void sidecar_request_handler::endUnfinished(time_point now, action_list &out)
@@ -303,7 +328,8 @@
                 m_shutdown && now + queueRetryDelay >= m_shutdown->admissionEnd;
         result.response = refusal(*result.error, result.state,
                                   refusedOnReturn ? successorDelay : queueRetryDelay);
-    }
+    } else if (item.attempts > 0)
+        recordLatency(item.route, ended.elapsed);
     ended.status = result.response.status;
     m_counters.add(result.error ? node_counter::calls_refused : node_counter::calls_answered);
     m_observer.requestEnded(ended);
--- a/src/core/sidecar/sidecar_request_handler.h
+++ b/src/core/sidecar/sidecar_request_handler.h
@@ -23,7 +23,7 @@
                             const executor &localExecutor, sidecar_quota &quota,
                             node_counters &counters, decision_observer &observer);
 
-    void install(std::shared_ptr<route_table> table) { m_table = std::move(table); }
+    void install(std::shared_ptr<route_table> table);
     const route_table *table() const { return m_table.get(); }
 
     void callerRequest(call_id call, http_request request, time_point now, action_list &out);
@@ -64,7 +64,6 @@
     struct shutdown_limits
     {
         time_point admissionEnd; ///< For requests of callers.
-        time_point onwardAdmissionEnd; ///< For onward calls of requests that are running.
         time_point completeBy; ///< Deadline of every request that is admitted or sent again.
     };
 
@@ -76,7 +75,8 @@
     };
 
     /// \returns whether a request has to be refused because the process will exit too soon.
-    bool exitsTooSoon(bool hasCustomer, time_point now) const;
+    bool exitsTooSoon(const published_route &route, bool hasCustomer, time_point now) const;
+    void recordLatency(const std::string &route, duration elapsed);
     tl::expected<owned_request, error_kind> admit(pending &item, http_request &request,
                                                   time_point now);
     void begin(pending item, owned_request work, time_point now, action_list &out);
@@ -95,6 +95,9 @@
     decision_observer &m_observer;
     std::shared_ptr<route_table> m_table;
     std::optional<shutdown_limits> m_shutdown;
+    /// By route: the longest time that a response of a server took, which decays with each
+    /// response.
+    std::unordered_map<std::string, duration> m_longestLatencies;
     std::vector<waiting_request> m_waiting; ///< In order of arrival.
     std::unordered_map<dispatcher::request_number, pending> m_requests;
     std::unordered_map<call_id, dispatcher::request_number> m_byCall;
--- a/tests/sidecar_core_test.cpp
+++ b/tests/sidecar_core_test.cpp
@@ -558,6 +558,32 @@
     EXPECT_TRUE(fleet.core("a1").drained(fleet.now()));
 }
 
+// Guards against requests without a key that are taken late in a shutdown and cut off while a
+// server is at work, since they look like onward calls of the running request: such a request needs
+// as much time as the others of its route. Reported by other operators (LOST).
+TEST(sidecar_core, requests_that_need_more_time_than_a_shutdown_has_left_are_refused)
+{
+    sidecar_fleet fleet = smallFleet();
+    startWithOpenRoute(fleet);
+    fleet.call("a1", "onward", "");
+    fleet.advance(milliseconds(600));
+    fleet.finish(0);
+    fleet.call("b1", "page");
+    ASSERT_EQ(fleet.runs.size(), 2U);
+    ASSERT_EQ(fleet.runs[1].node, "a1");
+    beginShutdown(fleet, "a1", seconds(5));
+    fleet.advance(milliseconds(4000));
+    const call_id inTime = fleet.call("a1", "onward", "");
+    fleet.advance(milliseconds(400));
+    const call_id late = fleet.call("a1", "onward", "");
+    EXPECT_EQ(fleet.status(late), 503);
+    EXPECT_EQ(headerValue(fleet.responses[late].headers, "Tamarackridge-Run-State"), "not-run");
+    ASSERT_EQ(fleet.runs.size(), 3U);
+    fleet.advance(milliseconds(200));
+    fleet.finish(2);
+    EXPECT_EQ(fleet.status(inTime), 200);
+}
+
 // Guards against cutting off late retries: a request from before the shutdown whose attempt was
 // refused late must not begin to run again when the process is about to exit.
 TEST(sidecar_core, requests_from_before_a_shutdown_are_not_retried_until_the_process_exits)
