--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -46,8 +46,8 @@
     std::vector<overlay_entry> otherEntries;
     /// Departure that an earlier process of this node had announced.
     std::optional<server_departure> earlierDeparture{};
-    /// Another node knows an earlier process of this node that used or had used its backend server,
-    /// and with it the departures that this process had announced.
+    /// Another node knows an earlier process of this node that knew its backend server, and with it
+    /// the departure that this process had announced.
     bool earlierServerKnown = false;
 };
 
--- a/src/sidecar/departure_log.h
+++ b/src/sidecar/departure_log.h
@@ -64,7 +64,8 @@
 
     void read();
     void takeList(const std::vector<stored_departure> &list);
-    /// \brief Erases one of the expired records of other nodes, which may not exist any more.
+    /// \brief Erases one of the expired records, drawn at random: nodes that start together, and
+    /// read the same records of nodes that are gone, erase different ones.
     void eraseOneOf(const std::vector<std::string> &expired);
     void write(entry &item);
     void written(const std::string &instance, std::uint32_t revision, bool succeeded);
