Fault soak: servers that leave, late reports and kills beside them

A server says that it leaves by a report or by its notice until that is acknowledged, goes on serving and exits; a report from before its notice arrives up to 4 s later, and in half of the cases all sidecars are killed once or twice within 1.6 s. The checker reports a run of a request that was sent over 2 s after the acknowledgement by processes that had been left alone for 3 s. What is drawn for other faults of a seed does not change.

--- a/tests/soak/fault_script.h
+++ b/tests/soak/fault_script.h
@@ -18,6 +18,7 @@
     store_slow,
     crashing_request, ///< Callers of all VMs send a request that crashes the servers that run it.
     store_restored, ///< The store is silent and returns from a copy that lacks its last writes.
+    server_leaves, ///< A server says that it leaves; a report from before arrives later.
 };
 
 /// \brief One step of a fault script.
@@ -26,14 +27,14 @@
     duration at{}; ///< From the start of the faults.
     fault_kind kind = fault_kind::terminate;
     std::size_t vm = 0; ///< Unused for faults of the store.
-    duration length{}; ///< Delay until the restart, or length of the pause or outage.
+    duration length{}; ///< Delay until the restart or the exit, or length of the pause or outage.
 
     std::string text() const
     {
-        constexpr std::array<std::string_view, 9> names{
-                "SIGTERM",       "SIGKILL",          "pause",
-                "configuration", "store silent",     "store rejecting",
-                "store slow",    "crashing request", "store restored"};
+        constexpr std::array<std::string_view, 10> names{
+                "SIGTERM",        "SIGKILL",         "pause",      "configuration",
+                "store silent",   "store rejecting", "store slow", "crashing request",
+                "store restored", "server leaves"};
         return std::string(names.at(static_cast<std::size_t>(kind))) + ", VM " + std::to_string(vm)
                + ", " + std::to_string(length / milliseconds(1)) + " ms";
     }
@@ -47,8 +48,9 @@
 public:
     /// \param restores draws the restores of the store and the requests that crash servers, so that
     /// they change no other draw of a seed.
-    fault_script(random_source &random, random_source &restores, std::size_t vms, std::size_t zones,
-                 duration length)
+    /// \param departures draws the servers that leave, and kills of all processes beside them.
+    fault_script(random_source &random, random_source &restores, random_source &departures,
+                 std::size_t vms, std::size_t zones, duration length)
         : m_random(random)
         , m_vms(vms)
         , m_zones(zones)
@@ -78,6 +80,9 @@
              at += drawDuration(milliseconds(8000), milliseconds(20'000), restores))
             add(at, fault_kind::crashing_request, 0,
                 drawDuration(milliseconds(6000), milliseconds(14'000), restores));
+        for (duration at = drawDuration(milliseconds(0), milliseconds(4000), departures);
+             at < length; at += drawDuration(milliseconds(4000), milliseconds(10'000), departures))
+            leave(at, departures);
         std::sort(
                 m_steps.begin(), m_steps.end(),
                 [](const fault_step &left, const fault_step &right) { return left.at < right.at; });
@@ -135,6 +140,18 @@
         add(at, kinds.at(m_random.below(kinds.size())), 0, between(1000, 5000));
     }
 
+    void leave(duration at, random_source &departures)
+    {
+        add(at, fault_kind::server_leaves, departures.below(m_vms),
+            drawDuration(milliseconds(2500), milliseconds(9000), departures));
+        const std::uint64_t kills = departures.below(4); // Of all processes; often one, or two.
+        for (std::uint64_t count = 1; count < kills; ++count) {
+            at += drawDuration(milliseconds(20), milliseconds(800), departures);
+            for (std::size_t vm = 0; vm < m_vms; ++vm)
+                add(at, fault_kind::kill, vm, milliseconds(400));
+        }
+    }
+
     random_source &m_random;
     std::size_t m_vms;
     std::size_t m_zones;
--- a/tests/soak/request_checker.h
+++ b/tests/soak/request_checker.h
@@ -111,6 +111,16 @@
             violate("a refused request does not run later", item);
         if (item.unanswered)
             m_toJudge.push_back(&item);
+        if (reachesDepartedServer(item, vm))
+            violate("a server whose departure was acknowledged gets no new requests", item);
+    }
+
+    void serverStarted(std::size_t vm) { m_departures.erase(vm); }
+    /// \brief The sidecar beside the server of \a vm has acknowledged that it leaves.
+    void departureAcknowledged(std::size_t vm)
+    {
+        m_departures.emplace(vm, monotonicNow());
+        remark("departure of the server of VM " + std::to_string(vm) + " acknowledged");
     }
 
     /// \brief A server begins to run a request that crashes it. Such a request is not to be run
@@ -207,6 +217,20 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    /// Excepted are requests that a process sends on within a while after its start or stop.
+    bool reachesDepartedServer(const request_record &item, std::size_t vm) const
+    {
+        constexpr duration drainTime = std::chrono::seconds(2);
+        constexpr duration stability = std::chrono::seconds(3);
+        const auto departure = m_departures.find(vm);
+        if (departure == m_departures.end() || item.sentAt <= departure->second + drainTime)
+            return false;
+        const auto changed = [&](std::size_t process) {
+            return processes.changed(process, item.sentAt - stability, monotonicNow());
+        };
+        return !changed(item.vm) && !changed(vm);
+    }
+
     void note(request_record &item, std::string_view text)
     {
         item.events.push_back(historyLine(m_start, monotonicNow(), text));
@@ -266,6 +290,7 @@
     std::unordered_map<std::string, request_record> m_requests; // References stay valid.
     std::map<std::string, crashing_request> m_crashingRequests; ///< By target.
     std::size_t m_maxCrashes = 0;
+    std::map<std::size_t, time_point> m_departures; ///< By VM: acknowledged, and not started anew.
     std::deque<request_record *> m_toJudge;
     std::map<std::string, std::size_t> m_outcomes; ///< How many requests ended in which way.
     std::size_t m_endedCount = 0;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -17,6 +17,7 @@
         , m_directory(directory)
         , m_random(seed)
         , m_restores(~seed)
+        , m_departures(seed + (std::uint64_t{1} << 32U))
         , m_store(m_loop, deployment::address(0, endpoint::store))
         , m_storeTimer(m_loop)
         , m_checker(vms,
@@ -35,8 +36,8 @@
     /// \returns whether all promises were kept.
     bool run(const std::string &binary, duration faultTime)
     {
-        const fault_script script(m_random, m_restores, m_fleet.vms.size(), deployment::zones,
-                                  faultTime);
+        const fault_script script(m_random, m_restores, m_departures, m_fleet.vms.size(),
+                                  deployment::zones, faultTime);
         publish();
         m_fleet.start(binary, m_directory);
         expect("all nodes become ready", startTime,
@@ -109,6 +110,9 @@
             m_crashingCallers.push_back(std::make_unique<crashing_caller>(
                     m_fleet.context, m_fleet.vms.size(), m_crashingCallers.size(), step.length));
             return;
+        case fault_kind::server_leaves:
+            m_fleet.vms.at(step.vm).server->leave(step.length, m_departures);
+            return;
         case fault_kind::store_silent:
             m_store.unresponsive = true;
             break;
@@ -204,6 +208,7 @@
     std::filesystem::path m_directory;
     seeded_random m_random;
     seeded_random m_restores;
+    seeded_random m_departures;
     boost::asio::io_context m_loop{1};
     fakes::platform_store m_store;
     boost::asio::steady_timer m_storeTimer;
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -9,7 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <charconv>
+#include <functional>
 #include <map>
+#include <memory>
 
 namespace tamarackridge::soak {
 
@@ -40,6 +42,22 @@
         m_control.sweep(now);
     }
 
+    /// \brief Says that the server leaves until that is acknowledged, goes on serving, and exits
+    /// \a stay later. A report from before the notice arrives after it.
+    void leave(duration stay, random_source &random)
+    {
+        if (!m_listener || m_leaving)
+            return;
+        m_leaving = true;
+        m_reportsWhileLeaving = random.below(2) == 0;
+        m_leavesByReport = random.below(2) == 0;
+        const http_request late = report("ready");
+        after(drawDuration(milliseconds(200), milliseconds(4000), random),
+              [this, late] { tell(late, [](bool) {}); });
+        after(stay, [this] { exit(milliseconds(500), "ended in the exit of its server"); });
+        sendNotice();
+    }
+
 private:
     // Few enough that the callers of all VMs together sometimes exceed them.
     static constexpr std::size_t slots = 24;
@@ -132,6 +150,8 @@
         }
         ++m_startedAt;
         m_sequence = 0;
+        m_leaving = false;
+        m_checker.serverStarted(m_vm);
         sendHeartbeat();
     }
 
@@ -146,33 +166,80 @@
 
     /// \brief Ends all runs and connections, and starts again after a while.
     void crash()
+    {
+        seeded_random random(m_seed + static_cast<std::uint64_t>(m_startedAt));
+        exit(drawDuration(milliseconds(300), milliseconds(2000), random),
+             "ended in a crash of its server");
+    }
+
+    void exit(duration restartDelay, std::string_view howRunsEnd)
     {
         if (!m_listener)
             return;
         m_listener.reset();
         for (const auto &[call, item] : std::exchange(m_runs, {}))
-            m_checker.runEnded(item.id, "ended in a crash of its server");
-        seeded_random random(m_seed + static_cast<std::uint64_t>(m_startedAt));
+            m_checker.runEnded(item.id, howRunsEnd);
         m_heartbeatTimer.cancel();
-        startAfter(drawDuration(milliseconds(300), milliseconds(2000), random));
+        startAfter(restartDelay);
     }
 
-    void sendHeartbeat()
+    /// \brief Calls \a step after a while, unless the server has exited meanwhile.
+    void after(duration delay, std::function<void()> step)
+    {
+        const std::shared_ptr<boost::asio::steady_timer> timer =
+                std::make_shared<boost::asio::steady_timer>(m_loop, delay);
+        timer->async_wait(
+                [this, timer, start = m_startedAt, step = std::move(step)](error_code error) {
+                    if (!error && m_listener && start == m_startedAt)
+                        step();
+                });
+    }
+
+    http_request report(std::string_view state)
     {
-        if (!m_listener) // A heartbeat that was due when the server crashed.
-            return;
         nlohmann::json body = {{"address", deployment::address(m_vm, endpoint::backend).text()},
                                {"born", m_startedAt}};
         body["info"] = {{"service", deployment::serviceOf(m_vm)},
                         {"zone", deployment::zoneOf(m_vm)},
                         {"slots", slots}};
-        body["status"] = {{"state", "ready"}, {"sequence", ++m_sequence}};
-        const http_request request{"PUT",
-                                   std::string(names::heartbeatPath) + "i-" + std::to_string(m_vm),
-                                   {{"Host", "control"}},
-                                   std::make_shared<const std::string>(body.dump())};
-        m_control.exchange(request, {}, monotonicNow() + seconds(1), connection_reuse::any,
-                           [](const exchange_result &) {});
+        body["status"] = {{"state", state}, {"sequence", ++m_sequence}};
+        return notice("PUT", body);
+    }
+    http_request notice(std::string method, const nlohmann::json &body) const
+    {
+        return {std::move(method),
+                std::string(names::heartbeatPath) + "i-" + std::to_string(m_vm),
+                {{"Host", "control"}},
+                std::make_shared<const std::string>(body.dump())};
+    }
+    void tell(const http_request &item, const std::function<void(bool acknowledged)> &done)
+    {
+        m_control.exchange(item, {}, monotonicNow() + seconds(1), connection_reuse::any,
+                           [done](const exchange_result &result) {
+                               done(result.end == exchange_outcome::completed
+                                    && result.response.status == 200);
+                           });
+    }
+    void sendNotice()
+    {
+        const http_request item =
+                m_leavesByReport ? report("draining") : notice("DELETE", {{"born", m_startedAt}});
+        tell(item, [this, start = m_startedAt](bool acknowledged) {
+            if (start != m_startedAt || !m_listener)
+                return;
+            if (acknowledged)
+                m_checker.departureAcknowledged(m_vm);
+            else
+                after(milliseconds(200), [this] { sendNotice(); });
+        });
+    }
+
+    void sendHeartbeat()
+    {
+        if (!m_listener) // A heartbeat that was due when the server crashed.
+            return;
+        if (!m_leaving || (m_reportsWhileLeaving && !m_leavesByReport))
+            tell(report("ready"), [](bool) {});
         m_heartbeatTimer.expires_after(milliseconds(500));
         m_heartbeatTimer.async_wait([this](error_code error) {
             if (!error)
@@ -193,6 +260,9 @@
     boost::asio::steady_timer m_startTimer;
     std::int64_t m_startedAt = 0; ///< Increases with each start.
     std::int64_t m_sequence = 0;
+    bool m_leaving = false;
+    bool m_leavesByReport = false; ///< Or by the notice.
+    bool m_reportsWhileLeaving = false; ///< After the notice: goes on reporting that it is ready.
 };
 
 } // namespace tamarackridge::soak
