The grace time is passed on as a value of its own

The platform renders the placeholder of all bounds as JSON, not as the list of the settings file, so that the grace time was not found and the limit for an unknown one held.

The decoder of the bounds and its test go; stop_limits.a_grace_time_is_a_number_of_seconds covers the value.

--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -1,4 +1,3 @@
-#include "platform/bounds_decoder.h"
 #include "platform/store_gateway.h"
 #include "sidecar/sidecar_app.h"
 #include "sidecar/sidecar_settings.h"
@@ -11,8 +10,7 @@
 #include <exception>
 
 DEFINE_string(settings, "", "Settings file: JSON with comments.");
-DEFINE_string(platform_bounds, "",
-              "Bounds of the platform, name=value separated by commas; the grace time is used.");
+DEFINE_string(grace_time_s, "", "Seconds from SIGTERM to SIGKILL; empty if not known.");
 DEFINE_bool(check_settings, false, "Check the settings file and exit.");
 
 namespace {
@@ -34,9 +32,9 @@
         std::fprintf(stderr, "%s: %s\n", FLAGS_settings.c_str(),
                      tamarackridge::toString(error).c_str());
     const tl::expected<std::optional<tamarackridge::duration>, std::string> graceTime =
-            tamarackridge::platform::decodeGraceTime(FLAGS_platform_bounds);
+            tamarackridge::parseGraceTime(FLAGS_grace_time_s);
     if (!graceTime)
-        std::fprintf(stderr, "--platform_bounds: %s\n", graceTime.error().c_str());
+        std::fprintf(stderr, "--grace_time_s: %s\n", graceTime.error().c_str());
     if (!errors.empty() || !graceTime)
         return exitSettings;
     settings.graceTime = *graceTime;
--- a/src/sidecar/sidecar_settings.cpp
+++ b/src/sidecar/sidecar_settings.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -33,6 +34,19 @@
 
 } // namespace
 
+tl::expected<std::optional<duration>, std::string> parseGraceTime(std::string_view text)
+{
+    if (text.empty())
+        return std::nullopt;
+    double seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (error != std::errc() || end != text.data() + text.size() || !(seconds > 0)
+        || seconds > stopSecondsLimit)
+        return tl::unexpected("'" + std::string(text) + "' is no number of seconds up to "
+                              + std::to_string(stopSecondsLimit));
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 stop_limits stopLimits(const sidecar_settings &settings)
 {
     if (settings.graceTime) {
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -3,8 +3,11 @@
 #include "process/settings.h"
 #include "sidecar/event_loop.h"
 
+#include <tl/expected.hpp>
+
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tamarackridge {
@@ -24,10 +27,14 @@
     socket_address metrics;
     socket_address store;
     std::int64_t maxStopSeconds = 9; ///< From SIGTERM to the end of the process.
-    /// From SIGTERM to SIGKILL, if the platform tells; takes precedence over maxStopSeconds.
+    /// From SIGTERM to SIGKILL, if that is known; takes precedence over maxStopSeconds.
     std::optional<duration> graceTime{};
 };
 
+/// \returns the time that \a text gives in seconds, nothing if it is empty, or a message that says
+/// what is wrong.
+tl::expected<std::optional<duration>, std::string> parseGraceTime(std::string_view text);
+
 /// \brief Times from SIGTERM within which the requests of a stopping process end.
 struct stop_limits
 {
--- a/tests/platform_decoder_test.cpp
+++ b/tests/platform_decoder_test.cpp
@@ -1,4 +1,3 @@
-#include "platform/bounds_decoder.h"
 #include "platform/notice_decoder.h"
 #include "platform/set_decoder.h"
 #include "platform/store_gateway.h"
@@ -6,7 +5,6 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <chrono>
 #include <string>
 #include <variant>
 
@@ -27,20 +25,6 @@
 {"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1000,
  "headerTimeoutS":3,"idleTimeoutS":1.5}}]})";
 
-// Guards against a stop that takes another bound, or part of a name, for the grace time.
-TEST(platform_decoder, the_grace_time_is_found_among_the_bounds)
-{
-    using std::chrono::milliseconds;
-    for (const char *text : {"graceS=6.5", "drainS=2,graceS=6.5", "xgraceS=1,graceS=6.5,syncS=4",
-                             "graceS,graceS=6.5,", ",,graceS=6.5,revokeStrict=false"})
-        EXPECT_EQ(decodeGraceTime(text).value(), milliseconds(6500)) << text;
-    for (const char *text : {"", "drainS=2", "graceS", "xgraceS=1", ","})
-        EXPECT_FALSE(decodeGraceTime(text).value()) << text;
-    for (const char *text : {"graceS=", "graceS=x", "graceS=6s", "graceS=0", "graceS=-1",
-                             "graceS=nan", "graceS=1e9", "graceS=inf"})
-        EXPECT_FALSE(decodeGraceTime(text)) << text;
-}
-
 TEST(platform_decoder, set_is_decoded_with_units_and_splits)
 {
     const tl::expected<published_set, std::string> set = decodeSet(completeSet);
--- a/tests/sidecar_settings_test.cpp
+++ b/tests/sidecar_settings_test.cpp
@@ -63,6 +63,16 @@
     }
 }
 
+// Guards against a process that starts with a grace time other than the one that was meant.
+TEST(stop_limits, a_grace_time_is_a_number_of_seconds)
+{
+    EXPECT_EQ(parseGraceTime("6").value(), std::chrono::seconds(6));
+    EXPECT_EQ(parseGraceTime("6.5").value(), std::chrono::milliseconds(6500));
+    EXPECT_FALSE(parseGraceTime("").value());
+    for (const char *text : {"x", "6s", "6,5", " 6", "0", "-1", "nan", "1e9", "inf"})
+        EXPECT_FALSE(parseGraceTime(text)) << text;
+}
+
 // Guards against requests that are admitted during a stop and end with SIGKILL, where the grace
 // time is not known.
 TEST(stop_limits, without_a_grace_time_admitted_requests_end_early)
--- a/tests/soak/sidecar_process.h
+++ b/tests/soak/sidecar_process.h
@@ -111,8 +111,8 @@
     {
         constexpr int logFileMode = 0644;
         constexpr int execFailed = 127;
-        const std::array<char *, 4> arguments{m_binary.data(), m_settings.data(), m_bounds.data(),
-                                              nullptr};
+        const std::array<char *, 4> arguments{m_binary.data(), m_settings.data(),
+                                              m_graceTime.data(), nullptr};
         // The process does not outlive the soak, even when that is killed.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, logFileMode);
@@ -152,7 +152,7 @@
     std::size_t m_vm;
     std::string m_binary;
     std::string m_settings;
-    std::string m_bounds = "--platform_bounds=graceS=" + std::to_string(graceSeconds);
+    std::string m_graceTime = "--grace_time_s=" + std::to_string(graceSeconds);
     std::string m_logFile;
     request_checker &m_checker;
     pid_t m_pid = 0;
