--- a/tests/sidecar_settings_test.cpp
+++ b/tests/sidecar_settings_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 namespace tamarackridge {
@@ -73,6 +74,23 @@
         EXPECT_FALSE(parseGraceTime(text)) << text;
 }
 
+std::string textOf(const std::string &file)
+{
+    std::ifstream stream(TAMARACKRIDGE_SOURCE_DIR "/" + file);
+    return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+}
+
+// Guards against a deployment that does not tell the sidecar its grace time, and against a settings
+// template that tools with a fixed list of fields cannot render.
+TEST(stop_limits, the_deploy_file_passes_the_grace_time_on)
+{
+    EXPECT_NE(textOf("deploy/system.toml").find(" --grace_time_s={{bounds.graceS}}"),
+              std::string::npos);
+    const std::string settings = textOf("deploy/settings.json.in");
+    ASSERT_FALSE(settings.empty());
+    EXPECT_EQ(settings.find("bounds"), std::string::npos);
+}
+
 // Guards against requests that are admitted during a stop and end with SIGKILL, where the grace
 // time is not known.
 TEST(stop_limits, without_a_grace_time_admitted_requests_end_early)
