Departure test: addresses of the process instead of probed ports

clang-tidy reported a null pointer inside Boost.Asio for the probe of a free port in this file, as it does not in the other tests that probe.

--- a/tests/sidecar_departure_test.cpp
+++ b/tests/sidecar_departure_test.cpp
@@ -5,7 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -146,11 +149,13 @@
                          testing::Values(notice::report, notice::leave_notice,
                                          notice::leave_notice_without_start));
 
+constexpr std::uint16_t firstPort = 22000; // Below the ports that the kernel assigns.
+
 /// A node beside the server `i-1`, with a store that outlives its processes.
 struct departure_store : testing::Test
 {
     boost::asio::io_context loop;
-    sidecar_settings settings = nodeSettings();
+    sidecar_settings settings = settingsOf("orders");
     std::unique_ptr<fakes::platform_store> store =
             std::make_unique<fakes::platform_store>(loop, settings.store);
     std::unique_ptr<platform::store_gateway> gateway;
@@ -167,18 +172,28 @@
         startProcess();
     }
 
-    static sidecar_settings nodeSettings()
+    /// \returns a loopback address that no other process uses.
+    static std::string processAddress()
+    {
+        constexpr int blocks = 250;
+        const int process = getpid();
+        return "127." + std::to_string(1 + process / blocks % blocks) + '.'
+               + std::to_string(1 + process % blocks) + ".1";
+    }
+
+    static sidecar_settings settingsOf(const std::string &service)
     {
         sidecar_settings settings;
         settings.zone = "a";
         settings.zones = {"a"};
-        settings.name = "n1";
-        settings.service = "orders";
+        settings.name = "node-" + service;
+        settings.service = service;
+        std::uint16_t port = firstPort;
         for (socket_address sidecar_settings::*address :
              {&sidecar_settings::callers, &sidecar_settings::health, &sidecar_settings::control,
               &sidecar_settings::backend, &sidecar_settings::peers, &sidecar_settings::metrics,
               &sidecar_settings::store})
-            settings.*address = fakes::freeAddress();
+            settings.*address = {processAddress(), port++};
         return settings;
     }
 
@@ -333,7 +348,7 @@
     store->put("keyed.retained", "departure/odd", "{");
     store->put("keyed.retained", "other/i-1", "x");
     store->put("keyed.retained", "departure/i-1",
-               R"({"node":"n1","started_at":6,"expires_at":99999999999})");
+               R"({"node":"node-orders","started_at":6,"expires_at":99999999999})");
     startProcess();
     EXPECT_TRUE(fakes::runUntil(
             loop, [this] { return store->newest("keyed.retained", "departure/i-0").empty(); }));
