Settings test: a file name for each process

Cause: both tests of the fixture write, and at their end remove, the same file in the temporary folder, and ctest runs them side by side in processes of their own; the file was gone when the second test read it. The name now contains the process id, as in the other tests that write files.

--- a/tests/sidecar_settings_test.cpp
+++ b/tests/sidecar_settings_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -29,7 +31,9 @@
     }
 
     sidecar_settings settings;
-    std::string fileName = testing::TempDir() + "sidecar_settings_test.json";
+    // Tests run side by side, each in a process of its own.
+    std::string fileName =
+            testing::TempDir() + "sidecar_settings_" + std::to_string(getpid()) + ".json";
 };
 
 TEST_F(sidecar_settings_file, reads_all_zones)
