A departure that a restored store has lost is found by a health check

What callers saw: requests to a server after its acknowledged departure (DRAIN; soak): the store returned from a copy without the departure, and all sidecars had been killed before one wrote it again.

Cause: the store was trusted to hold every departure that it had confirmed. After such a kill no process remembers it either.

A node's registration now names the era that the store had when the node was first registered, and takes it over from the record of an earlier process. If the era has risen since, ready reports wait for a health check that the server itself passes. Registration follows the first read of the node list for this.

--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -96,6 +96,13 @@
     server_departure departure;
 };
 
+/// \brief Sends a health check to the local backend server.
+struct check_server
+{
+    std::string instance;
+    std::string path;
+};
+
 /// \brief One span of a trace, or one recorded request.
 struct emit_span
 {
@@ -111,7 +118,7 @@
 /// \brief One effect that the embedding program carries out.
 using action = std::variant<respond_to_caller, run_backend, cancel_run, send_peer, connect_peer,
                             disconnect_peer, append_log, read_log, stop_reading, record_departure,
-                            emit_span>;
+                            check_server, emit_span>;
 
 /// \brief Actions in the order in which they must be carried out.
 ///
--- a/include/tamarackridge/src/sidecar/published_set.h
+++ b/include/tamarackridge/src/sidecar/published_set.h
@@ -42,6 +42,15 @@
     std::uint32_t priorityLevel = 0;
 };
 
+/// \brief A service that backend servers provide.
+struct published_service
+{
+    std::string name;
+    /// A GET request to it succeeds unless the server is leaving or unhealthy; empty if there is no
+    /// such path.
+    std::string healthPath;
+};
+
 /// \brief Limits on the size and the timing of what a caller sends.
 struct caller_limits
 {
@@ -56,6 +65,7 @@
 {
     std::int64_t version = -1;
     std::vector<published_route> routes;
+    std::vector<published_service> services;
     std::vector<published_customer> customers; ///< When empty, no route needs a key.
     caller_limits limits;
     std::shared_ptr<const std::string> text; ///< The undecoded text, as it is sent to peers.
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -57,6 +57,13 @@
     bool leaving = false;
 };
 
+/// \brief Departures of backend servers that earlier processes of a node have recorded.
+struct recorded_departures
+{
+    std::vector<server_departure> departures;
+    bool complete = true; ///< Whether no record that was confirmed can be missing.
+};
+
 /// \brief Outcome of one request, for the request log.
 struct ended_request
 {
@@ -151,9 +158,12 @@
     /// \brief Takes the departures that earlier processes of this node have recorded.
     ///
     /// A report that the backend server is ready may be older than its departure. Such reports take
-    /// effect only after this call, or when other nodes know an earlier process of this node.
-    void departuresRead(const std::vector<server_departure> &departures, time_point now,
-                        action_list &out);
+    /// effect only after this call, or when other nodes know an earlier process of this node. If
+    /// records may be missing, they wait for a health check that the server passes.
+    void departuresRead(const recorded_departures &records, time_point now, action_list &out);
+    /// \brief Takes the result of a check_server action.
+    /// \param passed whether \a instance itself has responded that it is healthy and not leaving.
+    void serverChecked(std::string_view instance, bool passed, time_point now, action_list &out);
     /// \brief Takes a heartbeat of the backend server on this VM.
     /// \returns false if the report is outdated or about another server; such a report has no
     /// effect.
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -66,10 +66,16 @@
     m_implementation->dispatches().dispatchNotSent(node, sequence, now, out);
 }
 
-void sidecar_core::departuresRead(const std::vector<server_departure> &departures, time_point now,
+void sidecar_core::departuresRead(const recorded_departures &records, time_point now,
                                   action_list &out)
 {
-    m_implementation->departuresRead(departures, now, out);
+    m_implementation->departuresRead(records, now, out);
+}
+
+void sidecar_core::serverChecked(std::string_view instance, bool passed, time_point now,
+                                 action_list &out)
+{
+    m_implementation->serverChecked(instance, passed, now, out);
 }
 
 bool sidecar_core::serverReported(const server_report &report, time_point now, action_list &out)
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -340,10 +340,10 @@
     announceSelf(now, out);
 }
 
-void sidecar_state::departuresRead(const std::vector<server_departure> &departures, time_point now,
+void sidecar_state::departuresRead(const recorded_departures &records, time_point now,
                                    action_list &out)
 {
-    for (const server_departure &item : departures) {
+    for (const server_departure &item : records.departures) {
         const auto [entry, isNew] = m_departures.try_emplace(
                 item.instance, departure{item.startedAt, now + departureRetention});
         if (!isNew)
@@ -351,6 +351,39 @@
         m_membership.setDeparture(item, out);
         applyDeparture(item, "store", now, out);
     }
+    if (records.complete) {
+        acceptReadyReports(now, out);
+        return;
+    }
+    m_observer.knownStateChanged("departures", "may be missing", "restored store");
+    m_departuresMayBeMissing = true;
+    checkWaitingServer(now, out);
+}
+
+void sidecar_state::checkWaitingServer(time_point now, action_list &out)
+{
+    const route_table *table = m_requestHandler.table();
+    if (!m_departuresMayBeMissing || !m_waitingReport || m_checkPending || table == nullptr)
+        return;
+    const std::vector<published_service> &services = table->set().services;
+    const auto found = std::ranges::find(services, m_options.service, &published_service::name);
+    if (found == services.end() || found->healthPath.empty()) {
+        acceptReadyReports(now, out);
+        return;
+    }
+    m_checkPending = true;
+    out.push_back(check_server{m_waitingReport->instance, found->healthPath});
+}
+
+void sidecar_state::serverChecked(std::string_view instance, bool passed, time_point now,
+                                  action_list &out)
+{
+    m_checkPending = false;
+    // The next report requests the next check.
+    if (!passed || !m_waitingReport || m_waitingReport->instance != instance)
+        return;
+    m_observer.knownStateChanged("backend server", std::string(instance) + " not leaving",
+                                 "health check");
     acceptReadyReports(now, out);
 }
 
@@ -397,6 +430,7 @@
     } else if (!m_departuresKnown) {
         if (!m_waitingReport || isNewer(report, *m_waitingReport))
             m_waitingReport = report;
+        checkWaitingServer(now, out);
         return true;
     }
     const bool isNewStart = report.instance != m_serverReport.instance
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -39,8 +39,8 @@
                        action_list &out);
     void peerUnresponsive(std::string_view node, time_point now, action_list &out);
     dispatcher &dispatches() { return m_dispatcher; }
-    void departuresRead(const std::vector<server_departure> &departures, time_point now,
-                        action_list &out);
+    void departuresRead(const recorded_departures &records, time_point now, action_list &out);
+    void serverChecked(std::string_view instance, bool passed, time_point now, action_list &out);
     bool serverReported(const server_report &report, time_point now, action_list &out);
     void serverLeaving(std::string_view instance, std::optional<std::int64_t> startedAt,
                        time_point now, action_list &out);
@@ -87,6 +87,8 @@
     /// \brief Lets reports that the backend server is ready take effect, since the departures that
     /// earlier processes of this node recorded are known.
     void acceptReadyReports(time_point now, action_list &out);
+    /// \brief Requests a health check for the report that waits, where departures may be missing.
+    void checkWaitingServer(time_point now, action_list &out);
     bool isCurrent(const server_report &report) const;
     void announceSelf(time_point now, action_list &out);
     std::int64_t version() const;
@@ -108,6 +110,8 @@
     bool m_departuresKnown = false;
     /// Newest report that waits for the departures of earlier processes.
     std::optional<server_report> m_waitingReport;
+    bool m_departuresMayBeMissing = false;
+    bool m_checkPending = false;
     server_condition m_condition; ///< From the last response of the current start of the server.
     bool m_serverUp = false;
     bool m_leaving = false;
--- a/src/sidecar/departure_log.cpp
+++ b/src/sidecar/departure_log.cpp
@@ -57,7 +57,6 @@
                     recordFailure();
                     return;
                 }
-                m_read = true;
                 m_retryDelay = initialRetryDelay;
                 takeList(*list);
             });
@@ -66,7 +65,6 @@
 void departure_log::takeList(const std::vector<stored_departure> &list)
 {
     const seconds now = unixTime();
-    std::vector<server_departure> departures;
     std::vector<std::string> expired;
     for (const stored_departure &item : list) {
         const seconds expiresAt(item.expiresAt);
@@ -75,14 +73,27 @@
             expired.push_back(item.departure.instance);
         if (item.node != m_node || expiresAt <= now)
             continue;
-        departures.push_back(item.departure);
+        m_found.push_back(item.departure);
         const time_point begin = monotonicNow();
         m_entries.try_emplace(item.departure.instance,
                               entry{item.departure, begin,
                                     begin + std::min(expiresAt - now, retention), 0, false, true});
     }
     eraseOneOf(expired);
-    m_callbacks.read(departures);
+    m_readEra = m_platform.era();
+    reportIfRead();
+}
+
+void departure_log::setFirstEra(store_era era)
+{
+    m_firstEra = era;
+    reportIfRead();
+}
+
+void departure_log::reportIfRead()
+{
+    if (m_readEra && m_firstEra)
+        m_callbacks.read({std::exchange(m_found, {}), *m_readEra == *m_firstEra});
 }
 
 void departure_log::eraseOneOf(const std::vector<std::string> &expired)
@@ -176,7 +187,7 @@
     }
     if (now < m_retryAt)
         return;
-    if (!m_read && !m_reading)
+    if (!m_readEra && !m_reading)
         read();
     for (auto item = m_entries.begin(); item != m_entries.end();) {
         if (now >= item->second.expiresAt && !item->second.writing) {
--- a/src/sidecar/departure_log.h
+++ b/src/sidecar/departure_log.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,7 @@
 struct departure_callbacks
 {
     /// The departures of this node's servers were read, and have not expired. Called once.
-    std::function<void(const std::vector<server_departure> &departures)> read;
+    std::function<void(const recorded_departures &records)> read;
     /// The store has confirmed a departure.
     std::function<void(const server_departure &departure, duration took)> recorded;
 };
@@ -32,6 +33,9 @@
 
     /// \brief Reads the departures until that succeeds.
     void start();
+    /// \brief Takes the era of the store when this node was first registered. If the store has been
+    /// restored since, it may lack departures that it had confirmed.
+    void setFirstEra(store_era era);
     void record(const server_departure &departure);
     /// \brief Calls \a done when the departure of \a instance is in the store, or with false after
     /// confirmationTimeout.
@@ -64,6 +68,8 @@
 
     void read();
     void takeList(const std::vector<stored_departure> &list);
+    /// \brief Reports the departures once it is known whether some may be missing.
+    void reportIfRead();
     /// \brief Erases one of the expired records, drawn at random: nodes that start together, and
     /// read the same records of nodes that are gone, erase different ones.
     void eraseOneOf(const std::vector<std::string> &expired);
@@ -81,7 +87,9 @@
     time_point m_retryAt; ///< No call is made before.
     std::uint64_t m_errors = 0;
     bool m_reading = false;
-    bool m_read = false;
+    std::vector<server_departure> m_found; ///< By the first read, until they are reported.
+    std::optional<store_era> m_readEra; ///< Of the store when the departures were read.
+    std::optional<store_era> m_firstEra; ///< Of the store when this node was first registered.
 };
 
 } // namespace tamarackridge
--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -33,6 +33,18 @@
     std::int64_t next = 0; ///< Position after the newest record.
 };
 
+/// \brief Identifies the contents of the store; increases when it is restored from a copy.
+using store_era = std::int64_t;
+/// Before a response of the store has named its era, and for registrations that name none.
+inline constexpr store_era unknownEra = -1;
+
+/// \brief A node in the node list of the store.
+struct registered_node
+{
+    seed_peer peer;
+    store_era era = unknownEra; ///< Of the store when the node was first registered.
+};
+
 /// \brief A departure of a backend server as it is recorded in the store.
 struct stored_departure
 {
@@ -87,11 +99,12 @@
     /// \brief Sets the handler that is called for each record that cannot be decoded, which is
     /// skipped.
     virtual void onRecordRefused(std::function<void(std::string_view reason)> refused) = 0;
-    /// \brief Adds the endpoint of this node to the node list in the store.
-    virtual void registerNode(const std::string &node, const std::string &endpoint,
-                              handler<std::monostate> done) = 0;
+    /// \returns the era that the latest response of the store has named.
+    virtual store_era era() const = 0;
+    /// \brief Adds this node to the node list in the store, or replaces its entry.
+    virtual void registerNode(const registered_node &node, handler<std::monostate> done) = 0;
     virtual void unregisterNode(const std::string &node, handler<std::monostate> done) = 0;
-    virtual void listNodes(handler<std::vector<seed_peer>> done) = 0;
+    virtual void listNodes(handler<std::vector<registered_node>> done) = 0;
     /// \brief Records a departure, in place of an earlier one of the same instance.
     virtual void putDeparture(const stored_departure &item, handler<std::monostate> done) = 0;
     virtual void eraseDeparture(const std::string &instance, handler<std::monostate> done) = 0;
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -2,12 +2,16 @@
 
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <utility>
 
 namespace tamarackridge {
 namespace {
 
+constexpr duration healthCheckTimeout = std::chrono::seconds(1);
+constexpr int healthyStatus = 200;
+
 error_kind errorOf(exchange_outcome end)
 {
     constexpr std::array<error_kind, 5> kinds{
@@ -59,6 +63,20 @@
         m_pool.cancel(found->second.exchange);
 }
 
+void server_runner::check(const check_server &item, std::function<void(bool passed)> done)
+{
+    const http_request request{"GET", item.path, {{"Host", m_host}}, nullptr};
+    m_pool.exchange(request, {}, monotonicNow() + healthCheckTimeout, connection_reuse::none,
+                    [this, instance = item.instance,
+                     done = std::move(done)](const exchange_result &result) {
+                        const std::vector<http_header> &headers = result.response.headers;
+                        done(result.end == exchange_outcome::completed
+                             && result.response.status == healthyStatus
+                             && headerValue(headers, m_names.instance) == instance
+                             && headerValue(headers, m_names.leaving).empty());
+                    });
+}
+
 server_condition server_runner::conditionOf(const http_response &response) const
 {
     server_condition condition;
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -19,6 +19,7 @@
     std::string seal; ///< Present in every complete response with a 2xx status.
     std::string maxRate; ///< Requests per second that the server takes from all nodes together.
     std::string leaving; ///< Present when the server is going to exit.
+    std::string instance; ///< Instance that responds to a health check.
 };
 
 /// \brief Sends requests to the backend server of this VM, each at most once.
@@ -34,6 +35,7 @@
     server_runner(boost::asio::io_context &loop, const socket_address &server,
                   response_header_names names, done_handler done)
         : m_pool(loop, server)
+        , m_host(server.text())
         , m_names(std::move(names))
         , m_done(std::move(done))
     { }
@@ -44,6 +46,10 @@
 
     void run(const run_backend &item);
     void cancel(run_id run);
+    /// \brief Sends a health check.
+    /// \param done is called with whether the instance has responded that it is healthy and not
+    /// leaving.
+    void check(const check_server &item, std::function<void(bool passed)> done);
     void sweep(time_point now) { m_pool.sweep(now); }
     const connection_pool &pool() const { return m_pool; }
 
@@ -59,6 +65,7 @@
     server_condition conditionOf(const http_response &response) const;
 
     connection_pool m_pool;
+    std::string m_host;
     response_header_names m_names;
     done_handler m_done;
     run_ended_handler m_runEnded = [](std::string_view, const backend_result &, duration) {};
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -159,6 +159,7 @@
     callbacks.nodesReceived = [this](const std::vector<seed_peer> &members) {
         post([&](time_point now, action_list &out) { m_core.membersListed(members, now, out); });
     };
+    callbacks.firstEraRead = [this](store_era era) { m_departures.setFirstEra(era); };
     callbacks.reachabilityChanged = [this](bool reachable, std::string_view error) {
         m_log.write(line_class::process, reachable ? "store regained" : "store lost",
                     json_line().add("fault", error));
@@ -178,10 +179,8 @@
 departure_callbacks sidecar_app::departureCallbacks()
 {
     departure_callbacks callbacks;
-    callbacks.read = [this](const std::vector<server_departure> &departures) {
-        post([&](time_point now, action_list &out) {
-            m_core.departuresRead(departures, now, out);
-        });
+    callbacks.read = [this](const recorded_departures &records) {
+        post([&](time_point now, action_list &out) { m_core.departuresRead(records, now, out); });
     };
     callbacks.recorded = [this](const server_departure &departure, duration took) {
         m_log.write(
@@ -223,6 +222,19 @@
         m_peers.disconnect(disconnect->node);
     else if (const record_departure *record = std::get_if<record_departure>(&item))
         m_departures.record(record->departure);
+    else if (const check_server *check = std::get_if<check_server>(&item))
+        checkServer(*check);
+}
+
+void sidecar_app::checkServer(const check_server &check)
+{
+    m_server.check(check, [this, instance = check.instance](bool passed) {
+        m_log.write(line_class::process, "server checked",
+                    json_line().add("instance", instance).add("passed", passed));
+        post([&](time_point now, action_list &out) {
+            m_core.serverChecked(instance, passed, now, out);
+        });
+    });
 }
 
 void sidecar_app::serveHealth(call_id call, const http_request &)
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -59,6 +59,7 @@
 
     /// \brief Logs a request that ended on this node's backend server.
     void runEnded(std::string_view requestId, const backend_result &result, duration elapsed);
+    void checkServer(const check_server &check);
     void serveHealth(call_id call, const http_request &request);
     void serveNotice(call_id call, const http_request &request);
     /// \brief Responds to the notice that a server leaves when it is recorded: the acknowledgement
--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -51,7 +51,6 @@
 void store_watch::start()
 {
     readSet();
-    registerNode();
     listNodes();
 }
 
@@ -147,40 +146,65 @@
     m_setTimer.cancel();
     m_putTimer.cancel();
     readSet();
-    registerNode();
+    if (m_firstEra)
+        registerNode();
 }
 
 void store_watch::registerNode()
 {
-    m_platform.registerNode(
-            m_node, m_endpoint, [this](const tl::expected<std::monostate, store_error> &result) {
-                if (result)
-                    recordSuccess();
-                else
-                    schedule(m_putTimer, recordFailure(result.error()), &store_watch::registerNode);
-            });
+    const registered_node self{{m_node, m_endpoint}, *m_firstEra};
+    m_platform.registerNode(self, [this](const tl::expected<std::monostate, store_error> &result) {
+        if (result)
+            recordSuccess();
+        else
+            schedule(m_putTimer, recordFailure(result.error()), &store_watch::registerNode);
+    });
+}
+
+void store_watch::firstListRead(store_era era)
+{
+    if (m_firstEra)
+        return;
+    m_firstEra = era;
+    m_callbacks.firstEraRead(era);
+    if (!m_leaving)
+        registerNode();
 }
 
 void store_watch::listNodes()
 {
-    m_platform.listNodes([this](const tl::expected<std::vector<seed_peer>, store_error> &result) {
-        if (!result) {
-            schedule(m_listTimer, recordFailure(result.error()), &store_watch::listNodes);
-            return;
-        }
-        recordSuccess();
-        m_callbacks.nodesReceived(*result);
-        ++m_listCount;
-        duration delay = m_callbacks.knowsPeers() ? listInterval : listIntervalWithoutPeers;
-        if (m_listCount == 1)
-            delay = secondListDelay;
-        schedule(m_listTimer, delay, &store_watch::listNodes);
-    });
+    m_platform.listNodes(
+            [this](const tl::expected<std::vector<registered_node>, store_error> &result) {
+                if (!result) {
+                    // A list that stays malformed must not keep all nodes from being registered.
+                    if (result.error() == store_error::malformed)
+                        firstListRead(unknownEra);
+                    schedule(m_listTimer, recordFailure(result.error()), &store_watch::listNodes);
+                    return;
+                }
+                recordSuccess();
+                std::vector<seed_peer> peers;
+                store_era firstEra = m_platform.era();
+                for (const registered_node &item : *result) {
+                    peers.push_back(item.peer);
+                    if (item.peer.node == m_node)
+                        firstEra = item.era;
+                }
+                m_callbacks.nodesReceived(peers);
+                firstListRead(firstEra);
+                ++m_listCount;
+                duration delay = m_callbacks.knowsPeers() ? listInterval : listIntervalWithoutPeers;
+                if (m_listCount == 1)
+                    delay = secondListDelay;
+                schedule(m_listTimer, delay, &store_watch::listNodes);
+            });
 }
 
 void store_watch::leave()
 {
     m_leaving = true;
+    if (!m_firstEra)
+        return;
     m_platform.unregisterNode(m_node, [](const tl::expected<std::monostate, store_error> &) {
         // A failure is ignored: the other nodes detect by themselves that this node has left.
     });
--- a/src/sidecar/store_watch.h
+++ b/src/sidecar/store_watch.h
@@ -26,6 +26,8 @@
     std::function<void()> restored;
     /// A record of the store cannot be decoded and is skipped.
     std::function<void(std::string_view reason)> recordRefused;
+    /// The era of the store when this node was first registered is known. Called once.
+    std::function<void(store_era era)> firstEraRead = [](store_era) {};
 };
 
 /// \brief Follows the published set and the node list in the platform's store.
@@ -36,7 +38,8 @@
                 std::string endpoint, random_source &random, store_callbacks callbacks);
 
     void start();
-    /// \brief Removes this node from the node list and stops following the store.
+    /// \brief Removes this node from the node list and stops following the store. An entry of an
+    /// earlier process that has not been read stays.
     void leave();
     std::uint64_t errors() const { return m_errors; }
 
@@ -56,6 +59,8 @@
     void storeRestored();
     void registerNode();
     void listNodes();
+    /// \brief Registers this node after the first read of the node list.
+    void firstListRead(store_era era);
     void schedule(boost::asio::steady_timer &timer, duration delay, void (store_watch::*step)());
     /// \brief Counts a failed call. \returns the delay before the next attempt.
     duration recordFailure(store_error error);
@@ -72,6 +77,9 @@
     std::optional<std::int64_t> m_nextPosition; ///< Position after the newest set that was read.
     std::uint64_t m_setReads = 0; ///< Number of the latest read of the set; earlier ones are void.
     std::uint32_t m_listCount = 0;
+    /// Of the store when this node was first registered; it is registered once this is known, since
+    /// the new record replaces the one from which it is read.
+    std::optional<store_era> m_firstEra;
     duration m_retryDelay;
     std::uint64_t m_errors = 0;
     bool m_reachable = true;
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -199,7 +199,7 @@
         if (nodesWithoutStore.contains(node))
             return;
         runEvent(node, [&](sidecar_core &core, action_list &out) {
-            core.departuresRead(recordedDepartures[node], m_now, out);
+            core.departuresRead({recordedDepartures[node], true}, m_now, out);
         });
     }
 
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -42,10 +42,10 @@
     }
     void onStoreRestored(std::function<void()>) override { }
     void onRecordRefused(std::function<void(std::string_view)>) override { }
-    void registerNode(const std::string &, const std::string &, handler<std::monostate>) override {
-    }
+    store_era era() const override { return unknownEra; }
+    void registerNode(const registered_node &, handler<std::monostate>) override { }
     void unregisterNode(const std::string &, handler<std::monostate>) override { }
-    void listNodes(handler<std::vector<seed_peer>>) override { }
+    void listNodes(handler<std::vector<registered_node>>) override { }
     void putDeparture(const stored_departure &, handler<std::monostate>) override { }
     void eraseDeparture(const std::string &, handler<std::monostate>) override { }
     void listDepartures(handler<std::vector<stored_departure>>) override { }
@@ -184,10 +184,12 @@
     watch.start();
     ASSERT_TRUE(run([&] { return !store->newest("keyed.members", "n1").empty(); }));
     ASSERT_TRUE(run([&] { return !sets.empty(); }));
+    const std::string registration = store->newest("keyed.members", "n1");
+    EXPECT_TRUE(registration.starts_with("10.0.0.1:7000 ")) << registration;
     store->rejectWaiting();
     store->restore(1);
     EXPECT_EQ(store->newest("keyed.members", "n1"), "");
-    EXPECT_TRUE(run([&] { return store->newest("keyed.members", "n1") == "10.0.0.1:7000"; }));
+    EXPECT_TRUE(run([&] { return store->newest("keyed.members", "n1") == registration; }));
 }
 
 TEST_F(platform_store_gateway, members_are_listed_over_several_pages)
@@ -201,7 +203,7 @@
     watch.leave();
     std::optional<std::size_t> left;
     ASSERT_TRUE(run([&] {
-        gateway.listNodes([&](const tl::expected<std::vector<seed_peer>, store_error> &list) {
+        gateway.listNodes([&](const tl::expected<std::vector<registered_node>, store_error> &list) {
             left = list ? list->size() : 0;
         });
         return left == std::size_t{4};
@@ -225,13 +227,13 @@
         store->put("keyed.members", name, endpoint);
     store->oddItems = R"(7,{"key":3,"value":"eA=="},{"key":"k"},{"key":"k","value":"%%"},)"
                       + std::string(100'000, '[') + std::string(100'000, ']');
-    std::optional<std::vector<seed_peer>> list;
-    gateway.listNodes([&](const tl::expected<std::vector<seed_peer>, store_error> &result) {
-        list = result.value_or(std::vector<seed_peer>());
+    std::optional<std::vector<registered_node>> list;
+    gateway.listNodes([&](const tl::expected<std::vector<registered_node>, store_error> &result) {
+        list = result.value_or(std::vector<registered_node>());
     });
     ASSERT_TRUE(run([&] { return list.has_value(); }));
     ASSERT_EQ(list->size(), 1U);
-    EXPECT_EQ(list->front().node, "n2");
+    EXPECT_EQ(list->front().peer.node, "n2");
     EXPECT_GE(refused.size(), 6U + 5U);
     store->put("keyed.op", "config", "one");
     std::optional<std::string> set;
@@ -296,9 +298,10 @@
          {"{", "[]", "\xff", R"({"items":[{"key":1}],"end":1})", R"({"items":7})"}) {
         store->bodyOverride = text;
         std::optional<store_error> error;
-        gateway.listNodes([&](const tl::expected<std::vector<seed_peer>, store_error> &result) {
-            error = result ? store_error::expired : result.error();
-        });
+        gateway.listNodes(
+                [&](const tl::expected<std::vector<registered_node>, store_error> &result) {
+                    error = result ? store_error::expired : result.error();
+                });
         ASSERT_TRUE(run([&] { return error.has_value(); }));
         EXPECT_EQ(*error, store_error::malformed) << text;
     }
--- a/tests/sidecar_departure_test.cpp
+++ b/tests/sidecar_departure_test.cpp
@@ -164,11 +164,12 @@
 
     departure_store()
     {
-        store->put(
-                "keyed.op", "config",
-                R"({"version":1,"resources":[{"type":"routes","metadata":{"name":"read"},"spec":{)"
-                R"("hostname":"h","pathPrefix":"/read/","routeType":"idempotent","timeoutS":1,)"
-                R"("attempts":1,"service":"orders","public":true}}]})");
+        store->put("keyed.op", "config",
+                   R"({"version":1,"resources":[{"type":"services","metadata":{"name":"orders"},)"
+                   R"("spec":{"healthPath":"/health"}},)"
+                   R"({"type":"routes","metadata":{"name":"read"},"spec":{)"
+                   R"("hostname":"h","pathPrefix":"/read/","routeType":"idempotent","timeoutS":1,)"
+                   R"("attempts":1,"service":"orders","public":true}}]})");
         startProcess();
     }
 
@@ -252,6 +253,19 @@
                         seconds(1))
                == 200;
     }
+    /// Replaces the process of the node while the store goes back to the copy of its first \a count
+    /// writes.
+    void killAndRestore(std::size_t count)
+    {
+        app.reset();
+        ASSERT_NE(store->newest("keyed.members", settings.name), "") << "not registered yet";
+        store->restore(count);
+        startProcess();
+    }
+    bool isServerHealthy = true;
+    std::string instanceInHealthResponse = "i-1";
+    std::size_t healthChecks = 0;
+
     std::string recorded() { return store->newest("keyed.retained", "departure/i-1"); }
 
 private:
@@ -259,6 +273,13 @@
     {
         http_response response;
         response.status = 200;
+        if (request.target == "/health") {
+            ++healthChecks;
+            response.status = isServerHealthy ? 200 : 503;
+            response.headers = {{"X-Instance-Id", instanceInHealthResponse}};
+            m_server.respond(call, response);
+            return;
+        }
         response.headers = {
                 {"X-Response-Seal", "s"},
                 {"X-Request-Id", std::string(headerValue(request.headers, "X-Request-Id"))}};
@@ -340,6 +361,55 @@
     EXPECT_TRUE(fakes::runUntil(loop, [this] { return !recorded().empty(); }));
 }
 
+// Guards against a departure that is lost when the store comes back from a copy without it while no
+// process of the node runs: the next process finds no record, and the server goes on reporting that
+// it is ready. Found by the fault soak.
+TEST_F(departure_store, a_departure_that_a_restore_lost_during_a_kill_is_found_by_a_health_check)
+{
+    ASSERT_EQ(report("ready"), 200);
+    ASSERT_TRUE(fakes::runUntil(loop, [this] { return isServerUsed(); }));
+    EXPECT_EQ(healthChecks, 0U) << "the store has lost nothing";
+    const std::size_t beforeDeparture = store->writes();
+    ASSERT_EQ(notify("DELETE", "{\"born\":7}"), 200);
+    isServerHealthy = false;
+    killAndRestore(beforeDeparture);
+    ASSERT_EQ(recorded(), "");
+    for (int kill = 0; kill < 2; ++kill) {
+        for (int repeat = 0; repeat < 2; ++repeat) {
+            EXPECT_EQ(report("ready"), 200);
+            loop.restart();
+            loop.run_for(milliseconds(300));
+            EXPECT_FALSE(isServerUsed());
+        }
+        startProcess();
+    }
+    isServerHealthy = true;
+    EXPECT_TRUE(fakes::runUntil(loop, [this] {
+        report("ready", 8);
+        return isServerUsed();
+    })) << "a new start";
+}
+
+// Guards against a server that stays and is not used after a restore, and against a health check
+// that another server has passed, whose address the server now has.
+TEST_F(departure_store, a_server_that_stays_is_used_after_a_restore_and_a_kill)
+{
+    ASSERT_EQ(report("ready"), 200);
+    ASSERT_TRUE(fakes::runUntil(loop, [this] { return isServerUsed(); }));
+    instanceInHealthResponse = "i-0";
+    killAndRestore(store->writes());
+    EXPECT_EQ(report("ready"), 200);
+    loop.restart();
+    loop.run_for(milliseconds(300));
+    EXPECT_FALSE(isServerUsed());
+    EXPECT_GT(healthChecks, 0U);
+    instanceInHealthResponse = "i-1";
+    EXPECT_TRUE(fakes::runUntil(loop, [this] {
+        report("ready");
+        return isServerUsed();
+    }));
+}
+
 // Guards against records that stay for ever, and against one that cannot be decoded and hides the
 // others.
 TEST_F(departure_store, expired_and_odd_records_have_no_effect)
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -36,7 +36,7 @@
     }
     response_header_names responseHeaderNames() const override
     {
-        return {"Id", "Not-Run", "Seal", "Rate", "Leaving"};
+        return {"Id", "Not-Run", "Seal", "Rate", "Leaving", "Instance"};
     }
     tl::expected<published_set, std::string> decodeSet(std::string_view) const override
     {
@@ -47,13 +47,13 @@
     void readNextSet(std::int64_t, duration, handler<stored_set>) override { }
     void onStoreRestored(std::function<void()>) override { }
     void onRecordRefused(std::function<void(std::string_view)>) override { }
-    void registerNode(const std::string &, const std::string &,
-                      handler<std::monostate> done) override
+    store_era era() const override { return unknownEra; }
+    void registerNode(const registered_node &, handler<std::monostate> done) override
     {
         done(std::monostate());
     }
     void unregisterNode(const std::string &, handler<std::monostate>) override { }
-    void listNodes(handler<std::vector<seed_peer>> done) override { done(nodes); }
+    void listNodes(handler<std::vector<registered_node>> done) override { done(nodes); }
     void putDeparture(const stored_departure &, handler<std::monostate> done) override
     {
         done(std::monostate());
@@ -63,7 +63,7 @@
     void sweep(time_point) override { }
 
     published_set set;
-    std::vector<seed_peer> nodes;
+    std::vector<registered_node> nodes;
     server_report report;
 };
 
@@ -270,7 +270,7 @@
         constexpr std::uint32_t slots = 100;
         platform.report = {"i-1", "orders", ordersSettings.backend.text(), 1, 1, slots, false};
         for (const sidecar_settings &settings : {frontSettings, ordersSettings})
-            platform.nodes.push_back({settings.name, settings.peers.text()});
+            platform.nodes.push_back({{settings.name, settings.peers.text()}, unknownEra});
         front = std::make_unique<sidecar_app>(*frontLoop, frontSettings, platform);
         orders = std::make_unique<sidecar_app>(loop, ordersSettings, platform);
         front->start();
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -30,6 +30,9 @@
 /// A request with this text in its path crashes each server that begins to run it.
 inline constexpr std::string_view crashingPath = "/crashing-";
 
+/// Path of the servers' health checks.
+inline constexpr std::string_view healthPath = "/health";
+
 /// Ports of a VM; the store uses the address of the first one.
 enum class endpoint : std::uint8_t { callers, health, control, backend, peers, metrics, store };
 
@@ -94,6 +97,8 @@
         spec["routeType"] = route.idempotent ? "idempotent" : "non_idempotent";
         add("routes", route.name, spec);
     }
+    for (std::size_t vm = 0; vm <= zones; vm += zones)
+        add("services", serviceOf(vm), {{"healthPath", healthPath}});
     const double rate = 30 + 30 * random.unit();
     add("tenants", "open", {{"apiKeys", {"key-open"}}});
     add("tenants", "limited", {{"apiKeys", {"key-limited"}}, {"ratePerS", rate}, {"burst", rate}});
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -84,6 +84,13 @@
 
     void handle(call_id call, const http_request &request)
     {
+        if (request.target == healthPath) {
+            http_response response;
+            response.status = m_leaving ? 503 : 200;
+            response.headers = {{std::string(names::instance), instance()}};
+            m_listener->respond(call, response);
+            return;
+        }
         const std::string id(headerValue(request.headers, names::requestId));
         if (request.target.find(crashingPath) != std::string::npos) {
             m_checker.crashingRunStarted(request.target, id, m_vm);
@@ -205,10 +212,11 @@
         body["status"] = {{"state", state}, {"sequence", ++m_sequence}};
         return notice("PUT", body);
     }
+    std::string instance() const { return "i-" + std::to_string(m_vm); }
     http_request notice(std::string method, const nlohmann::json &body) const
     {
         return {std::move(method),
-                std::string(names::heartbeatPath) + "i-" + std::to_string(m_vm),
+                std::string(names::heartbeatPath) + instance(),
                 {{"Host", "control"}},
                 std::make_shared<const std::string>(body.dump())};
     }
