A stopping node writes its departures again when the store has lost them

Cause: store_watch ignored a rise of the store's era after leave(), and so the departures that the node has acknowledged were not written again during a stop; the next process would not find them. Found by reading.

Test: platform_store_gateway.a_restore_is_reported_while_the_node_leaves failed before.

--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -139,9 +139,9 @@
 
 void store_watch::storeRestored()
 {
+    m_callbacks.restored();
     if (m_leaving)
         return;
-    m_callbacks.restored();
     m_nextPosition.reset();
     m_setTimer.cancel();
     m_putTimer.cancel();
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -177,6 +177,20 @@
     EXPECT_EQ(std::set<std::string>(store->waits.begin(), store->waits.end()).size(), nodes);
 }
 
+// Guards against departures that a stopping node does not write again when the store has lost them.
+TEST_F(platform_store_gateway, a_restore_is_reported_while_the_node_leaves)
+{
+    store->put("keyed.op", "config", "one");
+    watch.start();
+    ASSERT_TRUE(run([&] { return !store->newest("keyed.members", "n1").empty(); }));
+    watch.leave();
+    ASSERT_TRUE(run([&] { return store->newest("keyed.members", "n1").empty(); }));
+    store->restore(1);
+    store->rejectWaiting();
+    EXPECT_TRUE(run([&] { return restores == 1; }));
+    EXPECT_EQ(store->newest("keyed.members", "n1"), "");
+}
+
 // Guards against a node that others cannot find, since the store lost its registration.
 TEST_F(platform_store_gateway, a_registration_that_a_restore_lost_is_written_again)
 {
