A caller that pipelines is held by back-pressure

Cause, as in the claim: each request that began let readAhead() read 4 KB more whatever the buffer held, since only a wait that it started itself was bound by maxReadAhead. Now every read ahead is; it goes on when the responses before have left. A connection that is to close drops what it holds first, so that it still notices its caller's close. Ruled out: the same in http_connection, which reads for one response only.

Test: sidecar_listener.a_caller_that_pipelines_is_held_by_back_pressure failed before ("basic_flat_buffer too long" thrown).

--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -155,10 +155,13 @@
             watch();
     }
 
+    /// \returns whether the caller has to read responses before more of its requests are read.
+    bool isReadAheadFull() const { return m_buffer.size() >= maxReadAhead; }
+
     // At most one wait is pending; readable() handles it by the phase in which it completes.
     void watch()
     {
-        if (m_watching)
+        if (m_watching || isReadAheadFull())
             return;
         m_watching = true;
         m_socket.async_wait(tcp::socket::wait_read,
@@ -188,6 +191,8 @@
 
     void readAhead()
     {
+        if (isReadAheadFull())
+            return;
         error_code error;
         const std::size_t count = m_socket.read_some(m_buffer.prepare(readAheadStep), error);
         if (error && error != boost::asio::error::would_block) {
@@ -197,8 +202,7 @@
         // No further request is served on a lingering connection, so its bytes are dropped.
         if (!error && m_phase != phase::lingering)
             m_buffer.commit(count);
-        if (m_buffer.size() < maxReadAhead)
-            watch();
+        watch();
     }
 
     void read()
@@ -263,6 +267,7 @@
             awaitRequest();
         } else {
             m_phase = phase::lingering;
+            m_buffer.clear(); // Bytes that arrive are read and dropped.
             m_deadline = monotonicNow() + lingerPeriod;
             error_code ignored;
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -35,9 +35,16 @@
     }
 
     void write(const std::string &text) { boost::asio::write(m_socket, boost::asio::buffer(text)); }
+    /// Writes \a text as fast as the other side reads it.
+    void writeLater(std::string text)
+    {
+        m_text = std::move(text);
+        writeNext();
+    }
     void close() { m_socket.close(); }
 
     std::string received;
+    std::size_t written = 0; ///< By writeLater().
     bool ended = false;
 
 private:
@@ -53,7 +60,18 @@
                                  });
     }
 
+    void writeNext()
+    {
+        m_socket.async_write_some(boost::asio::buffer(m_text) + written,
+                                  [this](boost::system::error_code error, std::size_t count) {
+                                      written += count;
+                                      if (!error && written < m_text.size())
+                                          writeNext();
+                                  });
+    }
+
     tcp::socket m_socket;
+    std::string m_text;
     std::array<char, 4096> m_chunk{};
 };
 
@@ -141,6 +159,40 @@
     EXPECT_LT(caller.received.find("one"), caller.received.find("two"));
 }
 
+// Guards against a caller whose unanswered requests fill the buffer and end the process: reading
+// stops until responses leave, and goes on then. Found by an independent review.
+TEST_F(sidecar_listener, a_caller_that_pipelines_is_held_by_back_pressure)
+{
+    limits.maxHeaderBytes = 16 * 1024;
+    limits.headerTimeout = limits.idleTimeout = std::chrono::seconds(10);
+    constexpr std::size_t sent = 20'000; // More than the buffers of the kernel hold.
+    constexpr std::size_t answeredRequests = 600;
+    raw_caller caller(loop, address);
+    const std::string padding(1000, 'x');
+    std::string text;
+    for (std::size_t item = 0; item < sent; ++item)
+        text += "GET /" + std::to_string(item) + " HTTP/1.1\r\nHost: h\r\nPadding: " + padding
+                + "\r\n\r\n";
+    caller.writeLater(text);
+    std::size_t answered = 0;
+    ASSERT_TRUE(run([&] { return !requests.empty(); }));
+    // The caller sends faster than its requests are processed.
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(200));
+    EXPECT_EQ(requests.size(), 1U);
+    EXPECT_LT(caller.written, text.size());
+    ASSERT_TRUE(run([&] {
+        while (answered < requests.size()) {
+            EXPECT_EQ(requests[answered].second.target, "/" + std::to_string(answered));
+            listener->respond(requests[answered++].first, responseOf("ok"));
+        }
+        return answered >= answeredRequests;
+    }));
+    EXPECT_LT(caller.written, text.size());
+    EXPECT_TRUE(disconnected.empty());
+    EXPECT_FALSE(caller.ended);
+}
+
 // Guards against work for a caller that has disconnected: the listener must detect this while the
 // request is being processed.
 TEST_F(sidecar_listener, a_disconnected_caller_is_detected_before_the_response)
