--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -57,6 +57,9 @@
     bool leaving = false;
 };
 
+/// A backend server that has announced that it is leaving exits well within this time.
+inline constexpr std::chrono::seconds departureRetention{120};
+
 /// \brief Departures of backend servers that earlier processes of a node have recorded.
 struct recorded_departures
 {
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -16,8 +16,6 @@
 constexpr duration callerSwitchGrace = std::chrono::milliseconds(2500);
 // Minimum interval between two requests for a newer configuration, whichever peers have it.
 constexpr duration fetchInterval = std::chrono::milliseconds(200);
-// A server that has announced that it is leaving exits well within this time.
-constexpr duration departureRetention = std::chrono::minutes(2);
 // Traffic between zones is billed, and the speeds of healthy servers of one service differ by a
 // factor of up to three; a faulty server is slower by more than that.
 constexpr double spilloverDelayRatio = 3.5;
--- a/src/sidecar/departure_log.cpp
+++ b/src/sidecar/departure_log.cpp
@@ -12,12 +12,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A server that has announced that it is leaving exits well within this time.
-constexpr seconds retention{120};
 // A backend server takes an acknowledgement that comes later than a second for none.
 constexpr duration confirmationTimeout = milliseconds(800);
-constexpr duration initialRetryDelay = milliseconds(200);
-constexpr duration maxRetryDelay = milliseconds(700);
 
 seconds unixTime()
 {
@@ -32,7 +28,6 @@
     , m_node(std::move(node))
     , m_random(random)
     , m_callbacks(std::move(callbacks))
-    , m_retryDelay(initialRetryDelay)
 { }
 
 void departure_log::start()
@@ -43,8 +38,7 @@
 void departure_log::recordFailure()
 {
     ++m_errors;
-    m_retryAt = monotonicNow() + m_retryDelay;
-    m_retryDelay = std::min(2 * m_retryDelay, maxRetryDelay);
+    m_retryAt = monotonicNow() + m_retryDelay.next();
 }
 
 void departure_log::read()
@@ -57,7 +51,7 @@
                     recordFailure();
                     return;
                 }
-                m_retryDelay = initialRetryDelay;
+                m_retryDelay.reset();
                 takeList(*list);
             });
 }
@@ -69,7 +63,7 @@
     for (const stored_departure &item : list) {
         const seconds expiresAt(item.expiresAt);
         // The clocks of VMs differ.
-        if (expiresAt + retention < now)
+        if (expiresAt + departureRetention < now)
             expired.push_back(item.departure.instance);
         if (item.node != m_node || expiresAt <= now)
             continue;
@@ -77,7 +71,8 @@
         const time_point begin = monotonicNow();
         m_entries.try_emplace(item.departure.instance,
                               entry{item.departure, begin,
-                                    begin + std::min(expiresAt - now, retention), 0, false, true});
+                                    begin + std::min(expiresAt - now, departureRetention), 0, false,
+                                    true});
     }
     eraseOneOf(expired);
     m_readEra = m_platform.era();
@@ -111,7 +106,7 @@
     entry &item = m_entries[departure.instance];
     item.departure = departure;
     item.beganAt = monotonicNow();
-    item.expiresAt = item.beganAt + retention;
+    item.expiresAt = item.beganAt + departureRetention;
     ++item.revision;
     item.recorded = false;
     if (!item.writing)
@@ -121,7 +116,7 @@
 void departure_log::write(entry &item)
 {
     item.writing = true;
-    const std::int64_t expiresAt = (unixTime() + retention).count();
+    const std::int64_t expiresAt = (unixTime() + departureRetention).count();
     m_platform.putDeparture({m_node, item.departure, expiresAt},
                             [this, instance = item.departure.instance, revision = item.revision](
                                     const tl::expected<std::monostate, store_error> &result) {
@@ -140,7 +135,7 @@
     item.writing = false;
     if (!succeeded)
         return;
-    m_retryDelay = initialRetryDelay;
+    m_retryDelay.reset();
     if (revision != item.revision) {
         write(item);
         return;
--- a/src/sidecar/departure_log.h
+++ b/src/sidecar/departure_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sidecar/platform_gateway.h"
+#include "sidecar/retry_delay.h"
 #include "tamarackridge/src/base/random_source.h"
 
 #include <functional>
@@ -23,8 +24,7 @@
 /// \brief Records in the platform's store which backend servers of this VM leave, and reads it when
 /// the process starts.
 ///
-/// Records expire, and are then erased. All times are taken from sweep(), which also retries failed
-/// calls.
+/// Records expire, and are then erased. Failed calls are repeated by sweep().
 class departure_log
 {
 public:
@@ -83,7 +83,7 @@
     departure_callbacks m_callbacks;
     std::map<std::string, entry> m_entries; ///< By instance.
     std::vector<waiter> m_waiters;
-    duration m_retryDelay;
+    retry_delay m_retryDelay;
     time_point m_retryAt; ///< No call is made before.
     std::uint64_t m_errors = 0;
     bool m_reading = false;
--- a/src/sidecar/store_watch.cpp
+++ b/src/sidecar/store_watch.cpp
@@ -8,9 +8,6 @@
 namespace tamarackridge {
 namespace {
 
-constexpr duration initialRetryDelay = std::chrono::milliseconds(200);
-// A configuration must be in force within two seconds, even right after an outage of the store.
-constexpr duration maxRetryDelay = std::chrono::milliseconds(700);
 // By the second read, nodes that started at the same time have registered themselves.
 constexpr duration secondListDelay = std::chrono::milliseconds(700);
 constexpr duration listIntervalWithoutPeers = std::chrono::seconds(2);
@@ -41,7 +38,6 @@
     , m_setTimer(loop)
     , m_putTimer(loop)
     , m_listTimer(loop)
-    , m_retryDelay(initialRetryDelay)
 {
     m_platform.onStoreRestored([this] { storeRestored(); });
     if (m_callbacks.recordRefused)
@@ -70,7 +66,7 @@
     if (m_reachable)
         m_callbacks.reachabilityChanged(false, toString(error));
     m_reachable = false;
-    return std::exchange(m_retryDelay, std::min(2 * m_retryDelay, maxRetryDelay));
+    return m_retryDelay.next();
 }
 
 void store_watch::recordSuccess()
@@ -78,7 +74,7 @@
     if (!m_reachable)
         m_callbacks.reachabilityChanged(true, {});
     m_reachable = true;
-    m_retryDelay = initialRetryDelay;
+    m_retryDelay.reset();
 }
 
 void store_watch::readSet()
--- a/src/sidecar/store_watch.h
+++ b/src/sidecar/store_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sidecar/platform_gateway.h"
+#include "sidecar/retry_delay.h"
 #include "tamarackridge/src/base/random_source.h"
 
 #include <boost/asio/io_context.hpp>
@@ -80,7 +81,7 @@
     /// Of the store when this node was first registered; it is registered once this is known, since
     /// the new record replaces the one from which it is read.
     std::optional<store_era> m_firstEra;
-    duration m_retryDelay;
+    retry_delay m_retryDelay;
     std::uint64_t m_errors = 0;
     bool m_reachable = true;
     bool m_leaving = false;
