--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -163,7 +164,7 @@
 // stops until responses leave, and goes on then. Found by an independent review.
 TEST_F(sidecar_listener, a_caller_that_pipelines_is_held_by_back_pressure)
 {
-    limits.maxHeaderBytes = 16 * 1024;
+    limits.maxHeaderBytes = std::uint64_t{16} * 1024;
     limits.headerTimeout = limits.idleTimeout = std::chrono::seconds(10);
     constexpr std::size_t sent = 20'000; // More than the buffers of the kernel hold.
     constexpr std::size_t answeredRequests = 600;
