--- a/src/sidecar/departure_log.cpp
+++ b/src/sidecar/departure_log.cpp
@@ -20,6 +20,18 @@
     return std::chrono::duration_cast<seconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+/// \brief Calls the handlers of the waiters for which \a ends holds; the others stay.
+template <typename Waiter, typename Predicate>
+void endWaiters(std::vector<Waiter> &waiters, bool recorded, Predicate ends)
+{
+    for (Waiter &waiting : std::exchange(waiters, {})) {
+        if (ends(waiting))
+            waiting.done(recorded);
+        else
+            waiters.push_back(std::move(waiting));
+    }
+}
+
 } // namespace
 
 departure_log::departure_log(platform_gateway &platform, std::string node, random_source &random,
@@ -142,13 +154,8 @@
     }
     item.recorded = true;
     m_callbacks.recorded(item.departure, monotonicNow() - item.beganAt);
-    std::vector<waiter> waiters = std::exchange(m_waiters, {});
-    for (waiter &waiting : waiters) {
-        if (waiting.instance == instance)
-            waiting.done(true);
-        else
-            m_waiters.push_back(std::move(waiting));
-    }
+    endWaiters(m_waiters, true,
+               [&instance](const waiter &item) { return item.instance == instance; });
 }
 
 void departure_log::whenRecorded(const std::string &instance,
@@ -173,13 +180,7 @@
 
 void departure_log::sweep(time_point now)
 {
-    std::vector<waiter> waiters = std::exchange(m_waiters, {});
-    for (waiter &waiting : waiters) {
-        if (now >= waiting.until)
-            waiting.done(false);
-        else
-            m_waiters.push_back(std::move(waiting));
-    }
+    endWaiters(m_waiters, false, [now](const waiter &item) { return now >= item.until; });
     if (now < m_retryAt)
         return;
     if (!m_readEra && !m_reading)
