Log the identity and path of runs that a server ended without a response

A line `run interrupted` gives run, identity and path; `run ended` gets the number of the run. Runs that callers cancel have no such line.

--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -88,7 +88,8 @@
     std::vector<overlay_entry> onRunFinished(run_id run, bool success, time_point now);
     /// \brief Records that a run ended without a response although the backend server may have
     /// begun it. A crash that is noticed later may be attributed to it.
-    void onRunInterrupted(run_id run, time_point now);
+    /// \returns the fingerprint of the request; nothing if \a run is not known.
+    std::optional<fingerprint> onRunInterrupted(run_id run, time_point now);
     /// \brief Records a crash of the backend server, which ends all runs.
     /// \returns the changed entries, to be sent to the peers.
     std::vector<overlay_entry> onCrash(time_point now);
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -101,6 +101,11 @@
     /// \param source where this process learned of it, e.g. `heartbeat` or `overlay`.
     virtual void knownStateChanged(std::string_view subject, std::string_view knownState,
                                    std::string_view source) = 0;
+    /// \brief Called when a run on the local backend server has ended without a response although
+    /// the server may have begun it. A crash that is noticed soon may be attributed to it.
+    /// \param identity fingerprint of the request.
+    /// \param path of the request, without the query.
+    virtual void runInterrupted(run_id run, std::string_view identity, std::string_view path) = 0;
     /// \brief Called when the node beside a backend server did not let a request run.
     /// \param identity fingerprint of the request.
     virtual void runRefused(std::string_view requestId, error_kind reason,
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -205,7 +205,7 @@
         m_queue.observeServiceTime(latency, now);
     dispatch_response response = outcomeOf(result);
     if (response.state == run_state::unknown)
-        m_crashTracker.onRunInterrupted(run, now);
+        recordInterruption(run, *response.error, now);
     else
         publish(m_crashTracker.onRunFinished(run, result.response.has_value(), now), out);
     if (result.response)
@@ -214,6 +214,14 @@
     startReady(now, out);
 }
 
+void executor::recordInterruption(run_id run, error_kind cause, time_point now)
+{
+    const std::optional<fingerprint> identity = m_crashTracker.onRunInterrupted(run, now);
+    // Callers that leave cancel many runs, none of which tells anything about the server.
+    if (identity && m_quarantineObserver != nullptr && cause != error_kind::cancelled)
+        m_quarantineObserver->runInterrupted(run, *identity, m_executions.at(run).request.target);
+}
+
 bool executor::isOnCurrentInstance(run_id run) const
 {
     const auto found = m_executions.find(run);
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -44,6 +45,9 @@
     /// \brief Called when a crash was attributed to requests.
     /// \param entries the requests that became suspects or were quarantined; may be empty.
     virtual void crashAttributed(std::span<const overlay_entry> entries) = 0;
+    /// \brief Called when a run has ended without a response although its server may have begun it.
+    virtual void runInterrupted(run_id run, const fingerprint &identity,
+                                std::string_view target) = 0;
     /// \brief Called when \a request was refused because it is quarantined.
     virtual void quarantinedRefused(const http_request &request, const fingerprint &identity) = 0;
 };
@@ -115,6 +119,7 @@
     };
 
     void publish(const std::vector<overlay_entry> &entries, action_list &out);
+    void recordInterruption(run_id run, error_kind cause, time_point now);
     void refuseQuarantined(run_id run, const fingerprint &identity, time_point now,
                            action_list &out);
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -139,16 +139,18 @@
     return updates;
 }
 
-void crash_tracker::onRunInterrupted(run_id run, time_point now)
+std::optional<fingerprint> crash_tracker::onRunInterrupted(run_id run, time_point now)
 {
     const auto found = std::ranges::find(m_activeRuns, run, &active_run::run);
     if (found == m_activeRuns.end())
-        return;
+        return std::nullopt;
+    const fingerprint requestFingerprint = fingerprintOfRun(*found);
     if (m_interruptedRuns.size() >= m_options.maxInterruptedRuns)
         m_interruptedRuns.pop_front();
-    m_interruptedRuns.push_back({fingerprintOfRun(*found), now, m_startCount});
+    m_interruptedRuns.push_back({requestFingerprint, now, m_startCount});
     *found = m_activeRuns.back();
     m_activeRuns.pop_back();
+    return requestFingerprint;
 }
 
 std::vector<overlay_entry> crash_tracker::onCrash(time_point now)
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -299,6 +299,12 @@
                                      source);
 }
 
+void sidecar_state::runInterrupted(run_id run, const fingerprint &identity, std::string_view target)
+{
+    // The query can contain data of the caller that do not belong into a log.
+    m_observer.runInterrupted(run, toString(identity), target.substr(0, target.find('?')));
+}
+
 void sidecar_state::quarantinedRefused(const http_request &request, const fingerprint &identity)
 {
     m_observer.runRefused(headerValue(request.headers, m_options.headers.requestId),
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -58,6 +58,7 @@
 
 private:
     void crashAttributed(std::span<const overlay_entry> entries) override;
+    void runInterrupted(run_id run, const fingerprint &identity, std::string_view target) override;
     void quarantinedRefused(const http_request &request, const fingerprint &identity) override;
     /// \brief Logs what the server of \a run says about itself, if that has changed.
     void logCondition(run_id run, const server_condition &condition);
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -111,7 +111,7 @@
     } else {
         outcome.response = std::move(result.response);
     }
-    m_runEnded(work.requestId, outcome, monotonicNow() - work.startedAt);
+    m_runEnded({run, work.requestId, monotonicNow() - work.startedAt}, outcome);
     m_done(run, std::move(outcome), result.end == exchange_outcome::refused);
 }
 
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -22,12 +22,20 @@
     std::string instance; ///< Instance that responds to a health check.
 };
 
+/// \brief A run that has ended, for the log.
+struct ended_run
+{
+    run_id run = 0;
+    std::string_view requestId;
+    duration elapsed{};
+};
+
 /// \brief Sends requests to the backend server of this VM, each at most once.
 class server_runner
 {
 public:
-    using run_ended_handler = std::function<void(std::string_view requestId,
-                                                 const backend_result &result, duration elapsed)>;
+    using run_ended_handler =
+            std::function<void(const ended_run &run, const backend_result &result)>;
     /// \param connectionRefused is set when no connection could be opened.
     using done_handler =
             std::function<void(run_id run, backend_result result, bool connectionRefused)>;
@@ -40,8 +48,7 @@
         , m_done(std::move(done))
     { }
 
-    /// \brief Calls \a handler with the request id, outcome and elapsed time of each run; for the
-    /// log.
+    /// \brief Calls \a handler with the outcome of each run.
     void onRunEnded(run_ended_handler handler) { m_runEnded = std::move(handler); }
 
     void run(const run_backend &item);
@@ -68,7 +75,7 @@
     std::string m_host;
     response_header_names m_names;
     done_handler m_done;
-    run_ended_handler m_runEnded = [](std::string_view, const backend_result &, duration) {};
+    run_ended_handler m_runEnded = [](const ended_run &, const backend_result &) {};
     std::unordered_map<run_id, running_request> m_running;
 };
 
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -75,8 +75,8 @@
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
 {
-    m_server.onRunEnded([this](std::string_view requestId, const backend_result &result,
-                               duration elapsed) { runEnded(requestId, result, elapsed); });
+    m_server.onRunEnded(
+            [this](const ended_run &run, const backend_result &result) { runEnded(run, result); });
 }
 
 sidecar_options sidecar_app::coreOptions() const
@@ -363,16 +363,16 @@
     m_log.write(kind, "request ended", std::move(line));
 }
 
-void sidecar_app::runEnded(std::string_view requestId, const backend_result &result,
-                           duration elapsed)
+void sidecar_app::runEnded(const ended_run &run, const backend_result &result)
 {
     json_line line;
-    line.add("request", requestId)
+    line.add("request", run.requestId)
+            .add("run", run.run)
             .add("status", result.response ? result.response->status : 0)
             .add("error",
                  result.response ? std::string_view() : responseFor(result.response.error()).name)
             .add("bytes_sent", result.bytesSent)
-            .add("took_us", microseconds(elapsed));
+            .add("took_us", microseconds(run.elapsed));
     m_log.write(result.response ? line_class::success : line_class::failure, "run ended",
                 std::move(line));
 }
@@ -385,6 +385,17 @@
             json_line().add("subject", subject).add("belief", knownState).add("source", source));
 }
 
+void sidecar_app::runInterrupted(run_id run, std::string_view identity, std::string_view path)
+{
+    // A path can be as long as the callers' limit of the header allows.
+    constexpr std::size_t maxPath = 200;
+    m_log.write(line_class::failure, "run interrupted",
+                json_line()
+                        .add("run", run)
+                        .add("identity", identity)
+                        .add("path", path.substr(0, maxPath)));
+}
+
 void sidecar_app::runRefused(std::string_view requestId, error_kind reason,
                              std::string_view identity)
 {
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -39,6 +39,7 @@
     void requestEnded(const ended_request &request) override;
     void knownStateChanged(std::string_view subject, std::string_view knownState,
                            std::string_view source) override;
+    void runInterrupted(run_id run, std::string_view identity, std::string_view path) override;
     void runRefused(std::string_view requestId, error_kind reason,
                     std::string_view identity) override;
 
@@ -58,7 +59,7 @@
     void perform(const action &item);
 
     /// \brief Logs a request that ended on this node's backend server.
-    void runEnded(std::string_view requestId, const backend_result &result, duration elapsed);
+    void runEnded(const ended_run &run, const backend_result &result);
     void checkServer(const check_server &check);
     void serveHealth(call_id call, const http_request &request);
     void serveNotice(call_id call, const http_request &request);
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -33,6 +33,10 @@
                               + std::string(source) + ")");
     }
 
+    void runInterrupted(run_id, std::string_view identity, std::string_view path) override
+    {
+        interruptedRuns.push_back(std::string(path) + ": " + std::string(identity));
+    }
     void runRefused(std::string_view requestId, error_kind reason, std::string_view) override
     {
         refusedRuns.push_back(std::string(requestId) + ": "
@@ -41,6 +45,7 @@
 
     std::vector<int> statuses;
     std::vector<std::string> refusedRuns;
+    std::vector<std::string> interruptedRuns; ///< Path and identity.
     std::vector<std::string> errors;
     std::vector<std::string> knownStates;
 };
