--- a/tests/sidecar_quarantine_test.cpp
+++ b/tests/sidecar_quarantine_test.cpp
@@ -85,6 +85,18 @@
         return crashes;
     }
 
+    /// Kills all processes at once and lets the new ones read the configuration and a report.
+    void restartAll()
+    {
+        m_fleet.restartAll();
+        m_fleet.publishAll(fakeSet(5));
+        m_fleet.advance(seconds(1));
+        ++m_start;
+        for (const std::string &node : m_callers)
+            EXPECT_TRUE(m_fleet.report(node, 1, false, m_start, "i-" + std::to_string(m_start)));
+        m_fleet.advance(seconds(1));
+    }
+
     const std::vector<std::string> m_callers{"a1", "b1", "c1", "d1", "a2"};
     sidecar_fleet m_fleet;
     call_id m_lastCall = 0;
@@ -139,6 +151,57 @@
     EXPECT_LE(crashes, 2U);
 }
 
+// Guards against a request that ends a server for each query with which it comes: path, customer
+// and body make it the same request.
+TEST_F(sidecar_quarantine, another_query_does_not_make_it_another_request)
+{
+    std::size_t crashes = 0;
+    for (std::size_t send = 0; send < 8; ++send) {
+        const std::size_t first = m_fleet.runs.size();
+        m_fleet.callTarget(m_callers.at(send % m_callers.size()),
+                           "/read/1?page=" + std::to_string(send) + "&sort=new");
+        crashes += crashServersOf(first);
+    }
+    EXPECT_LE(crashes, 3U);
+}
+
+// Guards against requests that are refused since another query of their path crashed servers.
+TEST_F(sidecar_quarantine, other_queries_of_the_path_are_served_beside_a_quarantined_one)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("read"), 2U);
+    for (int page = 1; page < 5; ++page) {
+        const std::size_t next = m_fleet.runs.size();
+        const call_id call = m_fleet.callTarget("b1", "/read/1?page=" + std::to_string(page));
+        ASSERT_EQ(m_fleet.runs.size(), next + 1);
+        m_fleet.finish(next);
+        EXPECT_EQ(m_fleet.status(call), 200);
+    }
+    EXPECT_EQ(m_fleet.status(m_fleet.call("c1", "read")), 503) << "still quarantined";
+}
+
+// Guards against a kill of all processes that makes them forget which requests crash servers.
+TEST_F(sidecar_quarantine, a_kill_of_all_processes_releases_no_quarantined_request)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
+    for (int kill = 0; kill < 3; ++kill) {
+        restartAll();
+        EXPECT_EQ(crashesOfRepeatedRequest("write"), 0U);
+    }
+}
+
+// Guards against kills that come after each crash, so that the second one is never attributed.
+TEST_F(sidecar_quarantine, a_kill_of_all_processes_after_each_crash_releases_no_suspect)
+{
+    std::size_t crashes = 0;
+    for (std::size_t send = 0; send < 8; ++send) {
+        const std::size_t first = m_fleet.runs.size();
+        m_fleet.call(m_callers.at(send % m_callers.size()), "write");
+        crashes += crashServersOf(first);
+        restartAll();
+    }
+    EXPECT_LE(crashes, 2U);
+}
+
 // Guards against a node that runs a quarantined request because it has started, or was cut off,
 // after the request was quarantined.
 TEST_F(sidecar_quarantine, nodes_that_start_or_return_refuse_what_the_others_have_quarantined)
