Recognize a request that crashes servers when it comes again with another query

The users name path, caller and body; the fingerprint covered the query too, so that each new query was another request and could crash as many servers as its route has attempts before it was quarantined.

A request now has two fingerprints, with and without the query, and a crash makes both suspects.

--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -43,7 +43,9 @@
 {
     run_permission permission = run_permission::run;
     /// Set if it was computed; avoids computing it again.
-    std::optional<fingerprint> requestFingerprint;
+    std::optional<request_identity> identity;
+    /// What is quarantined if the run is refused: the request, or only its variant.
+    fingerprint quarantined;
 };
 
 /// \brief What an overlay entry says about a request.
@@ -60,7 +62,11 @@
 ///
 /// All requests that are running during a crash become suspects. Suspects run one at a time: a
 /// suspect that gets a response is cleared, and the only suspect running during another crash is
-/// quarantined. While no suspects are known, no fingerprint is computed.
+/// quarantined. While no suspects are known, no identity is computed.
+///
+/// A crash makes both the request and its variant suspects. A second crash of the same variant
+/// quarantines the variant, so that other variants of the request are not refused; a crash of
+/// another variant quarantines the request.
 ///
 /// A crash ends its runs before anything else shows it, so interrupted runs are kept as possible
 /// causes until the server responds to a later run.
@@ -88,8 +94,8 @@
     std::vector<overlay_entry> onRunFinished(run_id run, bool success, time_point now);
     /// \brief Records that a run ended without a response although the backend server may have
     /// begun it. A crash that is noticed later may be attributed to it.
-    /// \returns the fingerprint of the request; nothing if \a run is not known.
-    std::optional<fingerprint> onRunInterrupted(run_id run, time_point now);
+    /// \returns the identity of the request; nothing if \a run is not known.
+    std::optional<request_identity> onRunInterrupted(run_id run, time_point now);
     /// \brief Records a crash of the backend server, which ends all runs.
     /// \returns the changed entries, to be sent to the peers.
     std::vector<overlay_entry> onCrash(time_point now);
@@ -102,16 +108,16 @@
     std::optional<overlay_entry> entry(std::string_view key, time_point now) const;
     /// \brief Removes expired entries.
     ///
-    /// Must be called every few seconds, since permissionFor() computes a fingerprint as long as
+    /// Must be called every few seconds, since permissionFor() computes an identity as long as
     /// any entry is stored.
     void expire(time_point now);
 
     std::size_t entryCount() const { return m_entries.size(); }
-    /// \returns the number of fingerprints computed so far.
-    std::uint64_t fingerprintsComputed() const { return m_fingerprintsComputed; }
+    /// \returns the number of identities computed so far.
+    std::uint64_t identitiesComputed() const { return m_identitiesComputed; }
 
 private:
-    /// \brief State of a fingerprint; a later generation replaces an earlier one.
+    /// \brief State of a request or variant; a later generation replaces an earlier one.
     struct quarantine_state
     {
         std::uint32_t generation = 0; ///< Incremented by each clearing or expiry.
@@ -123,29 +129,35 @@
     {
         run_id run = 0;
         const fingerprint_source *source = nullptr;
-        std::optional<fingerprint> requestFingerprint;
+        std::optional<request_identity> identity;
         std::uint64_t startNumber = 0;
     };
     /// A run that ended without a response.
     struct interrupted_run
     {
-        fingerprint requestFingerprint;
+        request_identity identity;
         time_point interruptedAt;
         std::uint64_t lastStart = 0; ///< Number of the last run that had started by then.
     };
 
-    fingerprint computeFingerprint(const fingerprint_source &source);
-    const quarantine_state *findActive(const fingerprint &requestFingerprint, time_point now) const;
+    request_identity computeIdentity(const fingerprint_source &source);
+    const quarantine_state *findActive(const fingerprint &subject, time_point now) const;
+    /// \returns whether the request or its variant has crashed servers.
+    bool isSuspect(const request_identity &identity, time_point now) const;
     std::size_t countUnresolvedSuspects(time_point now);
-    const fingerprint &fingerprintOfRun(active_run &run);
+    const request_identity &identityOfRun(active_run &run);
     static bool supersedes(const quarantine_state &peer, const quarantine_state &known);
-    overlay_entry encode(const fingerprint &requestFingerprint, const quarantine_state &state,
+    overlay_entry encode(const fingerprint &subject, const quarantine_state &state,
                          time_point now) const;
-    overlay_entry recordCrash(const fingerprint &requestFingerprint, bool setQuarantined,
-                              time_point now);
+    overlay_entry recordCrash(const fingerprint &subject, bool setQuarantined, time_point now);
+    /// \brief Clears \a subject if it is a suspect.
+    void clear(const fingerprint &subject, time_point now, std::vector<overlay_entry> &updates);
+    /// \brief Quarantines the request that the only \a suspects of a crash have in common.
+    std::vector<overlay_entry> quarantine(const std::vector<request_identity> &suspects,
+                                          time_point now);
     void evictExcessEntries();
     /// \returns the requests that were running or interrupted, which are then forgotten.
-    std::set<fingerprint> takePossibleCauses(time_point now);
+    std::set<request_identity> takePossibleCauses(time_point now);
     void dropOldInterruptions(time_point now);
 
     quarantine_options m_options;
@@ -153,7 +165,7 @@
     std::vector<active_run> m_activeRuns;
     std::deque<interrupted_run> m_interruptedRuns; ///< In the order of their interruption.
     std::uint64_t m_startCount = 0;
-    std::uint64_t m_fingerprintsComputed = 0;
+    std::uint64_t m_identitiesComputed = 0;
 };
 
 } // namespace tamarackridge
--- a/include/tamarackridge/src/quarantine/fingerprint.h
+++ b/include/tamarackridge/src/quarantine/fingerprint.h
@@ -9,7 +9,7 @@
 
 namespace tamarackridge {
 
-/// \brief Identifies a request for the purposes of quarantine: a 128-bit XXH3 hash.
+/// \brief A 128-bit XXH3 hash of the parts of a request.
 struct fingerprint
 {
     std::uint64_t high = 0;
@@ -19,7 +19,7 @@
     friend std::strong_ordering operator<=>(const fingerprint &, const fingerprint &) = default;
 };
 
-/// \brief The parts of a request that its fingerprint covers.
+/// \brief The parts of a request that its identity covers.
 ///
 /// Route and key are not among them: a new configuration can rename the route, and a customer can
 /// have several keys.
@@ -31,8 +31,26 @@
     std::string_view body;
 };
 
-/// \returns the fingerprint of a request.
-fingerprint fingerprintOf(const fingerprint_parts &parts);
+/// \brief Identifies a request for the purposes of quarantine.
+///
+/// A request that is sent again can have another query, whereas requests that differ in the query
+/// alone can be independent of each other, such as the pages of a list. Both levels are therefore
+/// distinguished.
+///
+/// \code
+/// identityOf({"GET", "/list?page=1", "c", ""}).request
+///         == identityOf({"GET", "/list?page=2", "c", ""}).request; // The variants differ.
+/// \endcode
+struct request_identity
+{
+    fingerprint request; ///< Without the query.
+    fingerprint variant; ///< With the query; equal to `request` if there is none.
+
+    friend auto operator<=>(const request_identity &, const request_identity &) = default;
+};
+
+/// \returns the identity of a request.
+request_identity identityOf(const fingerprint_parts &parts);
 
 /// \returns the fingerprint as 32 hexadecimal digits.
 std::string toString(const fingerprint &value);
@@ -41,7 +59,7 @@
 /// \returns nothing if \a text does not have that format.
 std::optional<fingerprint> parseFingerprint(std::string_view text);
 
-/// \brief Provides the parts of a running request when its fingerprint is needed.
+/// \brief Provides the parts of a running request when its identity is needed.
 class fingerprint_source
 {
 public:
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -7,6 +7,7 @@
 #include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
+#include "tamarackridge/src/quarantine/fingerprint.h"
 #include "tamarackridge/src/sidecar/published_set.h"
 
 #include <tl/expected.hpp>
@@ -103,11 +104,11 @@
                                    std::string_view source) = 0;
     /// \brief Called when a run on the local backend server has ended without a response although
     /// the server may have begun it. A crash that is noticed soon may be attributed to it.
-    /// \param identity fingerprint of the request.
     /// \param path of the request, without the query.
-    virtual void runInterrupted(run_id run, std::string_view identity, std::string_view path) = 0;
+    virtual void runInterrupted(run_id run, const request_identity &identity,
+                                std::string_view path) = 0;
     /// \brief Called when the node beside a backend server did not let a request run.
-    /// \param identity fingerprint of the request.
+    /// \param identity fingerprint of the request, or only of its variant.
     virtual void runRefused(std::string_view requestId, error_kind reason,
                             std::string_view identity) = 0;
 };
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -152,7 +152,7 @@
     if (decision.permission == run_permission::wait)
         return false;
     if (decision.permission == run_permission::refuse) {
-        refuseQuarantined(run, *decision.requestFingerprint, now, out);
+        refuseQuarantined(run, decision.quarantined, now, out);
         return true;
     }
     m_limit.tryAcquire();
@@ -216,7 +216,7 @@
 
 void executor::recordInterruption(run_id run, error_kind cause, time_point now)
 {
-    const std::optional<fingerprint> identity = m_crashTracker.onRunInterrupted(run, now);
+    const std::optional<request_identity> identity = m_crashTracker.onRunInterrupted(run, now);
     // Callers that leave cancel many runs, none of which tells anything about the server.
     if (identity && m_quarantineObserver != nullptr && cause != error_kind::cancelled)
         m_quarantineObserver->runInterrupted(run, *identity, m_executions.at(run).request.target);
@@ -253,12 +253,12 @@
     finish(run, std::move(response), now, out);
 }
 
-void executor::refuseQuarantined(run_id run, const fingerprint &identity, time_point now,
+void executor::refuseQuarantined(run_id run, const fingerprint &quarantined, time_point now,
                                  action_list &out)
 {
     m_counters.add(node_counter::runs_refused_quarantined);
     if (m_quarantineObserver != nullptr)
-        m_quarantineObserver->quarantinedRefused(m_executions.at(run).request, identity);
+        m_quarantineObserver->quarantinedRefused(m_executions.at(run).request, quarantined);
     refuse(run, error_kind::request_quarantined, now, out);
 }
 
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -46,10 +46,12 @@
     /// \param entries the requests that became suspects or were quarantined; may be empty.
     virtual void crashAttributed(std::span<const overlay_entry> entries) = 0;
     /// \brief Called when a run has ended without a response although its server may have begun it.
-    virtual void runInterrupted(run_id run, const fingerprint &identity,
+    virtual void runInterrupted(run_id run, const request_identity &identity,
                                 std::string_view target) = 0;
     /// \brief Called when \a request was refused because it is quarantined.
-    virtual void quarantinedRefused(const http_request &request, const fingerprint &identity) = 0;
+    /// \param quarantined the request, or only its variant.
+    virtual void quarantinedRefused(const http_request &request,
+                                    const fingerprint &quarantined) = 0;
 };
 
 /// \brief Runs dispatched requests on the local backend server.
@@ -120,7 +122,7 @@
 
     void publish(const std::vector<overlay_entry> &entries, action_list &out);
     void recordInterruption(run_id run, error_kind cause, time_point now);
-    void refuseQuarantined(run_id run, const fingerprint &identity, time_point now,
+    void refuseQuarantined(run_id run, const fingerprint &quarantined, time_point now,
                            action_list &out);
     void refuse(run_id run, error_kind kind, time_point now, action_list &out);
     void finish(run_id run, dispatch_response response, time_point now, action_list &out);
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -54,38 +54,44 @@
     : m_options(options)
 { }
 
-fingerprint crash_tracker::computeFingerprint(const fingerprint_source &source)
+request_identity crash_tracker::computeIdentity(const fingerprint_source &source)
 {
-    ++m_fingerprintsComputed;
-    return fingerprintOf(source.parts());
+    ++m_identitiesComputed;
+    return identityOf(source.parts());
 }
 
-const crash_tracker::quarantine_state *
-crash_tracker::findActive(const fingerprint &requestFingerprint, time_point now) const
+const crash_tracker::quarantine_state *crash_tracker::findActive(const fingerprint &subject,
+                                                                 time_point now) const
 {
-    const auto found = m_entries.find(requestFingerprint);
+    const auto found = m_entries.find(subject);
     if (found == m_entries.end() || found->second.crashes == 0 || found->second.expiresAt <= now)
         return nullptr;
     return &found->second;
 }
 
+bool crash_tracker::isSuspect(const request_identity &identity, time_point now) const
+{
+    return findActive(identity.request, now) != nullptr
+           || findActive(identity.variant, now) != nullptr;
+}
+
 std::size_t crash_tracker::countUnresolvedSuspects(time_point now)
 {
     std::size_t count = 0;
     for (active_run &run : m_activeRuns)
-        count += findActive(fingerprintOfRun(run), now) != nullptr ? 1 : 0;
+        count += isSuspect(identityOfRun(run), now) ? 1 : 0;
     for (const interrupted_run &run : m_interruptedRuns) {
         const bool isRecent = now - run.interruptedAt < m_options.interruptionHold;
-        count += isRecent && findActive(run.requestFingerprint, now) != nullptr ? 1 : 0;
+        count += isRecent && isSuspect(run.identity, now) ? 1 : 0;
     }
     return count;
 }
 
-const fingerprint &crash_tracker::fingerprintOfRun(active_run &run)
+const request_identity &crash_tracker::identityOfRun(active_run &run)
 {
-    if (!run.requestFingerprint)
-        run.requestFingerprint = computeFingerprint(*run.source);
-    return *run.requestFingerprint;
+    if (!run.identity)
+        run.identity = computeIdentity(*run.source);
+    return *run.identity;
 }
 
 run_decision crash_tracker::permissionFor(const fingerprint_source &source, time_point now)
@@ -93,23 +99,27 @@
     run_decision decision;
     if (m_entries.empty())
         return decision;
-    decision.requestFingerprint = computeFingerprint(source);
-    const quarantine_state *state = findActive(*decision.requestFingerprint, now);
-    if (state == nullptr)
-        return decision;
-    if (state->quarantined)
-        decision.permission = run_permission::refuse;
-    else if (countUnresolvedSuspects(now) > 0)
-        decision.permission = run_permission::wait;
-    else
-        decision.permission = run_permission::run_alone;
+    decision.identity = computeIdentity(source);
+    bool isSuspected = false;
+    for (const fingerprint &subject : {decision.identity->request, decision.identity->variant}) {
+        const quarantine_state *state = findActive(subject, now);
+        if (state != nullptr && state->quarantined) {
+            decision.permission = run_permission::refuse;
+            decision.quarantined = subject;
+            return decision;
+        }
+        isSuspected = isSuspected || state != nullptr;
+    }
+    if (isSuspected)
+        decision.permission =
+                countUnresolvedSuspects(now) > 0 ? run_permission::wait : run_permission::run_alone;
     return decision;
 }
 
 void crash_tracker::onRunStarted(run_id run, const fingerprint_source &source,
                                  const run_decision &decision)
 {
-    m_activeRuns.push_back({run, &source, decision.requestFingerprint, ++m_startCount});
+    m_activeRuns.push_back({run, &source, decision.identity, ++m_startCount});
 }
 
 std::vector<overlay_entry> crash_tracker::onRunFinished(run_id run, bool success, time_point now)
@@ -126,63 +136,89 @@
         });
     }
     if (success && !m_entries.empty()) {
-        const fingerprint requestFingerprint = fingerprintOfRun(*found);
-        const quarantine_state *state = findActive(requestFingerprint, now);
-        if (state != nullptr && !state->quarantined) {
-            quarantine_state &entry = m_entries[requestFingerprint];
-            entry = {entry.generation + 1, 0, false, now + m_options.suspectPeriod};
-            updates.push_back(encode(requestFingerprint, entry, now));
-        }
+        const request_identity identity = identityOfRun(*found);
+        clear(identity.request, now, updates);
+        clear(identity.variant, now, updates);
     }
     *found = m_activeRuns.back();
     m_activeRuns.pop_back();
     return updates;
 }
 
-std::optional<fingerprint> crash_tracker::onRunInterrupted(run_id run, time_point now)
+void crash_tracker::clear(const fingerprint &subject, time_point now,
+                          std::vector<overlay_entry> &updates)
+{
+    const quarantine_state *state = findActive(subject, now);
+    if (state == nullptr || state->quarantined)
+        return;
+    quarantine_state &entry = m_entries[subject];
+    entry = {entry.generation + 1, 0, false, now + m_options.suspectPeriod};
+    updates.push_back(encode(subject, entry, now));
+}
+
+std::optional<request_identity> crash_tracker::onRunInterrupted(run_id run, time_point now)
 {
     const auto found = std::ranges::find(m_activeRuns, run, &active_run::run);
     if (found == m_activeRuns.end())
         return std::nullopt;
-    const fingerprint requestFingerprint = fingerprintOfRun(*found);
+    const request_identity identity = identityOfRun(*found);
     if (m_interruptedRuns.size() >= m_options.maxInterruptedRuns)
         m_interruptedRuns.pop_front();
-    m_interruptedRuns.push_back({requestFingerprint, now, m_startCount});
+    m_interruptedRuns.push_back({identity, now, m_startCount});
     *found = m_activeRuns.back();
     m_activeRuns.pop_back();
-    return requestFingerprint;
+    return identity;
 }
 
 std::vector<overlay_entry> crash_tracker::onCrash(time_point now)
 {
+    const std::set<request_identity> causes = takePossibleCauses(now);
+    std::vector<request_identity> suspects;
+    std::ranges::copy_if(
+            causes, std::back_inserter(suspects),
+            [this, now](const request_identity &identity) { return isSuspect(identity, now); });
+    const bool isOneRequest =
+            !suspects.empty()
+            && std::ranges::all_of(suspects, [&suspects](const request_identity &identity) {
+                   return identity.request == suspects.front().request;
+               });
     std::vector<overlay_entry> updates;
-    const std::set<fingerprint> fingerprints = takePossibleCauses(now);
-    std::set<fingerprint> suspects;
-    std::ranges::copy_if(fingerprints, std::inserter(suspects, suspects.end()),
-                         [this, now](const fingerprint &requestFingerprint) {
-                             return findActive(requestFingerprint, now) != nullptr;
-                         });
-    if (suspects.size() == 1) {
+    if (isOneRequest) {
         // The crash is attributed to the only suspect; the other running requests do not become
         // suspects.
-        updates.push_back(recordCrash(*suspects.begin(), true, now));
+        updates = quarantine(suspects, now);
     } else {
-        for (const fingerprint &requestFingerprint : fingerprints)
-            updates.push_back(recordCrash(requestFingerprint, false, now));
+        std::set<fingerprint> subjects;
+        for (const request_identity &identity : causes)
+            subjects.insert({identity.request, identity.variant});
+        for (const fingerprint &subject : subjects)
+            updates.push_back(recordCrash(subject, false, now));
     }
     evictExcessEntries();
     return updates;
 }
 
-std::set<fingerprint> crash_tracker::takePossibleCauses(time_point now)
+std::vector<overlay_entry> crash_tracker::quarantine(const std::vector<request_identity> &suspects,
+                                                     time_point now)
+{
+    const auto &[request, variant] = suspects.front();
+    const bool isKnownVariant =
+            suspects.size() == 1 && variant != request && findActive(variant, now) != nullptr;
+    std::vector<overlay_entry> updates{recordCrash(request, !isKnownVariant, now)};
+    if (isKnownVariant)
+        updates.push_back(recordCrash(variant, true, now));
+    return updates;
+}
+
+std::set<request_identity> crash_tracker::takePossibleCauses(time_point now)
 {
-    std::set<fingerprint> causes;
+    std::set<request_identity> causes;
     for (active_run &run : m_activeRuns)
-        causes.insert(fingerprintOfRun(run));
+        causes.insert(identityOfRun(run));
     m_activeRuns.clear();
     dropOldInterruptions(now);
     for (const interrupted_run &run : m_interruptedRuns)
-        causes.insert(run.requestFingerprint);
+        causes.insert(run.identity);
     m_interruptedRuns.clear();
     return causes;
 }
@@ -194,27 +230,27 @@
     });
 }
 
-overlay_entry crash_tracker::recordCrash(const fingerprint &requestFingerprint, bool setQuarantined,
+overlay_entry crash_tracker::recordCrash(const fingerprint &subject, bool setQuarantined,
                                          time_point now)
 {
-    quarantine_state &entry = m_entries[requestFingerprint];
+    quarantine_state &entry = m_entries[subject];
     if (entry.expiresAt <= now && entry.crashes > 0) // Expired: starts a new generation.
         entry = {entry.generation + 1, 0, false, now};
     ++entry.crashes;
     entry.quarantined = entry.quarantined || setQuarantined;
     entry.expiresAt =
             now + (entry.quarantined ? m_options.quarantinePeriod : m_options.suspectPeriod);
-    return encode(requestFingerprint, entry, now);
+    return encode(subject, entry, now);
 }
 
-overlay_entry crash_tracker::encode(const fingerprint &requestFingerprint,
-                                    const quarantine_state &state, time_point now) const
+overlay_entry crash_tracker::encode(const fingerprint &subject, const quarantine_state &state,
+                                    time_point now) const
 {
     const std::int64_t remaining =
             std::chrono::ceil<std::chrono::milliseconds>(state.expiresAt - now).count();
     overlay_entry entry;
     entry.kind = entry_kind::quarantine;
-    entry.key = toString(requestFingerprint);
+    entry.key = toString(subject);
     entry.version.counter = (static_cast<std::uint64_t>(state.generation) << 16U)
                             + (state.quarantined ? 1U << 15U : 0U)
                             + std::min<std::uint32_t>(state.crashes, maxCrashes);
--- a/src/core/quarantine/fingerprint.cpp
+++ b/src/core/quarantine/fingerprint.cpp
@@ -1,5 +1,6 @@
 #include "tamarackridge/src/quarantine/fingerprint.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <xxhash.h>
@@ -17,12 +18,16 @@
 
 } // namespace
 
-fingerprint fingerprintOf(const fingerprint_parts &parts)
+request_identity identityOf(const fingerprint_parts &parts)
 {
-    fingerprint value;
-    for (std::string_view part : {parts.method, parts.path, parts.customer, parts.body})
-        value = appendPart(value, part);
-    return value;
+    const std::size_t queryBegin = std::min(parts.path.find('?'), parts.path.size());
+    fingerprint request;
+    for (std::string_view part :
+         {parts.method, parts.path.substr(0, queryBegin), parts.customer, parts.body})
+        request = appendPart(request, part);
+    if (queryBegin == parts.path.size())
+        return {request, request};
+    return {request, appendPart(request, parts.path.substr(queryBegin))};
 }
 
 std::string toString(const fingerprint &value)
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -299,16 +299,17 @@
                                      source);
 }
 
-void sidecar_state::runInterrupted(run_id run, const fingerprint &identity, std::string_view target)
+void sidecar_state::runInterrupted(run_id run, const request_identity &identity,
+                                   std::string_view target)
 {
     // The query can contain data of the caller that do not belong into a log.
-    m_observer.runInterrupted(run, toString(identity), target.substr(0, target.find('?')));
+    m_observer.runInterrupted(run, identity, target.substr(0, target.find('?')));
 }
 
-void sidecar_state::quarantinedRefused(const http_request &request, const fingerprint &identity)
+void sidecar_state::quarantinedRefused(const http_request &request, const fingerprint &quarantined)
 {
     m_observer.runRefused(headerValue(request.headers, m_options.headers.requestId),
-                          error_kind::request_quarantined, toString(identity));
+                          error_kind::request_quarantined, toString(quarantined));
 }
 
 void sidecar_state::recordDeparture(std::string_view instance,
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -58,8 +58,9 @@
 
 private:
     void crashAttributed(std::span<const overlay_entry> entries) override;
-    void runInterrupted(run_id run, const fingerprint &identity, std::string_view target) override;
-    void quarantinedRefused(const http_request &request, const fingerprint &identity) override;
+    void runInterrupted(run_id run, const request_identity &identity,
+                        std::string_view target) override;
+    void quarantinedRefused(const http_request &request, const fingerprint &quarantined) override;
     /// \brief Logs what the server of \a run says about itself, if that has changed.
     void logCondition(run_id run, const server_condition &condition);
     /// \brief Sends no further requests to a server whose response says that it leaves. The node
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -385,14 +385,16 @@
             json_line().add("subject", subject).add("belief", knownState).add("source", source));
 }
 
-void sidecar_app::runInterrupted(run_id run, std::string_view identity, std::string_view path)
+void sidecar_app::runInterrupted(run_id run, const request_identity &identity,
+                                 std::string_view path)
 {
     // A path can be as long as the callers' limit of the header allows.
     constexpr std::size_t maxPath = 200;
     m_log.write(line_class::failure, "run interrupted",
                 json_line()
                         .add("run", run)
-                        .add("identity", identity)
+                        .add("identity", toString(identity.request))
+                        .add("variant", toString(identity.variant))
                         .add("path", path.substr(0, maxPath)));
 }
 
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -39,7 +39,8 @@
     void requestEnded(const ended_request &request) override;
     void knownStateChanged(std::string_view subject, std::string_view knownState,
                            std::string_view source) override;
-    void runInterrupted(run_id run, std::string_view identity, std::string_view path) override;
+    void runInterrupted(run_id run, const request_identity &identity,
+                        std::string_view path) override;
     void runRefused(std::string_view requestId, error_kind reason,
                     std::string_view identity) override;
 
--- a/tests/fakes/quarantine_group.h
+++ b/tests/fakes/quarantine_group.h
@@ -11,17 +11,19 @@
 
 namespace tamarackridge::fakes {
 
-/// \brief A request whose fingerprint depends on its body only.
+/// \brief A request that is identified by its body and target.
 class test_request final : public fingerprint_source
 {
 public:
-    explicit test_request(std::string body)
+    explicit test_request(std::string body, std::string target = "/path")
         : m_body(std::move(body))
+        , m_target(std::move(target))
     { }
-    fingerprint_parts parts() const override { return {"POST", "/path", "a", m_body}; }
+    fingerprint_parts parts() const override { return {"POST", m_target, "a", m_body}; }
 
 private:
     std::string m_body;
+    std::string m_target;
 };
 
 /// \brief Nodes in several zones, each with one backend server.
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -33,9 +33,9 @@
                               + std::string(source) + ")");
     }
 
-    void runInterrupted(run_id, std::string_view identity, std::string_view path) override
+    void runInterrupted(run_id, const request_identity &identity, std::string_view path) override
     {
-        interruptedRuns.push_back(std::string(path) + ": " + std::string(identity));
+        interruptedRuns.push_back(std::string(path) + ": " + toString(identity.request));
     }
     void runRefused(std::string_view requestId, error_kind reason, std::string_view) override
     {
--- a/tests/quarantine_tracker_test.cpp
+++ b/tests/quarantine_tracker_test.cpp
@@ -42,17 +42,21 @@
         start(run, healthyRequest);
     for (run_id run = 1; run <= 100; ++run)
         tracker.onRunFinished(run, true, now);
-    EXPECT_EQ(tracker.fingerprintsComputed(), 0U);
+    EXPECT_EQ(tracker.identitiesComputed(), 0U);
 }
 
 // Guards against a common fingerprint of two requests that differ only in where one part ends and
 // the next begins.
 TEST(Fingerprint, PartsAreDelimited)
 {
-    const fingerprint one = fingerprintOf({"GET", "/ab", "c", "d"});
-    EXPECT_NE(one, fingerprintOf({"GET", "/a", "bc", "d"}));
-    EXPECT_NE(one, fingerprintOf({"GET", "/ab", "cd", ""}));
-    EXPECT_NE(one, fingerprintOf({"GET", "/ab", "c", "e"}));
+    const fingerprint one = identityOf({"GET", "/ab", "c", "d"}).request;
+    EXPECT_NE(one, identityOf({"GET", "/a", "bc", "d"}).request);
+    EXPECT_NE(one, identityOf({"GET", "/ab", "cd", ""}).request);
+    EXPECT_NE(one, identityOf({"GET", "/ab", "c", "e"}).request);
+    EXPECT_EQ(one, identityOf({"GET", "/ab", "c", "d"}).variant);
+    EXPECT_EQ(one, identityOf({"GET", "/ab?x", "c", "d"}).request);
+    EXPECT_NE(one, identityOf({"GET", "/ab?x", "c", "d"}).variant);
+    EXPECT_NE(one, identityOf({"GET", "/ab?", "c", "d"}).variant);
     EXPECT_EQ(parseFingerprint(toString(one)), one);
     EXPECT_FALSE(parseFingerprint("xyz"));
     EXPECT_FALSE(parseFingerprint(std::string(31, '0') + "g"));
@@ -108,6 +112,38 @@
     EXPECT_EQ(permission(healthyRequest), run_permission::run_alone);
 }
 
+// Guards against refusing other variants of a request of which one crashes servers.
+TEST_F(quarantine_rules, ASecondCrashOfAVariantQuarantinesTheVariantAlone)
+{
+    const test_request crashing("", "/list?page=1");
+    const test_request other("", "/list?page=2");
+    start(1, crashing);
+    tracker.onCrash(now);
+    start(2, crashing);
+    tracker.onCrash(now);
+    EXPECT_EQ(permission(crashing), run_permission::refuse);
+    EXPECT_EQ(permission(other), run_permission::run_alone);
+    start(3, other);
+    tracker.onRunFinished(3, true, now);
+    EXPECT_EQ(permission(other), run_permission::run);
+    EXPECT_EQ(permission(crashing), run_permission::refuse);
+}
+
+// Guards against a request that crashes a server with each new query.
+TEST_F(quarantine_rules, ACrashOfAnotherVariantQuarantinesTheRequest)
+{
+    const test_request first("", "/list?page=1");
+    const test_request second("", "/list?page=2");
+    start(1, first);
+    tracker.onCrash(now);
+    start(2, second);
+    tracker.onCrash(now);
+    EXPECT_EQ(permission(test_request("", "/list?page=3")), run_permission::refuse);
+    EXPECT_EQ(permission(test_request("", "/list")), run_permission::refuse);
+    EXPECT_EQ(permission(test_request("", "/list/3")), run_permission::run);
+    EXPECT_EQ(permission(test_request("body", "/list")), run_permission::run);
+}
+
 // Guards against clearing a suspect because of a run that failed without a crash.
 TEST_F(quarantine_rules, FailureDoesNotClear)
 {
@@ -273,7 +309,7 @@
 // Guards against malformed entries from peers that corrupt the state.
 TEST_F(quarantine_rules, MalformedEntriesAreIgnored)
 {
-    const std::string key = toString(fingerprintOf(crashingRequest.parts()));
+    const std::string key = toString(identityOf(crashingRequest.parts()).request);
     for (const char *payload : {"", "1", "1 1 1", "1 1 2 5", "1 1 1 99999999999", "1 1 1 5 ",
                                 "-1 1 1 5", "1 1 0 x", "4294967296 1 1 5"})
         EXPECT_FALSE(tracker.onEntry(key, payload, now)) << payload;
@@ -284,7 +320,7 @@
 // Guards against nodes with different states because entries reached them in different orders.
 RC_GTEST_PROP(QuarantineMerge, OrderDoesNotMatter, ())
 {
-    const std::string key = toString(fingerprintOf(crashingRequest.parts()));
+    const std::string key = toString(identityOf(crashingRequest.parts()).request);
     std::vector<std::string> payloads;
     for (int count = *rc::gen::inRange(1, 8); count > 0; --count) {
         payloads.push_back(std::to_string(*rc::gen::inRange(0, 3)) + ' '
