Keep what is known of requests that crash servers when all processes end

Suspects and quarantined requests are written to the store, the records of one crash in one call, and by the first node of each zone too if they are quarantined. A new process uses its server once it has read them, or once other nodes know an earlier process of it. A restored store gets them again; cleared and expired records are erased.

--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -4,6 +4,7 @@
 #include "tamarackridge/src/base/time.h"
 #include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/peer_message.h"
+#include "tamarackridge/src/quarantine/crash_record.h"
 
 #include <cstdint>
 #include <optional>
@@ -96,6 +97,13 @@
     server_departure departure;
 };
 
+/// \brief Writes to durable storage that a request crashed backend servers, or that it was cleared,
+/// for the case that all processes that know of it end.
+struct record_crash
+{
+    crash_record record;
+};
+
 /// \brief Sends a health check to the local backend server.
 struct check_server
 {
@@ -118,7 +126,7 @@
 /// \brief One effect that the embedding program carries out.
 using action = std::variant<respond_to_caller, run_backend, cancel_run, send_peer, connect_peer,
                             disconnect_peer, append_log, read_log, stop_reading, record_departure,
-                            check_server, emit_span>;
+                            record_crash, check_server, emit_span>;
 
 /// \brief Actions in the order in which they must be carried out.
 ///
--- a/include/tamarackridge/src/quarantine/crash_tracker.h
+++ b/include/tamarackridge/src/quarantine/crash_tracker.h
@@ -3,6 +3,7 @@
 #include "tamarackridge/src/base/time.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/peer_message.h"
+#include "tamarackridge/src/quarantine/crash_record.h"
 #include "tamarackridge/src/quarantine/fingerprint.h"
 
 #include <cstdint>
@@ -48,16 +49,6 @@
     fingerprint quarantined;
 };
 
-/// \brief What an overlay entry says about a request.
-struct crash_summary
-{
-    std::uint32_t crashes = 0; ///< 0 when the request was cleared.
-    bool quarantined = false;
-};
-
-/// \returns the content of an entry of kind `quarantine`; nothing if its payload is malformed.
-std::optional<crash_summary> summaryOf(const overlay_entry &entry);
-
 /// \brief Detects the requests that crash this node's backend server.
 ///
 /// All requests that are running during a crash become suspects. Suspects run one at a time: a
@@ -147,8 +138,8 @@
     std::size_t countUnresolvedSuspects(time_point now);
     const request_identity &identityOfRun(active_run &run);
     static bool supersedes(const quarantine_state &peer, const quarantine_state &known);
-    overlay_entry encode(const fingerprint &subject, const quarantine_state &state,
-                         time_point now) const;
+    static overlay_entry encode(const fingerprint &subject, const quarantine_state &state,
+                                time_point now);
     overlay_entry recordCrash(const fingerprint &subject, bool setQuarantined, time_point now);
     /// \brief Clears \a subject if it is a suspect.
     void clear(const fingerprint &subject, time_point now, std::vector<overlay_entry> &updates);
--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -7,6 +7,7 @@
 #include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
+#include "tamarackridge/src/quarantine/crash_record.h"
 #include "tamarackridge/src/quarantine/fingerprint.h"
 #include "tamarackridge/src/sidecar/published_set.h"
 
@@ -16,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -170,6 +172,11 @@
     /// effect only after this call, or when other nodes know an earlier process of this node. If
     /// records may be missing, they wait for a health check that the server passes.
     void departuresRead(const recorded_departures &records, time_point now, action_list &out);
+    /// \brief Takes the records about requests that crashed backend servers, of all nodes.
+    ///
+    /// As with the departures, the backend server is used only after this call, or when other nodes
+    /// know an earlier process of this node.
+    void crashRecordsRead(std::span<const crash_record> records, time_point now, action_list &out);
     /// \brief Takes the result of a check_server action.
     /// \param passed whether \a instance itself has responded that it is healthy and not leaving.
     void serverChecked(std::string_view instance, bool passed, time_point now, action_list &out);
--- a/src/core/membership/overlay.cpp
+++ b/src/core/membership/overlay.cpp
@@ -115,10 +115,15 @@
 
 void overlay::publish(const overlay_entry &entry, action_list &out)
 {
-    m_entries[{entry.kind, entry.key}] = {entry, m_lastTick};
+    store(entry);
     flood(entry, {}, out);
 }
 
+void overlay::store(const overlay_entry &entry)
+{
+    m_entries[{entry.kind, entry.key}] = {entry, m_lastTick};
+}
+
 void overlay::updateZoneContact(std::string_view zone, time_point when)
 {
     const auto found = m_zoneActivity.find(zone);
--- a/src/core/node/executor.cpp
+++ b/src/core/node/executor.cpp
@@ -312,17 +312,18 @@
 {
     const std::vector<overlay_entry> entries = m_crashTracker.onCrash(now);
     for (const overlay_entry &entry : entries)
-        m_counters.add(summaryOf(entry)->quarantined ? node_counter::requests_quarantined
-                                                     : node_counter::suspects_recorded);
+        m_counters.add(decodeCrashRecord(entry.key, entry.payload)->quarantined
+                               ? node_counter::requests_quarantined
+                               : node_counter::suspects_recorded);
     if (m_quarantineObserver != nullptr)
         m_quarantineObserver->crashAttributed(entries);
     publish(entries, out);
     stopAccepting(error_kind::no_backend_server, now, out);
 }
 
-void executor::quarantineEntry(const overlay_entry &entry, time_point now)
+bool executor::quarantineEntry(const overlay_entry &entry, time_point now)
 {
-    m_crashTracker.onEntry(entry.key, entry.payload, now);
+    return m_crashTracker.onEntry(entry.key, entry.payload, now);
 }
 
 void executor::publish(const std::vector<overlay_entry> &entries, action_list &out)
--- a/src/core/node/executor.h
+++ b/src/core/node/executor.h
@@ -89,8 +89,10 @@
     void conditionReported(const server_condition &condition, time_point now);
     /// \brief Handles a crash of the backend server, in which all running requests ended.
     void backendCrashed(time_point now, action_list &out);
-    /// \brief Handles a peer's overlay entry about a request that crashes backend servers.
-    void quarantineEntry(const overlay_entry &entry, time_point now);
+    /// \brief Handles an entry of a peer or of the store about a request that crashes backend
+    /// servers.
+    /// \returns whether it was news.
+    bool quarantineEntry(const overlay_entry &entry, time_point now);
 
     /// \brief Refuses new and queued requests with \a reason, until backendReady().
     void stopAccepting(error_kind reason, time_point now, action_list &out);
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -1,55 +1,11 @@
 #include "tamarackridge/src/quarantine/crash_tracker.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <iterator>
 #include <set>
 #include <utility>
 
 namespace tamarackridge {
-namespace {
-
-// Upper bounds of decoded fields.
-constexpr std::int64_t maxGeneration = 1'000'000'000;
-constexpr std::int64_t maxCrashes = 1000;
-constexpr std::int64_t maxRemainingMs = 3'600'000;
-
-/// \brief Fields of a payload: generation, crashes, quarantined (0 or 1), remaining time in ms.
-using payload_fields = std::array<std::int64_t, 4>;
-
-std::optional<payload_fields> parsePayload(std::string_view text)
-{
-    payload_fields fields{};
-    const char *position = text.data();
-    const char *end = text.data() + text.size();
-    for (std::size_t index = 0; index < fields.size(); ++index) {
-        if (index > 0) {
-            if (position == end || *position != ' ')
-                return std::nullopt;
-            ++position;
-        }
-        const std::from_chars_result result = std::from_chars(position, end, fields[index]);
-        if (result.ec != std::errc() || fields[index] < 0)
-            return std::nullopt;
-        position = result.ptr;
-    }
-    if (position != end || fields[0] > maxGeneration || fields[1] > maxCrashes || fields[2] > 1
-        || fields[3] > maxRemainingMs)
-        return std::nullopt;
-    return fields;
-}
-
-} // namespace
-
-std::optional<crash_summary> summaryOf(const overlay_entry &entry)
-{
-    const std::optional<payload_fields> fields = parsePayload(entry.payload);
-    if (!fields)
-        return std::nullopt;
-    return crash_summary{static_cast<std::uint32_t>((*fields)[1]), (*fields)[2] != 0};
-}
-
 crash_tracker::crash_tracker(quarantine_options options)
     : m_options(options)
 { }
@@ -244,32 +200,20 @@
 }
 
 overlay_entry crash_tracker::encode(const fingerprint &subject, const quarantine_state &state,
-                                    time_point now) const
+                                    time_point now)
 {
-    const std::int64_t remaining =
-            std::chrono::ceil<std::chrono::milliseconds>(state.expiresAt - now).count();
-    overlay_entry entry;
-    entry.kind = entry_kind::quarantine;
-    entry.key = toString(subject);
-    entry.version.counter = (static_cast<std::uint64_t>(state.generation) << 16U)
-                            + (state.quarantined ? 1U << 15U : 0U)
-                            + std::min<std::uint32_t>(state.crashes, maxCrashes);
-    entry.payload = std::to_string(state.generation) + ' ' + std::to_string(state.crashes) + ' '
-                    + (state.quarantined ? "1 " : "0 ") + std::to_string(remaining);
-    return entry;
+    return encodeCrashRecord(
+            {subject, state.generation, state.crashes, state.quarantined, state.expiresAt - now});
 }
 
 bool crash_tracker::onEntry(std::string_view key, std::string_view payload, time_point now)
 {
-    const std::optional<fingerprint> requestFingerprint = parseFingerprint(key);
-    const std::optional<payload_fields> fields = parsePayload(payload);
-    if (!requestFingerprint || !fields)
+    const std::optional<crash_record> record = decodeCrashRecord(key, payload);
+    if (!record)
         return false;
-    const auto &[generation, crashes, quarantined, remainingMs] = *fields;
-    const quarantine_state peer{static_cast<std::uint32_t>(generation),
-                                static_cast<std::uint32_t>(crashes), quarantined != 0,
-                                now + std::chrono::milliseconds(remainingMs)};
-    const auto found = m_entries.find(*requestFingerprint);
+    const quarantine_state peer{record->generation, record->crashes, record->quarantined,
+                                now + record->remaining};
+    const auto found = m_entries.find(record->subject);
     if (found != m_entries.end() && found->second.expiresAt > now
         && !supersedes(peer, found->second)) {
         // For equal entries the earlier expiry is kept, so that a delayed copy does not extend the
@@ -278,9 +222,9 @@
             found->second.expiresAt = std::min(found->second.expiresAt, peer.expiresAt);
         return false;
     }
-    if (remainingMs == 0)
+    if (record->remaining == duration::zero())
         return false;
-    m_entries[*requestFingerprint] = peer;
+    m_entries[record->subject] = peer;
     evictExcessEntries();
     return true;
 }
--- a/src/core/sidecar/sidecar_core.cpp
+++ b/src/core/sidecar/sidecar_core.cpp
@@ -72,6 +72,12 @@
     m_implementation->departuresRead(records, now, out);
 }
 
+void sidecar_core::crashRecordsRead(std::span<const crash_record> records, time_point now,
+                                    action_list &out)
+{
+    m_implementation->crashRecordsRead(records, now, out);
+}
+
 void sidecar_core::serverChecked(std::string_view instance, bool passed, time_point now,
                                  action_list &out)
 {
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -82,6 +82,7 @@
               },
               [this](const overlay_entry &entry, action_list &out) {
                   m_membership.publish(entry, out);
+                  out.push_back(record_crash{*decodeCrashRecord(entry.key, entry.payload)});
               })
     , m_dispatcher(
               m_options.self, m_membership, m_router, m_executor, m_counters, random,
@@ -254,8 +255,11 @@
     m_routingUpdater.applyMembers(changes, now, out);
     if (const std::optional<server_departure> &earlier = changes.earlierDeparture)
         serverLeaving(earlier->instance, earlier->startedAt, now, out);
-    if (changes.earlierServerKnown)
+    if (changes.earlierServerKnown) {
+        m_departuresKnown = true;
+        m_crashesKnown = true;
         acceptReadyReports(now, out);
+    }
     for (const std::string &name : changes.members) {
         const directory::record *record = m_membership.members().find(name);
         if (record == nullptr)
@@ -267,19 +271,47 @@
         m_observer.knownStateChanged(name, knownState, "overlay");
     }
     for (const overlay_entry &entry : changes.otherEntries) {
-        if (entry.kind != entry_kind::quarantine)
+        if (entry.kind == entry_kind::quarantine)
+            applyQuarantineEntry(entry, now, out);
+    }
+}
+
+void sidecar_state::applyQuarantineEntry(const overlay_entry &entry, time_point now,
+                                         action_list &out)
+{
+    reportQuarantined(entry, "overlay");
+    m_executor.quarantineEntry(entry, now);
+    // The node that saw the crash may not reach the store, so one node of each zone records it too.
+    const std::optional<crash_record> record = decodeCrashRecord(entry.key, entry.payload);
+    if (record && record->quarantined && m_membership.rank() == 0)
+        out.push_back(record_crash{*record});
+}
+
+void sidecar_state::crashRecordsRead(std::span<const crash_record> records, time_point now,
+                                     action_list &out)
+{
+    for (const crash_record &record : records) {
+        const overlay_entry entry = encodeCrashRecord(record);
+        if (!m_executor.quarantineEntry(entry, now))
             continue;
-        reportQuarantined(entry, "overlay");
-        m_executor.quarantineEntry(entry, now);
+        reportQuarantined(entry, "store");
+        // Nodes that cannot read the store learn of the records in this way.
+        if (record.quarantined)
+            m_membership.publish(entry, out);
+        else
+            m_membership.store(entry);
     }
+    m_crashesKnown = true;
+    acceptReadyReports(now, out);
 }
 
 void sidecar_state::crashAttributed(std::span<const overlay_entry> entries)
 {
     const std::ptrdiff_t quarantined =
             std::ranges::count_if(entries, [](const overlay_entry &entry) {
-                const std::optional<crash_summary> summary = summaryOf(entry);
-                return summary && summary->quarantined;
+                const std::optional<crash_record> record =
+                        decodeCrashRecord(entry.key, entry.payload);
+                return record && record->quarantined;
             });
     m_observer.knownStateChanged("crash of " + m_serverReport.instance,
                                  std::to_string(std::ssize(entries) - quarantined)
@@ -292,10 +324,10 @@
 
 void sidecar_state::reportQuarantined(const overlay_entry &entry, std::string_view source)
 {
-    const std::optional<crash_summary> summary = summaryOf(entry);
-    if (summary && summary->quarantined)
+    const std::optional<crash_record> record = decodeCrashRecord(entry.key, entry.payload);
+    if (record && record->quarantined)
         m_observer.knownStateChanged("request " + entry.key,
-                                     "quarantined, crashes " + std::to_string(summary->crashes),
+                                     "quarantined, crashes " + std::to_string(record->crashes),
                                      source);
 }
 
@@ -357,6 +389,7 @@
         applyDeparture(item, "store", now, out);
     }
     if (records.complete) {
+        m_departuresKnown = true;
         acceptReadyReports(now, out);
         return;
     }
@@ -368,11 +401,13 @@
 void sidecar_state::checkWaitingServer(time_point now, action_list &out)
 {
     const route_table *table = m_requestHandler.table();
-    if (!m_departuresMayBeMissing || !m_waitingReport || m_checkPending || table == nullptr)
+    const bool isNeeded = m_departuresMayBeMissing && !m_departuresKnown;
+    if (!isNeeded || !m_waitingReport || m_checkPending || table == nullptr)
         return;
     const std::vector<published_service> &services = table->set().services;
     const auto found = std::ranges::find(services, m_options.service, &published_service::name);
     if (found == services.end() || found->healthPath.empty()) {
+        m_departuresKnown = true;
         acceptReadyReports(now, out);
         return;
     }
@@ -389,12 +424,14 @@
         return;
     m_observer.knownStateChanged("backend server", std::string(instance) + " not leaving",
                                  "health check");
+    m_departuresKnown = true;
     acceptReadyReports(now, out);
 }
 
 void sidecar_state::acceptReadyReports(time_point now, action_list &out)
 {
-    m_departuresKnown = true;
+    if (isRecordMissing())
+        return;
     const std::optional<server_report> report = std::exchange(m_waitingReport, std::nullopt);
     if (report)
         serverReported(*report, now, out);
@@ -432,7 +469,7 @@
         return true;
     if (report.leaving) {
         recordDeparture(report.instance, report.startedAt, now, out);
-    } else if (!m_departuresKnown) {
+    } else if (isRecordMissing()) {
         if (!m_waitingReport || isNewer(report, *m_waitingReport))
             m_waitingReport = report;
         checkWaitingServer(now, out);
--- a/src/core/sidecar/sidecar_state.h
+++ b/src/core/sidecar/sidecar_state.h
@@ -40,6 +40,7 @@
     void peerUnresponsive(std::string_view node, time_point now, action_list &out);
     dispatcher &dispatches() { return m_dispatcher; }
     void departuresRead(const recorded_departures &records, time_point now, action_list &out);
+    void crashRecordsRead(std::span<const crash_record> records, time_point now, action_list &out);
     void serverChecked(std::string_view instance, bool passed, time_point now, action_list &out);
     bool serverReported(const server_report &report, time_point now, action_list &out);
     void serverLeaving(std::string_view instance, std::optional<std::int64_t> startedAt,
@@ -68,6 +69,8 @@
     void noteLeavingServer(std::string_view node, const dispatch_response &response,
                            time_point now);
     void reportQuarantined(const overlay_entry &entry, std::string_view source);
+    /// \brief Takes an entry of another node about a request that crashes backend servers.
+    void applyQuarantineEntry(const overlay_entry &entry, time_point now, action_list &out);
     template <typename Message>
     void handle(const node_ref &from, Message &message, time_point now, action_list &out);
     void applyChanges(const overlay_changes &changes, time_point now, action_list &out);
@@ -86,9 +89,10 @@
     void applyDeparture(const server_departure &departure, std::string_view source, time_point now,
                         action_list &out);
     bool hasDeparted(const server_report &report, time_point now, action_list &out);
-    /// \brief Lets reports that the backend server is ready take effect, since the departures that
-    /// earlier processes of this node recorded are known.
+    /// \brief Lets reports that the backend server is ready take effect if what earlier processes
+    /// recorded is known: the departures of this node's servers, and the crashes.
     void acceptReadyReports(time_point now, action_list &out);
+    bool isRecordMissing() const { return !m_departuresKnown || !m_crashesKnown; }
     /// \brief Requests a health check for the report that waits, where departures may be missing.
     void checkWaitingServer(time_point now, action_list &out);
     bool isCurrent(const server_report &report) const;
@@ -110,7 +114,8 @@
     server_report m_serverReport; ///< The last report that took effect.
     std::map<std::string, departure, std::less<>> m_departures; ///< By instance.
     bool m_departuresKnown = false;
-    /// Newest report that waits for the departures of earlier processes.
+    bool m_crashesKnown = false;
+    /// Newest report that waits for the records of earlier processes.
     std::optional<server_report> m_waitingReport;
     bool m_departuresMayBeMissing = false;
     bool m_checkPending = false;
--- a/src/node/node_runtime.h
+++ b/src/node/node_runtime.h
@@ -35,6 +35,7 @@
     virtual void execute(stop_reading item) = 0;
     virtual void execute(emit_span item) = 0;
     void execute(const record_departure &) { } ///< Returned by sidecar_core only.
+    void execute(const record_crash &) { } ///< Returned by sidecar_core only.
     void execute(const check_server &) { } ///< Returned by sidecar_core only.
 };
 
--- a/src/scenario/virtual_fleet.h
+++ b/src/scenario/virtual_fleet.h
@@ -142,6 +142,7 @@
     void applyAction(live_member &, disconnect_peer &) { }
     void applyAction(live_member &, emit_span &) { }
     void applyAction(live_member &, record_departure &) { }
+    void applyAction(live_member &, record_crash &) { }
     void applyAction(live_member &, check_server &) { }
 
     fleet_options m_options;
--- /dev/null
+++ b/src/sidecar/crash_log.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "sidecar/platform_gateway.h"
+#include "sidecar/retry_delay.h"
+#include "tamarackridge/src/base/random_source.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace tamarackridge {
+
+/// \brief Records in the platform's store which requests crashed backend servers, and reads this
+/// when the process starts, so that it is known after all processes have ended.
+///
+/// Records expire, and are then erased. Failed calls are repeated by sweep().
+class crash_log
+{
+public:
+    using read_handler = std::function<void(const std::vector<crash_record> &records)>;
+
+    /// \param read is called once, when the records have been read.
+    crash_log(platform_gateway &platform, random_source &random, read_handler read);
+
+    /// \brief Reads the records until that succeeds.
+    void start();
+    /// \brief Records \a record with the next flush, in place of an earlier one of its subject.
+    void record(const crash_record &record);
+    /// \brief Writes what has been recorded in one call, unless a call is in progress or has just
+    /// failed.
+    void flush();
+    /// \brief Must be called when the store may have lost what it had confirmed.
+    void storeRestored();
+    /// \brief Must be called a few times a second.
+    void sweep(time_point now);
+    /// \returns the number of records that the store has not confirmed.
+    std::size_t unrecorded() const { return m_unrecorded; }
+    /// \returns the number of failed calls to the store.
+    std::uint64_t errors() const { return m_errors; }
+
+private:
+    struct entry
+    {
+        stored_crash crash;
+        time_point expiresAt;
+        std::uint32_t revision = 0; ///< Of the content; a write confirms the revision it contains.
+        bool recorded = true;
+        bool written = false; ///< By this process, which then erases it.
+    };
+    /// A record that a write contains.
+    struct written_record
+    {
+        fingerprint subject;
+        std::uint32_t revision = 0;
+    };
+
+    void read();
+    void takeList(const std::vector<stored_crash> &list);
+    void written(const std::vector<written_record> &records, bool succeeded);
+    void recordFailure();
+    /// \brief Marks \a item as changed, to be written with the next flush.
+    void setChanged(entry &item);
+
+    platform_gateway &m_platform;
+    random_source &m_random;
+    read_handler m_read;
+    std::map<fingerprint, entry> m_entries;
+    std::size_t m_unrecorded = 0;
+    retry_delay m_retryDelay;
+    time_point m_retryAt; ///< No call is made before.
+    std::uint64_t m_errors = 0;
+    bool m_reading = false;
+    bool m_hasRead = false;
+    bool m_writing = false;
+};
+
+} // namespace tamarackridge
--- a/src/sidecar/platform_gateway.h
+++ b/src/sidecar/platform_gateway.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -53,6 +54,13 @@
     std::int64_t expiresAt = 0; ///< Unix seconds; no report of the server is on its way any more.
 };
 
+/// \brief What is recorded in the store about a request that crashed backend servers.
+struct stored_crash
+{
+    crash_record record; ///< `remaining` is not stored.
+    std::int64_t expiresAt = 0; ///< Unix seconds.
+};
+
 /// \brief Notice that the backend server of this VM is shutting down.
 struct leave_notice
 {
@@ -110,6 +118,11 @@
     virtual void eraseDeparture(const std::string &instance, handler<std::monostate> done) = 0;
     /// \brief Lists the recorded departures of the servers of all nodes.
     virtual void listDepartures(handler<std::vector<stored_departure>> done) = 0;
+    /// \brief Records crashes in one call, in place of earlier records of the same subjects. Erases
+    /// the records of subjects that were cleared.
+    virtual void putCrashes(std::span<const stored_crash> crashes,
+                            handler<std::monostate> done) = 0;
+    virtual void listCrashes(handler<std::vector<stored_crash>> done) = 0;
     /// \brief Ends calls that are past their deadline; must be called a few times a second.
     virtual void sweep(time_point now) = 0;
 };
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -71,6 +71,12 @@
     , m_peers(loop, settings.peers, m_self, linkCallbacks())
     , m_store(loop, platform, settings.name, settings.peers.text(), m_random, storeCallbacks())
     , m_departures(platform, settings.name, m_random, departureCallbacks())
+    , m_crashes(platform, m_random,
+                [this](const std::vector<crash_record> &records) {
+                    post([&](time_point now, action_list &out) {
+                        m_core.crashRecordsRead(records, now, out);
+                    });
+                })
     , m_tickTimer(loop)
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
@@ -167,6 +173,7 @@
     callbacks.knowsPeers = [this] { return m_core.status(monotonicNow()).membersKnown > 1; };
     callbacks.restored = [this] {
         m_departures.storeRestored();
+        m_crashes.storeRestored();
         m_log.write(line_class::process, "store restored",
                     json_line().add("configuration", m_core.status(monotonicNow()).configVersion));
     };
@@ -204,6 +211,7 @@
     }
     m_actions.clear();
     m_performing = false;
+    m_crashes.flush();
 }
 
 void sidecar_app::perform(const action &item)
@@ -222,6 +230,8 @@
         m_peers.disconnect(disconnect->node);
     else if (const record_departure *record = std::get_if<record_departure>(&item))
         m_departures.record(record->departure);
+    else if (const record_crash *crash = std::get_if<record_crash>(&item))
+        m_crashes.record(crash->record);
     else if (const check_server *check = std::get_if<check_server>(&item))
         checkServer(*check);
 }
@@ -332,8 +342,9 @@
     add("peer_acknowledgements_sent_total", m_peers.counts().acknowledgementsSent);
     add("peer_frames_expired_total", m_peers.counts().framesExpired);
     add("peer_frames_refused_total", m_peers.counts().framesRefused);
-    add("store_faults_total", m_store.errors() + m_departures.errors());
+    add("store_faults_total", m_store.errors() + m_departures.errors() + m_crashes.errors());
     add("departures_unrecorded", m_departures.unrecorded());
+    add("crashes_unrecorded", m_crashes.unrecorded());
     add("log_lines_dropped_total", m_log.dropped());
     m_latency.appendText("tamarackridge_call_seconds", text);
     return text;
@@ -430,6 +441,7 @@
     m_peers.sweep(now);
     m_platform.sweep(now);
     m_departures.sweep(now);
+    m_crashes.sweep(now);
     m_log.flush(now);
     endIfStopped(now);
     if (m_loop.stopped())
@@ -519,6 +531,7 @@
     sweep();
     m_store.start();
     m_departures.start();
+    m_crashes.start();
 }
 
 } // namespace tamarackridge
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/secure_random.h"
+#include "sidecar/crash_log.h"
 #include "sidecar/departure_log.h"
 #include "sidecar/http_listener.h"
 #include "sidecar/latency_buckets.h"
@@ -100,6 +101,7 @@
     peer_network m_peers;
     store_watch m_store;
     departure_log m_departures;
+    crash_log m_crashes;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::signal_set m_signals;
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -198,7 +198,28 @@
         }
     }
 
-    /// \brief Lets \a node read the departures of its server from the store, if it can.
+    /// \brief Lets \a node read the departures of its server and all crashes from the store, if it
+    /// can.
+    void readRecords(const std::string &node)
+    {
+        readCrashes(node);
+        readDepartures(node);
+    }
+    void readCrashes(const std::string &node)
+    {
+        if (nodesWithoutStore.contains(node))
+            return;
+        std::vector<crash_record> crashes;
+        for (const auto &[subject, stored] : m_recordedCrashes) {
+            if (stored.expiresAt <= m_now)
+                continue;
+            crashes.push_back(stored.record);
+            crashes.back().remaining = stored.expiresAt - m_now;
+        }
+        runEvent(node, [&](sidecar_core &core, action_list &out) {
+            core.crashRecordsRead(crashes, m_now, out);
+        });
+    }
     void readDepartures(const std::string &node)
     {
         if (nodesWithoutStore.contains(node))
@@ -246,7 +267,7 @@
     /// Returns whether a message that is not lost otherwise is lost.
     std::function<bool(const std::string &from, const send_peer &message)> isLost =
             [](const std::string &, const send_peer &) { return false; };
-    /// Nodes that cannot reach the store, in which departures of servers are recorded.
+    /// Nodes that cannot reach the store, in which departures and crashes of servers are recorded.
     std::set<std::string> nodesWithoutStore;
     std::map<std::string, std::vector<server_departure>> recordedDepartures; ///< By node.
     std::set<std::string> isolatedNodes; ///< Nodes whose messages are lost in both directions.
@@ -261,6 +282,12 @@
         std::unique_ptr<sidecar_core> core;
     };
 
+    struct recorded_crash
+    {
+        crash_record record;
+        time_point expiresAt;
+    };
+
     static std::string zoneOf(const std::string &node) { return "zone-" + node.substr(0, 1); }
     static std::string address(const std::string &node) { return node + ":1"; }
 
@@ -297,7 +324,7 @@
         runEvent(node, [&](sidecar_core &core, action_list &out) {
             core.membersListed(members, m_now, out);
         });
-        readDepartures(node);
+        readRecords(node);
     }
     void announceMembers()
     {
@@ -348,6 +375,10 @@
                 });
                 recorded.push_back(record->departure);
             }
+        } else if (const record_crash *crash = std::get_if<record_crash>(&item)) {
+            if (!nodesWithoutStore.contains(node))
+                m_recordedCrashes[crash->record.subject] = {crash->record,
+                                                            m_now + crash->record.remaining};
         } else if (const cancel_run *cancel = std::get_if<cancel_run>(&item)) {
             for (fake_run &known : runs)
                 known.cancelled =
@@ -368,6 +399,7 @@
     }
 
     std::set<std::string> m_zones;
+    std::map<fingerprint, recorded_crash> m_recordedCrashes;
     std::map<std::string, node_state> m_nodes;
     std::map<std::string, published_set, std::less<>> m_sets;
     std::deque<std::pair<std::string, action>> m_queue;
--- a/tests/platform_store_gateway_test.cpp
+++ b/tests/platform_store_gateway_test.cpp
@@ -49,6 +49,8 @@
     void putDeparture(const stored_departure &, handler<std::monostate>) override { }
     void eraseDeparture(const std::string &, handler<std::monostate>) override { }
     void listDepartures(handler<std::vector<stored_departure>>) override { }
+    void putCrashes(std::span<const stored_crash>, handler<std::monostate>) override { }
+    void listCrashes(handler<std::vector<stored_crash>>) override { }
     void sweep(time_point) override { }
 
     std::vector<std::int64_t> positions; ///< Of the reads that wait for the next set.
--- a/tests/sidecar_departure_test.cpp
+++ b/tests/sidecar_departure_test.cpp
@@ -108,7 +108,7 @@
     EXPECT_TRUE(fleet.report("a2", 6));
     expectRunsOn("b1");
     fleet.nodesWithoutStore.clear();
-    fleet.readDepartures("a2");
+    fleet.readRecords("a2");
     expectRunsOn("b1");
     EXPECT_TRUE(fleet.report("a2", 1, false, 2)) << "a new start";
     expectRunsOn("a2");
@@ -124,7 +124,7 @@
     EXPECT_TRUE(fleet.report("a2", 4)) << "a late report";
     expectRunsOn("b1");
     fleet.nodesWithoutStore.clear();
-    fleet.readDepartures("a2");
+    fleet.readRecords("a2");
     expectRunsOn("a2");
 }
 
--- a/tests/sidecar_quarantine_test.cpp
+++ b/tests/sidecar_quarantine_test.cpp
@@ -85,6 +85,16 @@
         return crashes;
     }
 
+    /// Replaces the process of \a node and starts its server anew.
+    void restart(const std::string &node)
+    {
+        m_fleet.restart(node);
+        m_fleet.publish(fakeSet(5), node);
+        m_fleet.advance(seconds(1));
+        ++m_start;
+        EXPECT_TRUE(m_fleet.report(node, 1, false, m_start, "i-" + std::to_string(m_start)));
+        m_fleet.advance(seconds(1));
+    }
     /// Kills all processes at once and lets the new ones read the configuration and a report.
     void restartAll()
     {
@@ -202,6 +212,142 @@
     EXPECT_LE(crashes, 2U);
 }
 
+// Guards against a quarantine that only the node which saw the crash can record, while it does not
+// reach the store.
+TEST_F(sidecar_quarantine, other_nodes_record_the_quarantine_if_the_one_beside_the_crash_cannot)
+{
+    for (const std::string &node : m_callers) {
+        SCOPED_TRACE(node);
+        m_fleet.nodesWithoutStore = {node};
+        const std::string target = "/write/" + node;
+        std::size_t crashes = 0;
+        for (int send = 0; send < 4; ++send) {
+            const std::size_t first = m_fleet.runs.size();
+            m_fleet.callTarget(node, target);
+            crashes += crashServersOf(first);
+        }
+        EXPECT_LE(crashes, 2U);
+        m_fleet.nodesWithoutStore.clear();
+        restartAll();
+        const std::size_t before = m_fleet.runs.size();
+        for (const std::string &caller : m_callers)
+            m_fleet.callTarget(caller, target);
+        EXPECT_EQ(m_fleet.runs.size(), before);
+    }
+}
+
+// Guards against the same after kills of a part of the nodes, one part after the other, while the
+// store is away: those that are left pass on what they know.
+TEST_F(sidecar_quarantine, kills_of_some_nodes_while_the_store_is_away_release_no_request)
+{
+    m_fleet.nodesWithoutStore = {m_callers.begin(), m_callers.end()};
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
+    for (const std::vector<std::string> &killed : std::vector<std::vector<std::string>>{
+                 {"a1", "a2"}, {"b1", "c1", "d1"}, {"a2"}, {"a1", "b1", "c1", "d1"}}) {
+        for (const std::string &node : killed)
+            m_fleet.restart(node);
+        for (const std::string &node : killed)
+            restart(node);
+        EXPECT_EQ(crashesOfRepeatedRequest("write"), 0U);
+    }
+}
+
+// Guards against servers that are used before the crashes are known since the store is away after a
+// kill of all processes, and against servers that stay unused when it is back.
+TEST_F(sidecar_quarantine, no_server_is_used_after_a_kill_of_all_processes_until_the_store_is_read)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
+    m_fleet.nodesWithoutStore = {m_callers.begin(), m_callers.end()};
+    restartAll();
+    const std::size_t before = m_fleet.runs.size();
+    for (const std::string &node : m_callers)
+        m_fleet.call(node, "write");
+    m_fleet.callTarget("a1", "/write/other");
+    EXPECT_EQ(m_fleet.runs.size(), before);
+    m_fleet.nodesWithoutStore.clear();
+    for (const std::string &node : m_callers)
+        m_fleet.readDepartures(node);
+    m_fleet.advance(seconds(1));
+    m_fleet.callTarget("a1", "/write/other");
+    EXPECT_EQ(m_fleet.runs.size(), before);
+    for (const std::string &node : m_callers)
+        m_fleet.readCrashes(node);
+    m_fleet.advance(seconds(1));
+    for (const std::string &node : m_callers)
+        m_fleet.call(node, "write");
+    EXPECT_EQ(m_fleet.runs.size(), before);
+    const call_id other = m_fleet.callTarget("a1", "/write/other");
+    ASSERT_EQ(m_fleet.runs.size(), before + 1);
+    m_fleet.finish(before);
+    EXPECT_EQ(m_fleet.status(other), 200);
+}
+
+// Guards against a node that starts again without the store and does not know what the others have
+// read from it after a kill of all processes: quarantined requests and suspects.
+TEST_F(sidecar_quarantine, nodes_that_start_without_the_store_learn_what_the_others_have_read)
+{
+    EXPECT_LE(crashesOfRepeatedRequest("write"), 2U);
+    const std::size_t first = m_fleet.runs.size();
+    m_fleet.callTarget("a1", "/write/suspect");
+    std::size_t crashes = crashServersOf(first);
+    EXPECT_EQ(crashes, 1U);
+    restartAll();
+    m_fleet.nodesWithoutStore = {m_callers.begin(), m_callers.end()};
+    for (const std::string &node : m_callers)
+        restart(node);
+    const std::size_t before = m_fleet.runs.size();
+    for (const std::string &node : m_callers)
+        m_fleet.call(node, "write");
+    EXPECT_EQ(m_fleet.runs.size(), before);
+    for (const std::string &node : m_callers) {
+        const std::size_t next = m_fleet.runs.size();
+        m_fleet.callTarget(node, "/write/suspect");
+        crashes += crashServersOf(next);
+    }
+    EXPECT_LE(crashes, 2U);
+}
+
+// Guards against a VM that is lost together with its server: its node takes the record of the crash
+// with it, which must not keep the later crashes from being attributed.
+TEST_F(sidecar_quarantine, a_vm_that_is_lost_with_its_server_costs_one_more_crash)
+{
+    std::size_t crashes = 0;
+    for (std::size_t send = 0; send < 8; ++send) {
+        const std::size_t first = m_fleet.runs.size();
+        m_fleet.call(m_callers.at(send % m_callers.size()), "write");
+        if (send != 0 || m_fleet.runs.size() == first) {
+            crashes += crashServersOf(first);
+            continue;
+        }
+        ++crashes;
+        restart(m_fleet.runs[first].node);
+    }
+    EXPECT_LE(crashes, 3U);
+}
+
+// Guards against refusing requests that ran beside crashes of servers that they did not cause, with
+// kills of all processes between.
+TEST_F(sidecar_quarantine, requests_that_crashed_nothing_are_served_after_crashes_and_kills)
+{
+    constexpr std::size_t neighbours = 5;
+    const auto target = [](std::size_t number) { return "/write/" + std::to_string(number); };
+    for (int round = 0; round < 3; ++round) {
+        const std::size_t first = m_fleet.runs.size();
+        for (std::size_t number = 0; number < neighbours; ++number)
+            m_fleet.callTarget("a1", target(number));
+        crashServersOf(first);
+        restartAll();
+        for (std::size_t number = 0; number < neighbours; ++number) {
+            const std::size_t next = m_fleet.runs.size();
+            const call_id call = m_fleet.callTarget("b1", target(number));
+            ASSERT_EQ(m_fleet.runs.size(), next + 1);
+            m_fleet.finish(next);
+            EXPECT_EQ(m_fleet.status(call), 200);
+        }
+        restartAll();
+    }
+}
+
 // Guards against a node that runs a quarantined request because it has started, or was cut off,
 // after the request was quarantined.
 TEST_F(sidecar_quarantine, nodes_that_start_or_return_refuse_what_the_others_have_quarantined)
--- a/tests/sidecar_stop_test.cpp
+++ b/tests/sidecar_stop_test.cpp
@@ -60,6 +60,8 @@
     }
     void eraseDeparture(const std::string &, handler<std::monostate>) override { }
     void listDepartures(handler<std::vector<stored_departure>> done) override { done({}); }
+    void putCrashes(std::span<const stored_crash>, handler<std::monostate>) override { }
+    void listCrashes(handler<std::vector<stored_crash>> done) override { done({}); }
     void sweep(time_point) override { }
 
     published_set set;
