--- a/include/tamarackridge/src/sidecar/sidecar_core.h
+++ b/include/tamarackridge/src/sidecar/sidecar_core.h
@@ -7,6 +7,8 @@
 #include "tamarackridge/src/membership/member.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
+#include "tamarackridge/src/quarantine/crash_record.h"
+#include "tamarackridge/src/quarantine/fingerprint.h"
 #include "tamarackridge/src/sidecar/published_set.h"
 
 #include <tl/expected.hpp>
@@ -15,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -103,11 +106,11 @@
                                    std::string_view source) = 0;
     /// \brief Called when a run on the local backend server has ended without a response although
     /// the server may have begun it. A crash that is noticed soon may be attributed to it.
-    /// \param identity fingerprint of the request.
     /// \param path of the request, without the query.
-    virtual void runInterrupted(run_id run, std::string_view identity, std::string_view path) = 0;
+    virtual void runInterrupted(run_id run, const request_identity &identity,
+                                std::string_view path) = 0;
     /// \brief Called when the node beside a backend server did not let a request run.
-    /// \param identity fingerprint of the request.
+    /// \param identity fingerprint of the request, or only of its variant.
     virtual void runRefused(std::string_view requestId, error_kind reason,
                             std::string_view identity) = 0;
 };
@@ -169,6 +172,11 @@
     /// effect only after this call, or when other nodes know an earlier process of this node. If
     /// records may be missing, they wait for a health check that the server passes.
     void departuresRead(const recorded_departures &records, time_point now, action_list &out);
+    /// \brief Takes the records about requests that crashed backend servers, of all nodes.
+    ///
+    /// As with the departures, the backend server is used only after this call, or when other nodes
+    /// know an earlier process of this node.
+    void crashRecordsRead(std::span<const crash_record> records, time_point now, action_list &out);
     /// \brief Takes the result of a check_server action.
     /// \param passed whether \a instance itself has responded that it is healthy and not leaving.
     void serverChecked(std::string_view instance, bool passed, time_point now, action_list &out);
--- a/src/core/quarantine/crash_tracker.cpp
+++ b/src/core/quarantine/crash_tracker.cpp
@@ -1,91 +1,53 @@
 #include "tamarackridge/src/quarantine/crash_tracker.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <iterator>
 #include <set>
 #include <utility>
 
 namespace tamarackridge {
-namespace {
-
-// Upper bounds of decoded fields.
-constexpr std::int64_t maxGeneration = 1'000'000'000;
-constexpr std::int64_t maxCrashes = 1000;
-constexpr std::int64_t maxRemainingMs = 3'600'000;
-
-/// \brief Fields of a payload: generation, crashes, quarantined (0 or 1), remaining time in ms.
-using payload_fields = std::array<std::int64_t, 4>;
-
-std::optional<payload_fields> parsePayload(std::string_view text)
-{
-    payload_fields fields{};
-    const char *position = text.data();
-    const char *end = text.data() + text.size();
-    for (std::size_t index = 0; index < fields.size(); ++index) {
-        if (index > 0) {
-            if (position == end || *position != ' ')
-                return std::nullopt;
-            ++position;
-        }
-        const std::from_chars_result result = std::from_chars(position, end, fields[index]);
-        if (result.ec != std::errc() || fields[index] < 0)
-            return std::nullopt;
-        position = result.ptr;
-    }
-    if (position != end || fields[0] > maxGeneration || fields[1] > maxCrashes || fields[2] > 1
-        || fields[3] > maxRemainingMs)
-        return std::nullopt;
-    return fields;
-}
-
-} // namespace
-
-std::optional<crash_summary> summaryOf(const overlay_entry &entry)
-{
-    const std::optional<payload_fields> fields = parsePayload(entry.payload);
-    if (!fields)
-        return std::nullopt;
-    return crash_summary{static_cast<std::uint32_t>((*fields)[1]), (*fields)[2] != 0};
-}
-
 crash_tracker::crash_tracker(quarantine_options options)
     : m_options(options)
 { }
 
-fingerprint crash_tracker::computeFingerprint(const fingerprint_source &source)
+request_identity crash_tracker::computeIdentity(const fingerprint_source &source)
 {
-    ++m_fingerprintsComputed;
-    return fingerprintOf(source.parts());
+    ++m_identitiesComputed;
+    return identityOf(source.parts());
 }
 
-const crash_tracker::quarantine_state *
-crash_tracker::findActive(const fingerprint &requestFingerprint, time_point now) const
+const crash_tracker::quarantine_state *crash_tracker::findActive(const fingerprint &subject,
+                                                                 time_point now) const
 {
-    const auto found = m_entries.find(requestFingerprint);
+    const auto found = m_entries.find(subject);
     if (found == m_entries.end() || found->second.crashes == 0 || found->second.expiresAt <= now)
         return nullptr;
     return &found->second;
 }
 
+bool crash_tracker::isSuspect(const request_identity &identity, time_point now) const
+{
+    return findActive(identity.request, now) != nullptr
+           || findActive(identity.variant, now) != nullptr;
+}
+
 std::size_t crash_tracker::countUnresolvedSuspects(time_point now)
 {
     std::size_t count = 0;
     for (active_run &run : m_activeRuns)
-        count += findActive(fingerprintOfRun(run), now) != nullptr ? 1 : 0;
+        count += isSuspect(identityOfRun(run), now) ? 1 : 0;
     for (const interrupted_run &run : m_interruptedRuns) {
         const bool isRecent = now - run.interruptedAt < m_options.interruptionHold;
-        count += isRecent && findActive(run.requestFingerprint, now) != nullptr ? 1 : 0;
+        count += isRecent && isSuspect(run.identity, now) ? 1 : 0;
     }
     return count;
 }
 
-const fingerprint &crash_tracker::fingerprintOfRun(active_run &run)
+const request_identity &crash_tracker::identityOfRun(active_run &run)
 {
-    if (!run.requestFingerprint)
-        run.requestFingerprint = computeFingerprint(*run.source);
-    return *run.requestFingerprint;
+    if (!run.identity)
+        run.identity = computeIdentity(*run.source);
+    return *run.identity;
 }
 
 run_decision crash_tracker::permissionFor(const fingerprint_source &source, time_point now)
@@ -93,23 +55,27 @@
     run_decision decision;
     if (m_entries.empty())
         return decision;
-    decision.requestFingerprint = computeFingerprint(source);
-    const quarantine_state *state = findActive(*decision.requestFingerprint, now);
-    if (state == nullptr)
-        return decision;
-    if (state->quarantined)
-        decision.permission = run_permission::refuse;
-    else if (countUnresolvedSuspects(now) > 0)
-        decision.permission = run_permission::wait;
-    else
-        decision.permission = run_permission::run_alone;
+    decision.identity = computeIdentity(source);
+    bool isSuspected = false;
+    for (const fingerprint &subject : {decision.identity->request, decision.identity->variant}) {
+        const quarantine_state *state = findActive(subject, now);
+        if (state != nullptr && state->quarantined) {
+            decision.permission = run_permission::refuse;
+            decision.quarantined = subject;
+            return decision;
+        }
+        isSuspected = isSuspected || state != nullptr;
+    }
+    if (isSuspected)
+        decision.permission =
+                countUnresolvedSuspects(now) > 0 ? run_permission::wait : run_permission::run_alone;
     return decision;
 }
 
 void crash_tracker::onRunStarted(run_id run, const fingerprint_source &source,
                                  const run_decision &decision)
 {
-    m_activeRuns.push_back({run, &source, decision.requestFingerprint, ++m_startCount});
+    m_activeRuns.push_back({run, &source, decision.identity, ++m_startCount});
 }
 
 std::vector<overlay_entry> crash_tracker::onRunFinished(run_id run, bool success, time_point now)
@@ -126,63 +92,89 @@
         });
     }
     if (success && !m_entries.empty()) {
-        const fingerprint requestFingerprint = fingerprintOfRun(*found);
-        const quarantine_state *state = findActive(requestFingerprint, now);
-        if (state != nullptr && !state->quarantined) {
-            quarantine_state &entry = m_entries[requestFingerprint];
-            entry = {entry.generation + 1, 0, false, now + m_options.suspectPeriod};
-            updates.push_back(encode(requestFingerprint, entry, now));
-        }
+        const request_identity identity = identityOfRun(*found);
+        clear(identity.request, now, updates);
+        clear(identity.variant, now, updates);
     }
     *found = m_activeRuns.back();
     m_activeRuns.pop_back();
     return updates;
 }
 
-std::optional<fingerprint> crash_tracker::onRunInterrupted(run_id run, time_point now)
+void crash_tracker::clear(const fingerprint &subject, time_point now,
+                          std::vector<overlay_entry> &updates)
+{
+    const quarantine_state *state = findActive(subject, now);
+    if (state == nullptr || state->quarantined)
+        return;
+    quarantine_state &entry = m_entries[subject];
+    entry = {entry.generation + 1, 0, false, now + m_options.suspectPeriod};
+    updates.push_back(encode(subject, entry, now));
+}
+
+std::optional<request_identity> crash_tracker::onRunInterrupted(run_id run, time_point now)
 {
     const auto found = std::ranges::find(m_activeRuns, run, &active_run::run);
     if (found == m_activeRuns.end())
         return std::nullopt;
-    const fingerprint requestFingerprint = fingerprintOfRun(*found);
+    const request_identity identity = identityOfRun(*found);
     if (m_interruptedRuns.size() >= m_options.maxInterruptedRuns)
         m_interruptedRuns.pop_front();
-    m_interruptedRuns.push_back({requestFingerprint, now, m_startCount});
+    m_interruptedRuns.push_back({identity, now, m_startCount});
     *found = m_activeRuns.back();
     m_activeRuns.pop_back();
-    return requestFingerprint;
+    return identity;
 }
 
 std::vector<overlay_entry> crash_tracker::onCrash(time_point now)
 {
+    const std::set<request_identity> causes = takePossibleCauses(now);
+    std::vector<request_identity> suspects;
+    std::ranges::copy_if(
+            causes, std::back_inserter(suspects),
+            [this, now](const request_identity &identity) { return isSuspect(identity, now); });
+    const bool isOneRequest =
+            !suspects.empty()
+            && std::ranges::all_of(suspects, [&suspects](const request_identity &identity) {
+                   return identity.request == suspects.front().request;
+               });
     std::vector<overlay_entry> updates;
-    const std::set<fingerprint> fingerprints = takePossibleCauses(now);
-    std::set<fingerprint> suspects;
-    std::ranges::copy_if(fingerprints, std::inserter(suspects, suspects.end()),
-                         [this, now](const fingerprint &requestFingerprint) {
-                             return findActive(requestFingerprint, now) != nullptr;
-                         });
-    if (suspects.size() == 1) {
+    if (isOneRequest) {
         // The crash is attributed to the only suspect; the other running requests do not become
         // suspects.
-        updates.push_back(recordCrash(*suspects.begin(), true, now));
+        updates = quarantine(suspects, now);
     } else {
-        for (const fingerprint &requestFingerprint : fingerprints)
-            updates.push_back(recordCrash(requestFingerprint, false, now));
+        std::set<fingerprint> subjects;
+        for (const request_identity &identity : causes)
+            subjects.insert({identity.request, identity.variant});
+        for (const fingerprint &subject : subjects)
+            updates.push_back(recordCrash(subject, false, now));
     }
     evictExcessEntries();
     return updates;
 }
 
-std::set<fingerprint> crash_tracker::takePossibleCauses(time_point now)
+std::vector<overlay_entry> crash_tracker::quarantine(const std::vector<request_identity> &suspects,
+                                                     time_point now)
 {
-    std::set<fingerprint> causes;
+    const auto &[request, variant] = suspects.front();
+    const bool isKnownVariant =
+            suspects.size() == 1 && variant != request && findActive(variant, now) != nullptr;
+    std::vector<overlay_entry> updates{recordCrash(request, !isKnownVariant, now)};
+    if (isKnownVariant)
+        updates.push_back(recordCrash(variant, true, now));
+    return updates;
+}
+
+std::set<request_identity> crash_tracker::takePossibleCauses(time_point now)
+{
+    std::set<request_identity> causes;
     for (active_run &run : m_activeRuns)
-        causes.insert(fingerprintOfRun(run));
+        causes.insert(identityOfRun(run));
     m_activeRuns.clear();
     dropOldInterruptions(now);
     for (const interrupted_run &run : m_interruptedRuns)
-        causes.insert(run.requestFingerprint);
+        causes.insert(run.identity);
     m_interruptedRuns.clear();
     return causes;
 }
@@ -194,46 +186,34 @@
     });
 }
 
-overlay_entry crash_tracker::recordCrash(const fingerprint &requestFingerprint, bool setQuarantined,
+overlay_entry crash_tracker::recordCrash(const fingerprint &subject, bool setQuarantined,
                                          time_point now)
 {
-    quarantine_state &entry = m_entries[requestFingerprint];
+    quarantine_state &entry = m_entries[subject];
     if (entry.expiresAt <= now && entry.crashes > 0) // Expired: starts a new generation.
         entry = {entry.generation + 1, 0, false, now};
     ++entry.crashes;
     entry.quarantined = entry.quarantined || setQuarantined;
     entry.expiresAt =
             now + (entry.quarantined ? m_options.quarantinePeriod : m_options.suspectPeriod);
-    return encode(requestFingerprint, entry, now);
+    return encode(subject, entry, now);
 }
 
-overlay_entry crash_tracker::encode(const fingerprint &requestFingerprint,
-                                    const quarantine_state &state, time_point now) const
+overlay_entry crash_tracker::encode(const fingerprint &subject, const quarantine_state &state,
+                                    time_point now)
 {
-    const std::int64_t remaining =
-            std::chrono::ceil<std::chrono::milliseconds>(state.expiresAt - now).count();
-    overlay_entry entry;
-    entry.kind = entry_kind::quarantine;
-    entry.key = toString(requestFingerprint);
-    entry.version.counter = (static_cast<std::uint64_t>(state.generation) << 16U)
-                            + (state.quarantined ? 1U << 15U : 0U)
-                            + std::min<std::uint32_t>(state.crashes, maxCrashes);
-    entry.payload = std::to_string(state.generation) + ' ' + std::to_string(state.crashes) + ' '
-                    + (state.quarantined ? "1 " : "0 ") + std::to_string(remaining);
-    return entry;
+    return encodeCrashRecord(
+            {subject, state.generation, state.crashes, state.quarantined, state.expiresAt - now});
 }
 
 bool crash_tracker::onEntry(std::string_view key, std::string_view payload, time_point now)
 {
-    const std::optional<fingerprint> requestFingerprint = parseFingerprint(key);
-    const std::optional<payload_fields> fields = parsePayload(payload);
-    if (!requestFingerprint || !fields)
+    const std::optional<crash_record> record = decodeCrashRecord(key, payload);
+    if (!record)
         return false;
-    const auto &[generation, crashes, quarantined, remainingMs] = *fields;
-    const quarantine_state peer{static_cast<std::uint32_t>(generation),
-                                static_cast<std::uint32_t>(crashes), quarantined != 0,
-                                now + std::chrono::milliseconds(remainingMs)};
-    const auto found = m_entries.find(*requestFingerprint);
+    const quarantine_state peer{record->generation, record->crashes, record->quarantined,
+                                now + record->remaining};
+    const auto found = m_entries.find(record->subject);
     if (found != m_entries.end() && found->second.expiresAt > now
         && !supersedes(peer, found->second)) {
         // For equal entries the earlier expiry is kept, so that a delayed copy does not extend the
@@ -242,9 +222,9 @@
             found->second.expiresAt = std::min(found->second.expiresAt, peer.expiresAt);
         return false;
     }
-    if (remainingMs == 0)
+    if (record->remaining == duration::zero())
         return false;
-    m_entries[*requestFingerprint] = peer;
+    m_entries[record->subject] = peer;
     evictExcessEntries();
     return true;
 }
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/secure_random.h"
+#include "sidecar/crash_log.h"
 #include "sidecar/departure_log.h"
 #include "sidecar/http_listener.h"
 #include "sidecar/latency_buckets.h"
@@ -39,7 +40,8 @@
     void requestEnded(const ended_request &request) override;
     void knownStateChanged(std::string_view subject, std::string_view knownState,
                            std::string_view source) override;
-    void runInterrupted(run_id run, std::string_view identity, std::string_view path) override;
+    void runInterrupted(run_id run, const request_identity &identity,
+                        std::string_view path) override;
     void runRefused(std::string_view requestId, error_kind reason,
                     std::string_view identity) override;
 
@@ -99,6 +101,7 @@
     peer_network m_peers;
     store_watch m_store;
     departure_log m_departures;
+    crash_log m_crashes;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::signal_set m_signals;
