--- a/docs/snippets/embed_node.cpp
+++ b/docs/snippets/embed_node.cpp
@@ -109,6 +109,7 @@
     void perform(disconnect_peer &) { }
     void perform(emit_span &) { }
     void perform(record_departure &) { } // Returned by sidecar_core only.
+    void perform(record_crash &) { } // Returned by sidecar_core only.
     void perform(check_server &) { } // Returned by sidecar_core only.
 
     time_point m_now{std::chrono::hours(1)};
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -620,14 +620,19 @@
 TEST_F(sidecar_server_runner, every_run_is_reported_with_its_request_id)
 {
     std::vector<std::string> ended;
-    runner.onRunEnded([&ended](std::string_view id, const backend_result &result, duration) {
-        ended.push_back(std::string(id) + (result.response ? " ran" : " failed"));
+    std::vector<run_id> runs;
+    runner.onRunEnded([&](const ended_run &run, const backend_result &result) {
+        ended.push_back(std::string(run.requestId) + (result.response ? " ran" : " failed"));
+        runs.push_back(run.run);
     });
+    const run_backend first = item("a");
+    const run_backend second = item("b");
     server->script = [](const std::string &) { return rawResponse("a", "y"); };
-    run(item("a"));
+    run(first);
     server->script = [](const std::string &) { return std::string("garbage\r\n\r\n"); };
-    run(item("b"));
+    run(second);
     EXPECT_EQ(ended, (std::vector<std::string>{"a ran", "b failed"}));
+    EXPECT_EQ(runs, (std::vector<run_id>{first.run, second.run}));
 }
 
 // Guards against a server that keeps working on a cancelled request.
