--- a/tests/fakes/loop_runner.h
+++ b/tests/fakes/loop_runner.h
@@ -4,22 +4,26 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <unistd.h>
+
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <string>
 
 namespace tamarackridge::fakes {
 
-/// \returns a port that was free on the loopback address at the time of the call.
-inline std::uint16_t freePort()
-{
-    boost::asio::io_context loop;
-    tcp::acceptor probe(loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return probe.local_endpoint().port();
-}
-
+/// \returns a loopback address and port that no other call and no other process gets. A probed port
+/// could be taken by another process before it is used.
 inline socket_address freeAddress()
 {
-    return {"127.0.0.1", freePort()};
+    constexpr int blocks = 250;
+    constexpr std::uint16_t firstPort = 22000; // Below the ports that the kernel assigns.
+    static std::uint16_t count = 0;
+    const int process = getpid();
+    return {"127." + std::to_string(1 + process / blocks % blocks) + '.'
+                    + std::to_string(1 + process % blocks) + ".1",
+            static_cast<std::uint16_t>(firstPort + count++)};
 }
 
 /// \brief Runs the loop until \a done returns true, or for ten seconds.
--- a/tests/sidecar_crash_log_test.cpp
+++ b/tests/sidecar_crash_log_test.cpp
@@ -5,8 +5,6 @@
 
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <chrono>
 #include <functional>
@@ -21,26 +19,14 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr std::uint16_t storePort = 22100; // Below the ports that the kernel assigns.
-
 /// A store that outlives the processes which record crashes in it.
 struct sidecar_crash_log : testing::Test
 {
-    /// \returns a loopback address that no other process uses.
-    static socket_address storeAddress()
-    {
-        constexpr int blocks = 250;
-        const int process = getpid();
-        return {"127." + std::to_string(1 + process / blocks % blocks) + '.'
-                        + std::to_string(1 + process % blocks) + ".2",
-                storePort};
-    }
-
     /// One process of a node.
     struct process
     {
-        explicit process(boost::asio::io_context &loop)
-            : gateway(loop, storeAddress())
+        process(boost::asio::io_context &loop, const socket_address &store)
+            : gateway(loop, store)
         {
             gateway.onStoreRestored([this] { log.storeRestored(); });
             gateway.onRecordRefused(
@@ -64,7 +50,7 @@
     void startProcess()
     {
         node.reset();
-        node = std::make_unique<process>(loop);
+        node = std::make_unique<process>(loop, address);
     }
     bool run(const std::function<bool()> &done)
     {
@@ -93,9 +79,10 @@
     }
 
     boost::asio::io_context loop;
+    socket_address address = fakes::freeAddress();
     std::unique_ptr<fakes::platform_store> store =
-            std::make_unique<fakes::platform_store>(loop, storeAddress());
-    std::unique_ptr<process> node = std::make_unique<process>(loop);
+            std::make_unique<fakes::platform_store>(loop, address);
+    std::unique_ptr<process> node = std::make_unique<process>(loop, address);
 };
 
 } // namespace
--- a/tests/sidecar_departure_test.cpp
+++ b/tests/sidecar_departure_test.cpp
@@ -5,8 +5,6 @@
 
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -149,8 +147,6 @@
                          testing::Values(notice::report, notice::leave_notice,
                                          notice::leave_notice_without_start));
 
-constexpr std::uint16_t firstPort = 22000; // Below the ports that the kernel assigns.
-
 /// A node beside the server `i-1`, with a store that outlives its processes.
 struct departure_store : testing::Test
 {
@@ -173,15 +169,6 @@
         startProcess();
     }
 
-    /// \returns a loopback address that no other process uses.
-    static std::string processAddress()
-    {
-        constexpr int blocks = 250;
-        const int process = getpid();
-        return "127." + std::to_string(1 + process / blocks % blocks) + '.'
-               + std::to_string(1 + process % blocks) + ".1";
-    }
-
     static sidecar_settings settingsOf(const std::string &service)
     {
         sidecar_settings settings;
@@ -189,12 +176,11 @@
         settings.zones = {"a"};
         settings.name = "node-" + service;
         settings.service = service;
-        std::uint16_t port = firstPort;
         for (socket_address sidecar_settings::*address :
              {&sidecar_settings::callers, &sidecar_settings::health, &sidecar_settings::control,
               &sidecar_settings::backend, &sidecar_settings::peers, &sidecar_settings::metrics,
               &sidecar_settings::store})
-            settings.*address = {processAddress(), port++};
+            settings.*address = fakes::freeAddress();
         return settings;
     }
 
