Notice a crash as soon as a connection to the server breaks

A crash was noticed by the next connection that the server refused. It was seen to take 16 to 20 ms, but five failures in a row make a caller's node stop using a server for 1 s; a crash that interrupts many runs can then stay unnoticed for longer than the 50 ms after which they are sent to other servers, where they run together without being suspects.

A broken connection makes the sidecar open another one, at most one in 100 ms; a refusal is taken for a crash. Without it sidecar_server_runner.a_server_that_refuses_connections_after_one_has_broken_is_down fails.

--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -111,6 +111,8 @@
     } else {
         outcome.response = std::move(result.response);
     }
+    if (result.end == exchange_outcome::broken)
+        m_probe.request();
     m_runEnded({run, work.requestId, monotonicNow() - work.startedAt}, outcome);
     m_done(run, std::move(outcome), result.end == exchange_outcome::refused);
 }
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sidecar/connection_pool.h"
+#include "sidecar/connection_probe.h"
 #include "tamarackridge/src/node/action.h"
 #include "tamarackridge/src/node/node_core.h"
 
@@ -43,6 +44,7 @@
     server_runner(boost::asio::io_context &loop, const socket_address &server,
                   response_header_names names, done_handler done)
         : m_pool(loop, server)
+        , m_probe(loop, server)
         , m_host(server.text())
         , m_names(std::move(names))
         , m_done(std::move(done))
@@ -51,13 +53,21 @@
     /// \brief Calls \a handler with the outcome of each run.
     void onRunEnded(run_ended_handler handler) { m_runEnded = std::move(handler); }
 
+    /// \brief Calls \a handler when the server refuses a connection after one to it has broken.
+    /// This tells of a crash at once; the next run could come much later.
+    void onServerDown(std::function<void()> handler) { m_probe.onRefused(std::move(handler)); }
+
     void run(const run_backend &item);
     void cancel(run_id run);
     /// \brief Sends a health check.
     /// \param done is called with whether the instance has responded that it is healthy and not
     /// leaving.
     void check(const check_server &item, std::function<void(bool passed)> done);
-    void sweep(time_point now) { m_pool.sweep(now); }
+    void sweep(time_point now)
+    {
+        m_pool.sweep(now);
+        m_probe.sweep(now);
+    }
     const connection_pool &pool() const { return m_pool; }
 
 private:
@@ -72,6 +82,7 @@
     server_condition conditionOf(const http_response &response) const;
 
     connection_pool m_pool;
+    connection_probe m_probe;
     std::string m_host;
     response_header_names m_names;
     done_handler m_done;
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -81,6 +81,9 @@
     , m_sweepTimer(loop)
     , m_signals(loop, SIGTERM, SIGINT, SIGHUP)
 {
+    m_server.onServerDown([this] {
+        post([this](time_point now, action_list &out) { m_core.backendCrashed(now, out); });
+    });
     m_server.onRunEnded(
             [this](const ended_run &run, const backend_result &result) { runEnded(run, result); });
 }
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -616,6 +616,39 @@
     }
 }
 
+// Guards against a crash that is noticed only when the next request comes, after the requests that
+// it interrupted have been sent to other servers.
+TEST_F(sidecar_server_runner, a_server_that_refuses_connections_after_one_has_broken_is_down)
+{
+    int reports = 0;
+    runner.onServerDown([&reports] { ++reports; });
+    server->script = [](const std::string &) { return std::string(); };
+    runner.run(item("a"));
+    runner.run(item("b"));
+    ASSERT_TRUE(runUntil(loop, [this] { return server->connections == 2; }));
+    for (const std::shared_ptr<tcp::socket> &socket : server->sockets)
+        socket->close();
+    server.reset();
+    EXPECT_TRUE(runUntil(
+            loop, [&reports] { return reports > 0; }, [this] { runner.sweep(monotonicNow()); }));
+}
+
+// Guards against a server that is taken for crashed because it has broken off a response.
+TEST_F(sidecar_server_runner, a_server_that_breaks_connections_and_accepts_others_is_not_down)
+{
+    int reports = 0;
+    runner.onServerDown([&reports] { ++reports; });
+    server->script = [](const std::string &) { return std::string("HTTP/1.1 200 OK\r\n"); };
+    server->closesAfterResponse = true;
+    for (int request = 0; request < 5; ++request)
+        EXPECT_EQ(run(item("a")).response.error(), error_kind::backend_failed);
+    EXPECT_TRUE(runUntil(
+            loop, [this] { return server->connections > 5; },
+            [this] { runner.sweep(monotonicNow()); }))
+            << "a probe was accepted";
+    EXPECT_EQ(reports, 0);
+}
+
 // Guards against a failed run that can't be found in the log by its request id.
 TEST_F(sidecar_server_runner, every_run_is_reported_with_its_request_id)
 {
