Crash records: erase a record only if the store still has it after its end

Found by re-reading, before any run showed it: a process erased its record of a suspect when it expired by its own count, although another node could have quarantined the request meanwhile and replaced the record; a kill of all processes would then release the request. A clearing that was repeated after an outage of the store could do the same. Expired records are now read again before they are erased, and a clearing is not repeated. sidecar_crash_log.a_record_that_another_node_has_renewed_is_not_erased covers both.

--- a/src/sidecar/crash_log.cpp
+++ b/src/sidecar/crash_log.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t maxEntries = 4096;
 // A record takes about 120 bytes, and the store accepts 2 MB a call.
 constexpr std::size_t maxRecordsPerCall = 500;
-// The clocks of VMs differ, so that a record that has expired here may be valid elsewhere.
-constexpr seconds clockTolerance(60);
 
 seconds unixTime()
 {
@@ -38,10 +36,12 @@
 
 } // namespace
 
-crash_log::crash_log(platform_gateway &platform, random_source &random, read_handler read)
+crash_log::crash_log(platform_gateway &platform, random_source &random, read_handler read,
+                     duration clockTolerance)
     : m_platform(platform)
     , m_random(random)
     , m_read(std::move(read))
+    , m_clockTolerance(clockTolerance)
 { }
 
 void crash_log::start()
@@ -64,10 +64,11 @@
                 // A list that stays malformed must not keep the backend server from being used.
                 if (!list && list.error() != store_error::malformed) {
                     recordFailure();
+                    if (m_hasRead)
+                        m_eraseAt = m_retryAt;
                     return;
                 }
                 m_retryDelay.reset();
-                m_hasRead = true;
                 takeList(list.value_or(std::vector<stored_crash>()));
             });
 }
@@ -79,20 +80,36 @@
     std::vector<fingerprint> expired;
     for (const stored_crash &item : list) {
         const seconds expiresAt(item.expiresAt);
-        if (expiresAt + clockTolerance < now)
+        if (expiresAt + m_clockTolerance < now)
             expired.push_back(item.record.subject);
         if (expiresAt <= now)
             continue;
         valid.push_back(item.record);
         valid.back().remaining = std::min<duration>(expiresAt - now, maxRemaining(item.record));
-        m_entries.try_emplace(item.record.subject,
-                              entry{item, monotonicNow() + valid.back().remaining, 0, true, false});
     }
-    // Drawn at random: nodes that start together, and read the same expired records, erase
-    // different ones.
-    if (!expired.empty())
-        record({expired[m_random.below(expired.size())], 0, 0, false, {}});
+    eraseExpired(expired);
+    if (std::exchange(m_hasRead, true))
+        return;
+    for (const crash_record &record : valid) {
+        const std::int64_t expiresAt = (now + std::chrono::ceil<seconds>(record.remaining)).count();
+        m_entries.try_emplace(record.subject,
+                              entry{{record, expiresAt}, monotonicNow() + record.remaining});
+    }
     m_read(valid);
+}
+
+void crash_log::eraseExpired(const std::vector<fingerprint> &subjects)
+{
+    if (subjects.empty())
+        return;
+    // Drawn at random in the first read: nodes that start together read the same expired records,
+    // and erase different ones.
+    const std::size_t drawn = m_random.below(subjects.size());
+    for (std::size_t index = 0; index < subjects.size(); ++index) {
+        const bool isKnown = m_entries.contains(subjects[index]); // And to be written anew.
+        if (!isKnown && (m_hasRead || index == drawn))
+            record({subjects[index], 0, 0, false, {}});
+    }
     flush();
 }
 
@@ -141,17 +158,19 @@
 void crash_log::written(const std::vector<written_record> &records, bool succeeded)
 {
     m_writing = false;
-    if (!succeeded) {
+    if (succeeded)
+        m_retryDelay.reset();
+    else
         recordFailure();
-        return;
-    }
-    m_retryDelay.reset();
     for (const written_record &record : records) {
         const auto found = m_entries.find(record.subject);
         if (found == m_entries.end() || found->second.revision != record.revision)
             continue;
-        found->second.recorded = true;
-        --m_unrecorded;
+        // A clearing is not repeated: another node may have recorded a crash by then, and a suspect
+        // expires soon.
+        const bool isDone = succeeded || isCleared(found->second.crash);
+        found->second.recorded = isDone;
+        m_unrecorded -= isDone ? 1 : 0;
         if (isCleared(found->second.crash))
             m_entries.erase(found);
     }
@@ -165,24 +184,28 @@
     flush();
 }
 
+void crash_log::dropExpired(time_point now)
+{
+    std::erase_if(m_entries, [this, now](const auto &item) {
+        const entry &known = item.second;
+        if (now < known.expiresAt || isCleared(known.crash))
+            return false;
+        m_unrecorded -= known.recorded ? 0 : 1;
+        if (known.written && !m_eraseAt)
+            m_eraseAt = now + m_clockTolerance + seconds(2); // The store counts whole seconds.
+        return true;
+    });
+}
+
 void crash_log::sweep(time_point now)
 {
+    dropExpired(now);
     if (now < m_retryAt)
         return;
-    if (!m_hasRead && !m_reading)
+    const bool isEraseDue = m_eraseAt && now >= *m_eraseAt;
+    if ((!m_hasRead || isEraseDue) && !m_reading) {
+        m_eraseAt.reset();
         read();
-    for (auto item = m_entries.begin(); item != m_entries.end();) {
-        entry &known = item->second;
-        if (now < known.expiresAt || isCleared(known.crash)) {
-            ++item;
-        } else if (known.written) {
-            known.crash.record.crashes = 0;
-            setChanged(known);
-            ++item;
-        } else {
-            m_unrecorded -= known.recorded ? 0 : 1;
-            item = m_entries.erase(item);
-        }
     }
     flush();
 }
--- a/tests/sidecar_crash_log_test.cpp
+++ b/tests/sidecar_crash_log_test.cpp
@@ -39,7 +39,8 @@
         platform::store_gateway gateway;
         seeded_random random{1};
         crash_log log{gateway, random,
-                      [this](const std::vector<crash_record> &records) { known = records; }};
+                      [this](const std::vector<crash_record> &records) { known = records; },
+                      std::chrono::milliseconds(500)};
     };
 
     static crash_record quarantined(std::uint64_t number)
@@ -167,6 +168,31 @@
     EXPECT_TRUE(readAnew().empty());
 }
 
+// Guards against a process that erases, when its own record of a suspect has expired, the one of
+// another node that has quarantined it meanwhile; and against a clearing that does so late.
+TEST_F(sidecar_crash_log, a_record_that_another_node_has_renewed_is_not_erased)
+{
+    const std::string key = toString(fingerprint{1, 7});
+    node->log.record({{1, 7}, 0, 1, false, std::chrono::milliseconds(300)});
+    node->log.flush();
+    ASSERT_TRUE(isWritten());
+    store->put("keyed.crashes", key,
+               R"({"generation":0,"crashes":2,"quarantined":true,"expires_at":9000000000})");
+    const std::size_t lists = store->calls.size();
+    ASSERT_TRUE(run([&] { return store->calls.size() > lists; })) << "looks for what has expired";
+    store->failureStatus = 503;
+    node->log.record({{1, 7}, 1, 0, false, seconds(60)});
+    node->log.flush();
+    ASSERT_TRUE(run([this] { return node->log.errors() > 0 && node->log.unrecorded() == 0; }));
+    store->failureStatus = 0;
+    loop.restart();
+    loop.run_for(seconds(1));
+    node->log.sweep(monotonicNow());
+    const std::vector<crash_record> records = readAnew();
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_TRUE(records[0].quarantined);
+}
+
 // Guards against odd records of other writers that hide the others, and against a list that stays
 // malformed and keeps the server from being used.
 TEST_F(sidecar_crash_log, odd_records_have_no_effect)
