Crash records: a repeated write contains what other nodes have recorded

Nodes now update a record that they are going to write, or have written, with what the others learn. sidecar_crash_log.a_repeated_write_contains_what_other_nodes_have_recorded.

--- a/include/tamarackridge/src/node/action.h
+++ b/include/tamarackridge/src/node/action.h
@@ -102,6 +102,9 @@
 struct record_crash
 {
     crash_record record;
+    /// Only in place of a record that this node has written or is going to write: a later write of
+    /// that one would hide what another node has recorded meanwhile.
+    bool updateOnly = false;
 };
 
 /// \brief Sends a health check to the local backend server.
--- a/src/core/sidecar/sidecar_state.cpp
+++ b/src/core/sidecar/sidecar_state.cpp
@@ -283,8 +283,8 @@
     m_executor.quarantineEntry(entry, now);
     // The node that saw the crash may not reach the store, so one node of each zone records it too.
     const std::optional<crash_record> record = decodeCrashRecord(entry.key, entry.payload);
-    if (record && record->quarantined && m_membership.rank() == 0)
-        out.push_back(record_crash{*record});
+    if (record)
+        out.push_back(record_crash{*record, !record->quarantined || m_membership.rank() != 0});
 }
 
 void sidecar_state::crashRecordsRead(std::span<const crash_record> records, time_point now,
--- a/src/sidecar/crash_log.cpp
+++ b/src/sidecar/crash_log.cpp
@@ -125,6 +125,20 @@
     setChanged(item);
 }
 
+void crash_log::update(const crash_record &newer)
+{
+    const auto found = m_entries.find(newer.subject);
+    if (found == m_entries.end() || (found->second.recorded && !found->second.written))
+        return;
+    if (newer.crashes > 0) {
+        record(newer);
+        return;
+    }
+    // The other node erases the record.
+    m_unrecorded -= found->second.recorded ? 0 : 1;
+    m_entries.erase(found);
+}
+
 void crash_log::setChanged(entry &item)
 {
     ++item.revision;
--- a/src/sidecar/crash_log.h
+++ b/src/sidecar/crash_log.h
@@ -33,6 +33,9 @@
     void start();
     /// \brief Records \a record with the next flush, in place of an earlier one of its subject.
     void record(const crash_record &record);
+    /// \brief Like record(), if this process has written a record of the subject or is going to.
+    /// Must be called for what other nodes record.
+    void update(const crash_record &record);
     /// \brief Writes what has been recorded in one call, unless a call is in progress or has just
     /// failed.
     void flush();
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -234,11 +234,19 @@
     else if (const record_departure *record = std::get_if<record_departure>(&item))
         m_departures.record(record->departure);
     else if (const record_crash *crash = std::get_if<record_crash>(&item))
-        m_crashes.record(crash->record);
+        recordCrash(*crash);
     else if (const check_server *check = std::get_if<check_server>(&item))
         checkServer(*check);
 }
 
+void sidecar_app::recordCrash(const record_crash &crash)
+{
+    if (crash.updateOnly)
+        m_crashes.update(crash.record);
+    else
+        m_crashes.record(crash.record);
+}
+
 void sidecar_app::checkServer(const check_server &check)
 {
     m_server.check(check, [this, instance = check.instance](bool passed) {
--- a/src/sidecar/sidecar_app.h
+++ b/src/sidecar/sidecar_app.h
@@ -62,6 +62,7 @@
 
     /// \brief Logs a request that ended on this node's backend server.
     void runEnded(const ended_run &run, const backend_result &result);
+    void recordCrash(const record_crash &crash);
     void checkServer(const check_server &check);
     void serveHealth(call_id call, const http_request &request);
     void serveNotice(call_id call, const http_request &request);
--- a/tests/fakes/sidecar_fleet.h
+++ b/tests/fakes/sidecar_fleet.h
@@ -376,7 +376,7 @@
                 recorded.push_back(record->departure);
             }
         } else if (const record_crash *crash = std::get_if<record_crash>(&item)) {
-            if (!nodesWithoutStore.contains(node))
+            if (!nodesWithoutStore.contains(node) && !crash->updateOnly)
                 m_recordedCrashes[crash->record.subject] = {crash->record,
                                                             m_now + crash->record.remaining};
         } else if (const cancel_run *cancel = std::get_if<cancel_run>(&item)) {
--- a/tests/sidecar_crash_log_test.cpp
+++ b/tests/sidecar_crash_log_test.cpp
@@ -193,6 +193,27 @@
     EXPECT_TRUE(records[0].quarantined);
 }
 
+// Guards against a write that is repeated after an outage and replaces what another node has
+// recorded during it.
+TEST_F(sidecar_crash_log, a_repeated_write_contains_what_other_nodes_have_recorded)
+{
+    ASSERT_TRUE(run([this] { return node->known.has_value(); }));
+    store->failureStatus = 503;
+    for (std::uint64_t number : {1, 2})
+        node->log.record({{number, 7}, 0, 1, false, seconds(60)});
+    node->log.flush();
+    ASSERT_TRUE(run([this] { return node->log.errors() > 0; }));
+    node->log.update({{1, 7}, 0, 2, true, minutes(10)}); // Quarantined by another node.
+    node->log.update({{2, 7}, 1, 0, false, seconds(60)}); // Cleared by another node.
+    node->log.update(quarantined(3)); // Not known here.
+    store->failureStatus = 0;
+    ASSERT_TRUE(isWritten());
+    const std::vector<crash_record> records = readAnew();
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].subject, (fingerprint{1, 7}));
+    EXPECT_TRUE(records[0].quarantined);
+}
+
 // Guards against odd records of other writers that hide the others, and against a list that stays
 // malformed and keeps the server from being used.
 TEST_F(sidecar_crash_log, odd_records_have_no_effect)
