--- a/include/tamarackridge/src/membership/overlay.h
+++ b/include/tamarackridge/src/membership/overlay.h
@@ -86,8 +86,8 @@
     void onSummary(const node_ref &from, const entry_summary &message, action_list &out);
     /// \brief Disseminates an entry of another module. Copies that are received later are dropped.
     void publish(const overlay_entry &entry, action_list &out);
-    /// \brief Stores an entry of another module that the other nodes learn in another way. Only nodes
-    /// that ask for what they lack receive it.
+    /// \brief Stores an entry of another module that the other nodes learn in another way. Only
+    /// nodes that ask for what they lack receive it.
     void store(const overlay_entry &entry);
     /// \brief Sends the heartbeats that are due and detects neighbours that have stopped sending
     /// theirs.
