--- a/src/sidecar/connection_probe.cpp
+++ b/src/sidecar/connection_probe.cpp
@@ -46,8 +46,8 @@
 void connection_probe::ended(const boost::system::error_code &error)
 {
     m_socket.reset();
-    if (error != boost::asio::error::connection_refused
-        && error != boost::asio::error::connection_reset)
+    // A server that has too many connections resets further ones, which is no refusal.
+    if (error != boost::asio::error::connection_refused)
         return;
     // Whatever has been requested meanwhile has the same answer.
     m_requested = false;
