Crash log: one conversion to a stored record, no list of records when only erasing

takeList() computed the end of a record a second time, and prepared the valid records on the reads that only erase expired ones. No change of behaviour.

--- a/src/sidecar/crash_log.cpp
+++ b/src/sidecar/crash_log.cpp
@@ -29,6 +29,11 @@
     return record.quarantined ? options.quarantinePeriod : options.suspectPeriod;
 }
 
+stored_crash toStored(const crash_record &record)
+{
+    return {record, (unixTime() + std::chrono::ceil<seconds>(record.remaining)).count()};
+}
+
 bool isCleared(const stored_crash &crash)
 {
     return crash.record.crashes == 0;
@@ -76,24 +81,24 @@
 void crash_log::takeList(const std::vector<stored_crash> &list)
 {
     const seconds now = unixTime();
-    std::vector<crash_record> valid;
     std::vector<fingerprint> expired;
     for (const stored_crash &item : list) {
-        const seconds expiresAt(item.expiresAt);
-        if (expiresAt + m_clockTolerance < now)
+        if (seconds(item.expiresAt) + m_clockTolerance < now)
             expired.push_back(item.record.subject);
-        if (expiresAt <= now)
-            continue;
-        valid.push_back(item.record);
-        valid.back().remaining = std::min<duration>(expiresAt - now, maxRemaining(item.record));
     }
     eraseExpired(expired);
     if (std::exchange(m_hasRead, true))
         return;
-    for (const crash_record &record : valid) {
-        const std::int64_t expiresAt = (now + std::chrono::ceil<seconds>(record.remaining)).count();
+    std::vector<crash_record> valid;
+    for (const stored_crash &item : list) {
+        const seconds expiresAt(item.expiresAt);
+        if (expiresAt <= now)
+            continue;
+        crash_record record = item.record;
+        record.remaining = std::min<duration>(expiresAt - now, maxRemaining(record));
         m_entries.try_emplace(record.subject,
-                              entry{{record, expiresAt}, monotonicNow() + record.remaining});
+                              entry{toStored(record), monotonicNow() + record.remaining});
+        valid.push_back(record);
     }
     m_read(valid);
 }
@@ -120,7 +125,7 @@
         return;
     const auto [found, isNew] = m_entries.try_emplace(record.subject);
     entry &item = found->second;
-    item.crash = {record, (unixTime() + std::chrono::ceil<seconds>(record.remaining)).count()};
+    item.crash = toStored(record);
     item.expiresAt = monotonicNow() + record.remaining;
     setChanged(item);
 }
