Sidecar: a reset that the upload's write reports does not complete a response without a length

What callers saw: a server answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a complete response. The store's client took such a response as the acknowledgement of an append. Cause: the kernel reports a reset to one operation only. With an upload in progress that is the write, whose error was ignored; the read that follows gets the end of the stream, and the parser takes it for the end of the body. Change: a response that ends with the stream is decided after the handlers that are queued by then, and is broken if the write has failed. The exception is a broken pipe: the kernel gives this error for a reset that came after an orderly close, so the response had ended before. Without the exception for the broken pipe, complete_responses_during_an_upload_are_taken fails. Ruled out: a reset after the request or without an upload (the read reports it), responses with a length or in chunks, health checks, links between nodes (frames have a length). These tests passed before and stay.

--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -66,6 +66,7 @@
         m_deadline = deadline;
         m_done = std::move(done);
         m_requestWritten = false;
+        m_writeError = {};
         m_skippedResponse = false;
         m_skippedCount = 0;
         m_sendStarted = false;
@@ -133,6 +134,7 @@
                               // The outcome of the request is decided by the read, even if the
                               // write fails.
                               m_requestWritten = !error;
+                              m_writeError = error;
                           });
         receive();
     }
@@ -164,8 +166,10 @@
             return;
         }
         if (m_parser->is_done()) {
-            setHeldBytes(0);
-            received();
+            if (m_parser->need_eof())
+                awaitWriteError();
+            else
+                received();
             return;
         }
         // A response with a length reserves its memory when the head has arrived.
@@ -174,6 +178,26 @@
             readSome();
     }
 
+    /// \brief Decides whether the end of the stream completes a response without a length.
+    ///
+    /// The kernel reports a reset to one operation only. When that is the write, the read that
+    /// follows gets the end of the stream, as after an orderly close. The handler of that write is
+    /// queued by then, and runs before the one that is posted here.
+    void awaitWriteError()
+    {
+        boost::asio::post(m_socket.get_executor(), [this, keep = self()] {
+            if (!m_done)
+                return;
+            // The error of a write that is reset after an orderly close is a broken pipe.
+            const bool closedOrderly =
+                    !m_writeError || m_writeError == boost::asio::error::broken_pipe;
+            if (closedOrderly)
+                received();
+            else
+                close(exchange_outcome::broken);
+        });
+    }
+
     void setHeldBytes(std::size_t bytes)
     {
         const std::size_t before = std::exchange(m_heldBytes, bytes);
@@ -183,6 +207,7 @@
 
     void received()
     {
+        setHeldBytes(0);
         const http::response<http::string_body> &message = m_parser->get();
         const boost::beast::string_view id =
                 m_match.header.empty() ? boost::beast::string_view() : message[m_match.header];
@@ -262,6 +287,7 @@
     std::size_t m_skippedCount = 0;
     bool m_watching = false;
     bool m_requestWritten = false;
+    error_code m_writeError;
     bool m_skippedResponse = false; ///< A response to another request arrived first.
     bool m_sendStarted = false;
 };
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cstdint>
@@ -68,7 +69,28 @@
         return taken;
     }
     std::string readAll() { return readUntil("\1the peer never sends this\1"); }
+    /// \brief Reads and discards \a count bytes, or all bytes until the connection ends.
+    void skip(std::size_t count)
+    {
+        const std::size_t alreadyRead = std::min(count, m_unread.size());
+        m_unread.erase(0, alreadyRead);
+        count -= alreadyRead;
+        std::array<char, 4096> chunk{};
+        while (count > 0) {
+            const ssize_t size = recv(m_socket, chunk.data(), std::min(chunk.size(), count), 0);
+            if (size <= 0)
+                return;
+            count -= static_cast<std::size_t>(size);
+        }
+    }
     void closeSendingSide() { shutdown(m_socket, SHUT_WR); }
+    /// \brief Closes the connection with a reset.
+    void reset()
+    {
+        const linger discard{1, 0};
+        setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        close();
+    }
     void close()
     {
         if (m_socket >= 0)
--- /dev/null
+++ b/tests/sidecar_broken_response_test.cpp
@@ -0,0 +1,157 @@
+// Broken responses of backend servers and of the store, read by the sidecar on real sockets.
+#include "fakes/broken_responses.h"
+#include "fakes/loop_runner.h"
+#include "platform/store_gateway.h"
+#include "sidecar/server_runner.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarackridge {
+namespace {
+
+using fakes::early_response;
+using fakes::raw_server;
+using fakes::runUntil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const response_header_names names{"Id", "Not-Run", "Seal", "Rate", "Leaving", "Instance"};
+const std::string identity = "Id: a\r\nSeal: s\r\nInstance: i-1\r\n";
+const std::string body = "ok";
+
+struct sidecar_broken_response : testing::Test
+{
+    /// Sends a request to a server that handles its connection with \a script.
+    /// \returns the response, or nothing if none was taken.
+    static std::optional<http_response> responseTo(const raw_server::script &script,
+                                                   const std::string &method,
+                                                   const std::string &upload)
+    {
+        raw_server server({script});
+        boost::asio::io_context loop;
+        std::optional<backend_result> result;
+        server_runner runner(
+                loop, {"127.0.0.1", server.port()}, names,
+                [&](run_id, backend_result ended, bool) { result = std::move(ended); });
+        run_backend work;
+        work.run = 1;
+        work.request = {method, "/1", {{"Host", "h"}, {"Id", "a"}}, nullptr};
+        if (!upload.empty())
+            work.request.body = std::make_shared<const std::string>(upload);
+        work.timeout = seconds(5);
+        runner.run(work);
+        EXPECT_TRUE(runUntil(
+                loop, [&] { return result.has_value(); }, [&] { runner.sweep(monotonicNow()); }));
+        if (!result || !result->response)
+            return std::nullopt;
+        return *result->response;
+    }
+    /// \returns whether a server that handles its connection with \a script passes a health check.
+    static bool passesCheck(const raw_server::script &script)
+    {
+        raw_server server({script});
+        boost::asio::io_context loop;
+        server_runner runner(loop, {"127.0.0.1", server.port()}, names,
+                             [](run_id, const backend_result &, bool) {});
+        std::optional<bool> passed;
+        runner.check({"i-1", "/health"}, [&](bool result) { passed = result; });
+        EXPECT_TRUE(runUntil(
+                loop, [&] { return passed.has_value(); }, [&] { runner.sweep(monotonicNow()); }));
+        return passed.value_or(false);
+    }
+    /// Appends records of 5 MB to a store that handles its connection with \a script.
+    /// \returns whether the append was acknowledged.
+    static bool appendsRecords(const raw_server::script &script)
+    {
+        constexpr std::size_t count = 50'000;
+        raw_server server({script});
+        boost::asio::io_context loop;
+        platform::store_gateway gateway(loop, {"127.0.0.1", server.port()});
+        std::optional<bool> appended;
+        const std::vector<stored_crash> records(count, {{fingerprint(), 1, 1, false}, 1});
+        gateway.putCrashes(records, [&](const tl::expected<std::monostate, store_error> &result) {
+            appended = result.has_value();
+        });
+        EXPECT_TRUE(runUntil(
+                loop, [&] { return appended.has_value(); },
+                [&] { gateway.sweep(monotonicNow()); }));
+        return appended.value_or(false);
+    }
+};
+
+// Guards against a part of a response that reaches the caller as a complete one: a server answered
+// a long upload without a length and reset the connection while the upload was being written.
+TEST_F(sidecar_broken_response, a_reset_during_an_upload_does_not_complete_a_response)
+{
+    const std::string upload = fakes::longUpload();
+    for (const char *method : {"POST", "PUT"}) {
+        EXPECT_EQ(fakes::namesOf(
+                          fakes::resetResponses(identity, "part"),
+                          [&](const early_response &response) {
+                              return responseTo(respondEarly(response), method, upload).has_value();
+                          }),
+                  std::vector<std::string>())
+                << method;
+    }
+}
+
+// Guards against a reset that completes a response after the upload, or without one.
+TEST_F(sidecar_broken_response, a_reset_after_the_request_does_not_complete_a_response)
+{
+    for (const char *method : {"POST", "GET", "DELETE"}) {
+        EXPECT_EQ(fakes::namesOf(
+                          fakes::resetResponses(identity, "part"),
+                          [&](early_response response) {
+                              response.bytesRead = 0;
+                              response.end = fakes::response_end::late_reset;
+                              return responseTo(respondEarly(response), method, "").has_value();
+                          }),
+                  std::vector<std::string>())
+                << method;
+    }
+}
+
+// Guards against the loss of complete responses that come before the end of an upload.
+TEST_F(sidecar_broken_response, complete_responses_during_an_upload_are_taken)
+{
+    const std::string upload = fakes::longUpload();
+    for (const early_response &sound : fakes::soundEarlyResponses(identity, body, true)) {
+        const std::optional<http_response> response =
+                responseTo(respondEarly(sound), "POST", upload);
+        EXPECT_TRUE(response && bodyView(response->body) == body) << sound;
+    }
+}
+
+// Guards against a record that counts as stored although the store broke off its response.
+TEST_F(sidecar_broken_response, a_reset_during_an_append_does_not_acknowledge_it)
+{
+    EXPECT_EQ(fakes::namesOf(fakes::resetResponses("", "part"),
+                             [](const early_response &response) {
+                                 return appendsRecords(respondEarly(response));
+                             }),
+              std::vector<std::string>());
+    for (const early_response &sound : fakes::soundEarlyResponses("", "{}", true))
+        EXPECT_TRUE(appendsRecords(respondEarly(sound))) << sound;
+}
+
+// Guards against a server that counts as healthy because of a response that it broke off.
+TEST_F(sidecar_broken_response, a_reset_does_not_pass_a_health_check)
+{
+    EXPECT_EQ(fakes::namesOf(fakes::resetResponses(identity, "part"),
+                             [](early_response response) {
+                                 response.bytesRead = 0;
+                                 response.end = fakes::response_end::late_reset;
+                                 return passesCheck(respondEarly(response));
+                             }),
+              std::vector<std::string>());
+    for (const early_response &sound : fakes::soundEarlyResponses(identity, body, true))
+        EXPECT_TRUE(passesCheck(respondEarly(sound))) << sound;
+}
+
+} // namespace
+} // namespace tamarackridge
