Sidecar: a response whose status is below 100 is broken

What callers saw: after a response with the status 000 they got the response that the server sent behind it on the same connection, or waited until their deadline. The 000 itself reached no caller. Cause: each status below 200 was skipped like an interim response. The parser accepts any three digits. Change: the exchange ends as broken when the head has arrived with a status below 100. Statuses from 600 to 999 are passed on as before; a caller treats them as server errors (RFC 9110, section 15). Evidence: before, a_response_with_an_invalid_status_is_broken failed for GET and POST with 000_without_length, 000_before_a_sound_response and 000_with_body_before_a_sound_response, and for HEAD with 000_before_a_sound_response; in sidecar_broken_response_path_test a caller got the response behind the 000 at the node beside the server and through a peer. Now all 14 malformed status lines end as broken. Ruled out: 001, 099, two and four digits, no number: these were broken before. A health check passes with the status 200 only, and the store's client takes 200 only.

--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -18,6 +18,8 @@
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 // Bounds what the parser's own limits do not cover: chunk extensions and trailers.
 constexpr std::size_t maxBufferedBytes = std::size_t{128} * 1024;
+// The parser accepts any three digits. Below this, the status has no class (RFC 9110, section 15).
+constexpr unsigned minStatus = 100;
 // Interim responses and responses to other requests that one exchange skips.
 constexpr std::size_t maxSkippedResponses = 16;
 
@@ -165,6 +167,10 @@
             close(exchange_outcome::broken);
             return;
         }
+        if (m_parser->is_header_done() && m_parser->get().result_int() < minStatus) {
+            close(exchange_outcome::broken);
+            return;
+        }
         if (m_parser->is_done()) {
             if (m_parser->need_eof())
                 awaitWriteError();
--- /dev/null
+++ b/tests/fakes/malformed_heads.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "fakes/raw_server.h"
+
+#include <cstddef>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace tamarackridge::fakes {
+
+/// \brief A response whose head is no HTTP.
+struct malformed_head
+{
+    std::string name;
+    std::string text;
+};
+
+inline std::ostream &operator<<(std::ostream &out, const malformed_head &response)
+{
+    return out << response.name;
+}
+
+/// \brief Responses with the header lines \a more in their head and an invalid status.
+inline std::vector<malformed_head> invalidStatuses(const std::string &more, const std::string &body)
+{
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string rest = more + length + "\r\n" + body;
+    const std::string sound = "HTTP/1.1 200 OK\r\n" + rest;
+    return {
+            {"000", "HTTP/1.1 000 Trouble\r\n" + rest},
+            {"000_without_length", "HTTP/1.1 000 Trouble\r\n" + more + "\r\n" + body},
+            {"000_without_reason", "HTTP/1.1 000\r\n" + rest},
+            {"000_http_1_0", "HTTP/1.0 000 Trouble\r\n" + rest},
+            {"000_connection_close", "HTTP/1.1 000 Trouble\r\nConnection: close\r\n" + rest},
+            {"000_after_interim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n" + rest},
+            {"000_before_a_sound_response", "HTTP/1.1 000 Trouble\r\n\r\n" + sound},
+            {"000_with_body_before_a_sound_response", "HTTP/1.1 000 Trouble\r\n" + rest + sound},
+            {"001", "HTTP/1.1 001 Trouble\r\n" + rest},
+            {"099", "HTTP/1.1 099 Trouble\r\n" + rest},
+            {"two_digits", "HTTP/1.1 20 OK\r\n" + rest},
+            {"four_digits", "HTTP/1.1 2000 OK\r\n" + rest},
+            {"no_number", "HTTP/1.1 OK\r\n" + rest},
+            {"negative", "HTTP/1.1 -20 OK\r\n" + rest},
+    };
+}
+
+/// \brief Sends \a response to a request whose whole head and body of \a bodySize bytes were read,
+/// then closes in an orderly way.
+inline raw_server::script respondMalformed(const malformed_head &response, std::size_t bodySize)
+{
+    return [response, bodySize](raw_connection &connection) {
+        connection.readUntil("\r\n\r\n");
+        connection.skip(bodySize);
+        connection.write(response.text);
+        connection.closeSendingSide();
+        connection.readAll();
+    };
+}
+
+} // namespace tamarackridge::fakes
--- a/tests/sidecar_broken_response_path_test.cpp
+++ b/tests/sidecar_broken_response_path_test.cpp
@@ -1,5 +1,6 @@
 // Broken responses on their way to a caller, at the node beside the server and through a peer.
 #include "fakes/broken_responses.h"
+#include "fakes/malformed_heads.h"
 #include "fakes/sidecar_pair.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +22,7 @@
 using boost::system::error_code;
 using fakes::early_response;
 using fakes::raw_server;
+using fakes::response_end;
 using fakes::runUntil;
 
 const std::string identity = "Id: a\r\nSeal: s\r\n";
@@ -48,6 +50,8 @@
         cases.push_back({response, false});
     for (const early_response &response : fakes::soundEarlyResponses(identity, body, true))
         cases.push_back({response, true});
+    for (const fakes::malformed_head &head : fakes::invalidStatuses(identity, "part"))
+        cases.push_back({{"status_" + head.name, head.text, response_end::orderly_close}, false});
     return cases;
 }
 
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -1,6 +1,7 @@
 // Broken responses of backend servers and of the store, read by the sidecar on real sockets.
 #include "fakes/broken_responses.h"
 #include "fakes/loop_runner.h"
+#include "fakes/malformed_heads.h"
 #include "platform/store_gateway.h"
 #include "sidecar/server_runner.h"
 
@@ -15,6 +16,7 @@
 namespace {
 
 using fakes::early_response;
+using fakes::malformed_head;
 using fakes::raw_server;
 using fakes::runUntil;
 using std::chrono::milliseconds;
@@ -27,10 +29,9 @@
 struct sidecar_broken_response : testing::Test
 {
     /// Sends a request to a server that handles its connection with \a script.
-    /// \returns the response, or nothing if none was taken.
-    static std::optional<http_response> responseTo(const raw_server::script &script,
-                                                   const std::string &method,
-                                                   const std::string &upload)
+    static tl::expected<http_response, error_kind> responseTo(const raw_server::script &script,
+                                                              const std::string &method,
+                                                              const std::string &upload)
     {
         raw_server server({script});
         boost::asio::io_context loop;
@@ -47,9 +48,7 @@
         runner.run(work);
         EXPECT_TRUE(runUntil(
                 loop, [&] { return result.has_value(); }, [&] { runner.sweep(monotonicNow()); }));
-        if (!result || !result->response)
-            return std::nullopt;
-        return *result->response;
+        return result ? result->response : tl::unexpected(error_kind::internal_error);
     }
     /// \returns whether a server that handles its connection with \a script passes a health check.
     static bool passesCheck(const raw_server::script &script)
@@ -64,6 +63,23 @@
                 loop, [&] { return passed.has_value(); }, [&] { runner.sweep(monotonicNow()); }));
         return passed.value_or(false);
     }
+    /// \returns the names of the responses that do not end an exchange as broken.
+    static std::vector<std::string> notBroken(const std::vector<malformed_head> &heads,
+                                              const std::string &method)
+    {
+        return fakes::namesOf(heads, [&](const malformed_head &head) {
+            const tl::expected<http_response, error_kind> response =
+                    responseTo(respondMalformed(head, 0), method, "");
+            return response || response.error() != error_kind::backend_failed;
+        });
+    }
+    /// \returns the names of the responses that pass a health check.
+    static std::vector<std::string> healthy(const std::vector<malformed_head> &heads)
+    {
+        return fakes::namesOf(heads, [](const malformed_head &head) {
+            return passesCheck(respondMalformed(head, 0));
+        });
+    }
     /// Appends records of 5 MB to a store that handles its connection with \a script.
     /// \returns whether the append was acknowledged.
     static bool appendsRecords(const raw_server::script &script)
@@ -121,7 +137,7 @@
 {
     const std::string upload = fakes::longUpload();
     for (const early_response &sound : fakes::soundEarlyResponses(identity, body, true)) {
-        const std::optional<http_response> response =
+        const tl::expected<http_response, error_kind> response =
                 responseTo(respondEarly(sound), "POST", upload);
         EXPECT_TRUE(response && bodyView(response->body) == body) << sound;
     }
@@ -153,5 +169,15 @@
         EXPECT_TRUE(passesCheck(respondEarly(sound))) << sound;
 }
 
+// Guards against a response that is taken although one without a valid status came first, and
+// against a wait until the deadline for what follows it.
+TEST_F(sidecar_broken_response, a_response_with_an_invalid_status_is_broken)
+{
+    const std::vector<malformed_head> heads = fakes::invalidStatuses(identity, body);
+    for (const char *method : {"GET", "HEAD", "POST"})
+        EXPECT_EQ(notBroken(heads, method), std::vector<std::string>()) << method;
+    EXPECT_EQ(healthy(heads), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace tamarackridge
