Sidecar: a response with a folded header line is broken

What callers saw: a line of the head that begins with a blank, such as " : 1", was passed on as a part of the value of the field before it, at worst of the signature of the response; a Content-Length behind a blank was no length, and the body went on to the end of the stream. Cause: the parser joins a line that begins with a blank or a tab with the line before it (the folding of RFC 9112, section 5.2, which is obsolete). In a damaged head it may as well be a field whose name begins with a blank. Change: the sidecar reads the bytes itself and gives them to the parser, with the same sizes as before, and ends the exchange as broken when the rest of the head has such a line. Evidence: before, 2 of 23 heads with an invalid field name were taken (name_is_a_blank and line_of_blanks), for GET, HEAD and POST, with line_of_blanks a server also passed a health check, and both reached callers beside the server and through a peer. Now none, however the bytes are split. Ruled out: the 21 other names with a blank, a control byte, nothing or no colon, in interim responses and after them: the parser refuses them. The tests stay.

--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/http_connection.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
@@ -18,6 +19,7 @@
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
 // Bounds what the parser's own limits do not cover: chunk extensions and trailers.
 constexpr std::size_t maxBufferedBytes = std::size_t{128} * 1024;
+constexpr std::size_t maxReadBytes = std::size_t{64} * 1024;
 // The parser accepts any three digits. Below this, the status has no class (RFC 9110, section 15).
 constexpr unsigned minStatus = 100;
 // Interim responses and responses to other requests that one exchange skips.
@@ -36,6 +38,18 @@
     return false;
 }
 
+/// \returns whether a header field continues on a second line.
+/// \param bytes received bytes of a head, from the start of a line.
+bool hasFoldedLine(std::string_view bytes)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    if (bytes.starts_with(lineEnd))
+        return false; // The head has ended.
+    const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos
+           || head.find("\r\n\t") != std::string_view::npos;
+}
+
 std::optional<duration> idleTimeoutOf(std::string_view keepAlive)
 {
     constexpr std::string_view name = "timeout=";
@@ -149,21 +163,46 @@
         m_parser->eager(true);
         if (m_request->method() == http::verb::head)
             m_parser->skip(true);
-        readSome();
+        if (m_buffer.size() > 0)
+            partReceived({}); // A part of this response came with the one before it.
+        else
+            readSome();
     }
 
     void readSome()
     {
-        http::async_read_some(m_socket, m_buffer, *m_parser,
-                              [this, keep = self()](const error_code &error, std::size_t) {
-                                  if (m_done)
-                                      partReceived(error);
-                              });
+        const std::size_t size = boost::beast::read_size(m_buffer, maxReadBytes);
+        if (size == 0) {
+            close(exchange_outcome::broken);
+            return;
+        }
+        m_socket.async_read_some(m_buffer.prepare(size),
+                                 [this, keep = self()](const error_code &error, std::size_t count) {
+                                     m_buffer.commit(count);
+                                     if (m_done)
+                                         partReceived(error);
+                                 });
+    }
+
+    /// \brief Parses the bytes in the buffer.
+    void parse(error_code &error)
+    {
+        // The parser would join such a line with the one before it, although it may as well be a
+        // field whose name begins with a blank. RFC 9112, section 5.2, allows to discard it.
+        if (!m_parser->is_header_done()
+            && hasFoldedLine({static_cast<const char *>(m_buffer.data().data()), m_buffer.size()}))
+            error = http::error::bad_field;
+        else
+            m_buffer.consume(m_parser->put(m_buffer.data(), error));
     }
 
-    void partReceived(const error_code &error)
+    void partReceived(error_code error)
     {
-        if (error) {
+        if (!error)
+            parse(error);
+        else if (error == boost::asio::error::eof && m_parser->got_some())
+            m_parser->put_eof(error);
+        if (error && error != http::error::need_more) {
             close(exchange_outcome::broken);
             return;
         }
--- a/tests/fakes/malformed_heads.h
+++ b/tests/fakes/malformed_heads.h
@@ -45,6 +45,46 @@
     };
 }
 
+/// \brief Responses with the header lines \a more in their head and a field line whose name is no
+/// token.
+inline std::vector<malformed_head> invalidFieldNames(const std::string &more,
+                                                     const std::string &body)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string length = "Content-Length: " + std::to_string(body.size());
+    const std::string rest = more + length + "\r\n\r\n" + body;
+    std::vector<malformed_head> heads{
+            {"inner_blank", start + "X Y: 1\r\n" + rest},
+            {"blank_before_colon", start + "X : 1\r\n" + rest},
+            {"tab_before_colon", start + "X\t: 1\r\n" + rest},
+            {"blank_in_length", start + more + "Content Length: 2\r\n\r\n" + body},
+            {"blank_after_length", start + more + "Content-Length : 2\r\n\r\n" + body},
+            {"blank_before_length", start + " " + length + "\r\n" + more + "\r\n" + body},
+            {"blank_after_encoding",
+             start + more + "Transfer-Encoding : chunked\r\n\r\n2\r\n" + body},
+            {"control_after_length", start + more + "Content-Length\x0b: 2\r\n\r\n" + body},
+            {"escape", start + "X\x1bY: 1\r\n" + rest},
+            {"carriage_return", start + "X\rY: 1\r\n" + rest},
+            {"null", start + std::string("X\0Y: 1\r\n", 8) + rest},
+            {"delete", start + "X\x7f: 1\r\n" + rest},
+            {"name_is_a_blank", start + more + " : 1\r\n" + length + "\r\n\r\n" + body},
+            {"line_of_blanks",
+             start + rest.substr(0, rest.size() - body.size() - 2) + "  \r\nX: 1\r\n\r\n" + body},
+            {"no_name", start + ": 1\r\n" + rest},
+            {"no_colon", start + "XY\r\n" + rest},
+            {"status_line_as_field", start + "HTTP/1.1 201 Created: 1\r\n" + rest},
+            {"last_field",
+             start + rest.substr(0, rest.size() - body.size() - 2) + "X Y: 1\r\n\r\n" + body},
+            {"not_found", "HTTP/1.1 404 Not Found\r\nX Y: 1\r\n" + rest},
+            {"http_1_0", "HTTP/1.0 200 OK\r\nX Y: 1\r\n" + rest},
+            {"connection_close", start + "Connection: close\r\nX Y: 1\r\n" + rest},
+            {"in_an_interim_response", "HTTP/1.1 100 Continue\r\nX Y: 1\r\n\r\n" + start + rest},
+            {"after_an_interim_response",
+             "HTTP/1.1 100 Continue\r\n\r\n" + start + "X Y: 1\r\n" + rest},
+    };
+    return heads;
+}
+
 /// \brief Sends \a response to a request whose whole head and body of \a bodySize bytes were read,
 /// then closes in an orderly way.
 inline raw_server::script respondMalformed(const malformed_head &response, std::size_t bodySize)
--- a/tests/sidecar_broken_response_path_test.cpp
+++ b/tests/sidecar_broken_response_path_test.cpp
@@ -52,6 +52,8 @@
         cases.push_back({response, true});
     for (const fakes::malformed_head &head : fakes::invalidStatuses(identity, "part"))
         cases.push_back({{"status_" + head.name, head.text, response_end::orderly_close}, false});
+    for (const fakes::malformed_head &head : fakes::invalidFieldNames(identity, "part"))
+        cases.push_back({{"field_" + head.name, head.text, response_end::orderly_close}, false});
     return cases;
 }
 
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace tamarackridge {
@@ -17,6 +18,7 @@
 
 using fakes::early_response;
 using fakes::malformed_head;
+using fakes::raw_connection;
 using fakes::raw_server;
 using fakes::runUntil;
 using std::chrono::milliseconds;
@@ -179,5 +181,43 @@
     EXPECT_EQ(healthy(heads), std::vector<std::string>());
 }
 
+// Guards against a check of a head that depends on how its bytes arrive, or that reads on into the
+// body.
+TEST_F(sidecar_broken_response, the_parts_in_which_a_response_arrives_make_no_difference)
+{
+    const std::string text = "a\r\n b\r\n\r\n\tc";
+    const std::string sound = "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: "
+                              + std::to_string(text.size()) + "\r\n\r\n" + text;
+    const std::string folded = "HTTP/1.1 200 OK\r\n" + identity + " X: 1\r\n\r\n";
+    for (const std::string &response : {sound, folded}) {
+        for (std::size_t first = 1; first < response.size(); ++first) {
+            const auto inTwoParts = [&](raw_connection &connection) {
+                constexpr milliseconds pause(2);
+                connection.readUntil("\r\n\r\n");
+                connection.write(response.substr(0, first));
+                std::this_thread::sleep_for(pause);
+                connection.write(response.substr(first));
+                connection.closeSendingSide();
+                connection.readAll();
+            };
+            const tl::expected<http_response, error_kind> result =
+                    responseTo(inTwoParts, "GET", "");
+            EXPECT_EQ(result.has_value(), response == sound) << response.substr(0, first);
+            if (result)
+                EXPECT_EQ(bodyView(result->body), text) << first;
+        }
+    }
+}
+
+// Guards against a line of a head that is passed on although its name is none, or that changes
+// where the body ends.
+TEST_F(sidecar_broken_response, a_response_with_an_invalid_field_name_is_broken)
+{
+    const std::vector<malformed_head> heads = fakes::invalidFieldNames(identity, body);
+    for (const char *method : {"GET", "HEAD", "POST"})
+        EXPECT_EQ(notBroken(heads, method), std::vector<std::string>()) << method;
+    EXPECT_EQ(healthy(heads), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace tamarackridge
