Log client, tool, load generator, backend stand-in: a malformed head fails the transfer

What callers saw: a response in whose head the name of a field held a blank, a tab, a control byte or nothing was taken. With "Content-Length : 2" the body went on to the end of the connection. Cause: libcurl takes any line for a header field; only the node's exchanges checked them. Change: these clients use response_head too, which makes libcurl abort the transfer. The tool says "malformed response head". Ruled out: invalid statuses, resets while an upload is written and after it: libcurl reports these as errors, and the tests that show it stay. Complete responses that end in an orderly close arrive, with a length or without.

--- a/src/backend/http_client.cpp
+++ b/src/backend/http_client.cpp
@@ -1,5 +1,7 @@
 #include "backend/http_client.h"
 
+#include "process/response_head.h"
+
 #include <curl/curl.h>
 
 #include <memory>
@@ -99,6 +101,8 @@
     curl_easy_reset(handle);
     const header_list headers = makeHeaders(request.headers);
     client_response response;
+    internal::response_head head;
+    head.install(handle);
     curl_easy_setopt(handle, CURLOPT_URL, request.url.c_str());
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
--- a/src/ctl/curl_transport.cpp
+++ b/src/ctl/curl_transport.cpp
@@ -1,5 +1,7 @@
 #include "ctl/curl_transport.h"
 
+#include "process/response_head.h"
+
 #include <curl/curl.h>
 
 namespace tamarackridge {
@@ -40,7 +42,9 @@
 {
     CURL *const curl = m_handle->curl;
     std::string received;
+    internal::response_head head;
     curl_easy_reset(curl); // Keeps connections open.
+    head.install(curl);
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
@@ -55,6 +59,8 @@
         curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body.size()));
     }
     const CURLcode result = curl_easy_perform(curl);
+    if (head.malformed())
+        return tl::unexpected(std::string("malformed response head"));
     if (result != CURLE_OK)
         return tl::unexpected(std::string(curl_easy_strerror(result)));
     long status = 0;
--- a/src/load/http_transfer.cpp
+++ b/src/load/http_transfer.cpp
@@ -1,7 +1,8 @@
 #include "load/http_transfer.h"
 
+#include "tamarackridge/src/base/http_message.h"
+
 #include <curl/curl.h>
-#include <strings.h>
 
 #include <new>
 
@@ -20,20 +21,6 @@
         {"Tamarackridge-Request-Id", &send_result::issuedId},
 };
 
-std::string_view trimmed(std::string_view text)
-{
-    const std::size_t first = text.find_first_not_of(" \t");
-    const std::size_t last = text.find_last_not_of(" \t\r\n");
-    return first == std::string_view::npos ? std::string_view()
-                                           : text.substr(first, last + 1 - first);
-}
-
-bool startsWithName(std::string_view line, std::string_view name)
-{
-    return line.size() > name.size() && line[name.size()] == ':'
-           && strncasecmp(line.data(), name.data(), name.size()) == 0;
-}
-
 } // namespace
 
 http_transfer::http_transfer()
@@ -53,6 +40,7 @@
 {
     m_request = std::move(request);
     m_result = {};
+    m_head = {};
     m_body.clear();
     curl_easy_reset(m_handle);
     curl_slist_free_all(static_cast<curl_slist *>(m_headerLines));
@@ -86,10 +74,14 @@
 std::size_t http_transfer::onHeader(char *data, std::size_t size, std::size_t count, void *self)
 {
     const std::string_view line(data, size * count);
-    send_result &result = static_cast<http_transfer *>(self)->m_result;
+    http_transfer &transfer = *static_cast<http_transfer *>(self);
+    internal::response_head &head = transfer.m_head;
+    const internal::head_line kind = head.add(line);
+    if (kind == internal::head_line::malformed)
+        return 0; // Makes libcurl abort the transfer.
     for (const header_field &captured : capturedHeaders) {
-        if (startsWithName(line, captured.name))
-            result.*captured.target = trimmed(line.substr(captured.name.size() + 1));
+        if (kind == internal::head_line::field && equalHeaderNames(head.name(), captured.name))
+            transfer.m_result.*captured.target = head.value();
     }
     return line.size();
 }
--- a/src/load/http_transfer.h
+++ b/src/load/http_transfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "load/client_call.h"
+#include "process/response_head.h"
 
 #include <chrono>
 #include <memory>
@@ -50,6 +51,7 @@
     void *m_headerLines = nullptr;
     request m_request;
     send_result m_result;
+    internal::response_head m_head;
     std::string m_body;
 };
 
--- a/src/process/log_client.cpp
+++ b/src/process/log_client.cpp
@@ -1,6 +1,7 @@
 #include "process/log_client.h"
 
 #include "process/curl_loop.h"
+#include "process/response_head.h"
 
 #include <nlohmann/json.hpp>
 
@@ -79,7 +80,9 @@
         std::string response;
         internal::curl_list headers;
         internal::transmission_guard guard;
+        internal::response_head head;
         prepare(path, body, serverWait, headers, response);
+        head.install(m_handle.get());
         // libcurl may resend a read, but a resent append could store the record twice.
         if (body != nullptr)
             guard.install(m_handle.get());
--- a/src/process/response_head.cpp
+++ b/src/process/response_head.cpp
@@ -26,6 +26,13 @@
 } // namespace
 
 head_line response_head::add(std::string_view line)
+{
+    const head_line kind = checkLine(line);
+    m_malformed = m_malformed || kind == head_line::malformed;
+    return kind;
+}
+
+head_line response_head::checkLine(std::string_view line)
 {
     const std::string_view content = withoutLineEnd(line);
     if (m_expected == expected_line::trailer)
--- a/src/process/response_head.h
+++ b/src/process/response_head.h
@@ -36,6 +36,8 @@
     void install(CURL *handle);
 
     int status() const { return m_status; }
+    /// \returns whether a line was malformed.
+    bool malformed() const { return m_malformed; }
     /// \returns whether the head of the final response has ended.
     bool complete() const { return m_expected == expected_line::trailer; }
     /// \returns the name of the field that was added last; valid as long as its line.
@@ -45,12 +47,14 @@
 private:
     enum class expected_line : std::uint8_t { status, field, trailer };
 
+    head_line checkLine(std::string_view line);
     head_line addStatus(std::string_view line);
     head_line addField(std::string_view line);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
 
     expected_line m_expected = expected_line::status;
     int m_status = 0;
+    bool m_malformed = false;
     std::string_view m_name;
     std::string_view m_value;
 };
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -1,7 +1,12 @@
-// Broken responses read by the clients that are built on libcurl.
+// Broken responses read by the clients that are built on libcurl: the node's exchanges with its
+// backend server, the log client, the operators' tool, the load generator and the backend stand-in.
+#include "backend/http_client.h"
+#include "ctl/curl_transport.h"
 #include "fakes/broken_responses.h"
 #include "fakes/malformed_heads.h"
+#include "load/transfer_loop.h"
 #include "process/http_client.h"
+#include "process/log_client.h"
 
 #include <gtest/gtest.h>
 
@@ -23,6 +28,11 @@
 constexpr milliseconds timeout(5000);
 const std::string body = R"({"offset":7})";
 
+std::string urlOf(std::uint16_t port)
+{
+    return "http://127.0.0.1:" + std::to_string(port);
+}
+
 /// \returns the response to an upload that was sent to \a port, or nothing if none was taken.
 using send_function = std::optional<std::string> (*)(std::uint16_t port, const std::string &upload);
 
@@ -39,6 +49,41 @@
     return std::string(bodyView(outcome->response->body));
 }
 
+std::optional<std::string> sendFromLogClient(std::uint16_t port, const std::string &upload)
+{
+    const tl::expected<std::int64_t, error_kind> offset =
+            log_client(urlOf(port), timeout).append("config", upload);
+    return offset ? std::optional(R"({"offset":)" + std::to_string(*offset) + "}") : std::nullopt;
+}
+
+std::optional<std::string> sendFromTool(std::uint16_t port, const std::string &upload)
+{
+    const tl::expected<http_response, std::string> response =
+            curl_transport().send("POST", urlOf(port), upload);
+    return response ? std::optional(std::string(bodyView(response->body))) : std::nullopt;
+}
+
+std::optional<std::string> sendFromLoadGenerator(std::uint16_t port, const std::string &upload)
+{
+    load::transfer_loop loop(1);
+    bool received = false;
+    std::string text;
+    loop.start({"POST", urlOf(port), {}, upload, timeout}, [&](load::http_transfer &transfer) {
+        received = transfer.result().responseReceived;
+        text = transfer.body();
+    });
+    while (loop.running() > 0)
+        loop.poll(std::chrono::steady_clock::now() + milliseconds(100));
+    return received ? std::optional(text) : std::nullopt;
+}
+
+std::optional<std::string> sendFromBackend(std::uint16_t port, const std::string &upload)
+{
+    const std::optional<backend::client_response> response =
+            backend::http_client().send({"POST", urlOf(port), {}, upload, timeout});
+    return response ? std::optional(response->body) : std::nullopt;
+}
+
 struct client_case
 {
     const char *name;
@@ -116,7 +161,12 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(clients, process_broken_response,
-                         testing::Values(client_case{"node", &sendFromNode, false}),
+                         testing::Values(client_case{"node", &sendFromNode, false},
+                                         client_case{"log_client", &sendFromLogClient, true},
+                                         client_case{"tool", &sendFromTool, true},
+                                         client_case{"load_generator", &sendFromLoadGenerator,
+                                                     true},
+                                         client_case{"backend", &sendFromBackend, true}),
                          [](const testing::TestParamInfo<client_case> &info) {
                              return std::string(info.param.name);
                          });
