Tool, load generator, backend stand-in: a response whose head is cut fails the transfer

What callers saw: a server that closed its connection within the head of a response, in an orderly way, seemed to have sent a complete response with an empty body. The load generator counted it as received. Cause: libcurl takes the end of the connection for the end of the head, and reports success. Change: a transfer counts only if the empty line that ends the head of the final response has arrived. The tool says "the connection was closed within the response head". The tests stay.

--- a/src/backend/http_client.cpp
+++ b/src/backend/http_client.cpp
@@ -110,7 +110,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &response.body);
     setBody(handle, request);
-    const bool complete = client->perform(isCancelled);
+    const bool complete = client->perform(isCancelled) && head.complete();
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &response.status);
     returnSession(std::move(client));
     return complete ? std::optional(std::move(response)) : std::nullopt;
--- a/src/ctl/curl_transport.cpp
+++ b/src/ctl/curl_transport.cpp
@@ -63,6 +63,8 @@
         return tl::unexpected(std::string("malformed response head"));
     if (result != CURLE_OK)
         return tl::unexpected(std::string(curl_easy_strerror(result)));
+    if (!head.complete())
+        return tl::unexpected(std::string("the connection was closed within the response head"));
     long status = 0;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     return http_response{
--- a/src/load/http_transfer.cpp
+++ b/src/load/http_transfer.cpp
@@ -66,8 +66,8 @@
 
 void http_transfer::finish(bool complete)
 {
-    m_result.responseReceived = complete;
-    if (complete)
+    m_result.responseReceived = complete && m_head.complete();
+    if (m_result.responseReceived)
         curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &m_result.status);
 }
 
--- a/src/load/http_transfer.h
+++ b/src/load/http_transfer.h
@@ -33,7 +33,7 @@
     /// \brief Prepares the handle for \a request and clears the previous response.
     void prepare(request request);
     /// \brief Reads the result. Must be called after libcurl has finished with the handle.
-    /// \param complete whether libcurl received a complete response.
+    /// \param complete whether libcurl reported success.
     void finish(bool complete);
 
     /// \returns the CURL easy handle.
--- a/src/process/log_client.cpp
+++ b/src/process/log_client.cpp
@@ -87,7 +87,7 @@
         if (body != nullptr)
             guard.install(m_handle.get());
         long status = 0;
-        if (perform())
+        if (perform() && head.complete())
             curl_easy_getinfo(m_handle.get(), CURLINFO_RESPONSE_CODE, &status);
         json parsed = json::parse(response, nullptr, false);
         if (status < 200 || status > 299 || parsed.is_discarded())
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -160,6 +160,17 @@
     EXPECT_EQ(taken(fakes::invalidFieldNames("", body)), std::vector<std::string>());
 }
 
+// Guards against the start of a head that is taken for all of it, because the server closed the
+// connection in an orderly way.
+TEST_P(process_broken_response, a_response_whose_head_is_cut_is_not_taken)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 0\r\n\r\n";
+    std::vector<malformed_head> heads;
+    for (std::size_t size = 0; size < head.size(); ++size)
+        heads.push_back({std::to_string(size), head.substr(0, size)});
+    EXPECT_EQ(taken(heads), std::vector<std::string>());
+}
+
 INSTANTIATE_TEST_SUITE_P(clients, process_broken_response,
                          testing::Values(client_case{"node", &sendFromNode, false},
                                          client_case{"log_client", &sendFromLogClient, true},
