Node, log client, tool, load generator, backend stand-in: a response with an invalid length is broken

What callers saw: with a Content-Length of 20 digits, what had arrived when the server closed its connection was the whole body; with "12x" or "1 2", the first bytes of it. Cause: libcurl reads to the end of the connection when a length is too large, and ignores what follows the digits of another one. The node asked only whether there is a length. Change: response_head takes a length of digits within 63 bits only. A list of equal lengths ("5, 5") is refused too, as RFC 9110, section 8.6, allows. Ruled out: lengths below zero or without a digit, and one of 2^63 - 1 that does not arrive: libcurl refuses them.

--- a/src/process/response_head.cpp
+++ b/src/process/response_head.cpp
@@ -23,6 +23,15 @@
     return text.substr(0, text.find_last_not_of(blanks) + 1);
 }
 
+// libcurl reads to the end of the connection when a length is too large, and ignores what follows
+// the digits of another one.
+bool isLength(std::string_view value)
+{
+    std::int64_t length = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), length);
+    return error == std::errc() && end == value.data() + value.size() && !value.starts_with('-');
+}
+
 } // namespace
 
 head_line response_head::add(std::string_view line)
@@ -71,6 +80,8 @@
         return head_line::malformed;
     m_name = line.substr(0, colon);
     m_value = withoutBlanks(line.substr(colon + 1));
+    if (equalHeaderNames(m_name, "content-length") && !isLength(m_value))
+        return head_line::malformed;
     return head_line::field;
 }
 
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -171,6 +171,18 @@
     EXPECT_EQ(taken(heads), std::vector<std::string>());
 }
 
+// Guards against an end of the body that is taken from the end of the connection although the head
+// has a length.
+TEST_P(process_broken_response, a_response_with_an_invalid_length_is_not_taken)
+{
+    std::vector<malformed_head> heads;
+    for (const char *length :
+         {"99999999999999999999", "9223372036854775807", "-1", "12x", "x", "1 2"})
+        heads.push_back({length, "HTTP/1.1 200 OK\r\nContent-Length: " + std::string(length)
+                                         + "\r\n\r\n" + body});
+    EXPECT_EQ(taken(heads), std::vector<std::string>());
+}
+
 INSTANTIATE_TEST_SUITE_P(clients, process_broken_response,
                          testing::Values(client_case{"node", &sendFromNode, false},
                                          client_case{"log_client", &sendFromLogClient, true},
