Node: a complete response outlives a reset of the upload after it

What callers saw: a server that responded to an upload at once, with a length, and reset the connection later, while the upload was still being written, gave them an error instead of its complete response. Cause: libcurl fails the transfer when the upload cannot be written, and the node dropped what it had. Change: when the write of the upload fails and the body has arrived in the length of its head, the response counts, and the connection does not count as broken before the response. Evidence: before, length_then_reset_while_reading and interim_and_length_then_reset_while_reading did not arrive; now both do, in 4 runs of the test and in 6 beside ten busy processes. Open: libcurl does not read after a failed write. A response that has arrived but that libcurl has not read when the write fails is an error still; it was seen beside ten busy processes with orderly_close_then_reset. The log client, the tool, the load generator and the backend stand-in report an error in both cases.

--- a/src/process/http_exchange.cpp
+++ b/src/process/http_exchange.cpp
@@ -172,11 +172,21 @@
     return !m_lengthConflict && (hasNoBody || m_chunked || !m_contentLength.empty());
 }
 
+bool http_exchange::hasBodyOfItsLength() const
+{
+    std::size_t length = 0;
+    const char *const last = m_contentLength.data() + m_contentLength.size();
+    return std::from_chars(m_contentLength.data(), last, length).ec == std::errc()
+           && length == m_body.size();
+}
+
 tl::expected<http_response, error_kind> http_exchange::takeResponse(CURLcode result)
 {
     if (result == CURLE_OPERATION_TIMEDOUT)
         return tl::unexpected(error_kind::backend_timeout);
-    if (result == CURLE_OK) {
+    // A server that responds before it has read an upload may reset the connection after that.
+    const bool uploadCut = result == CURLE_SEND_ERROR && hasBodyOfItsLength();
+    if (result == CURLE_OK || uploadCut) {
         if (!m_head.complete() || !isBodyDelimited())
             return tl::unexpected(error_kind::backend_answer_incomplete);
         removeHopHeaders(m_response.headers);
@@ -196,8 +206,9 @@
     http_outcome outcome;
     outcome.bytesSent = m_guard.transmitted();
     outcome.connectionRefused = result == CURLE_COULDNT_CONNECT && systemError == ECONNREFUSED;
-    outcome.connectionBroken = m_guard.resendAborted() || isConnectionFailure(result);
     outcome.response = takeResponse(result);
+    outcome.connectionBroken =
+            !outcome.response && (m_guard.resendAborted() || isConnectionFailure(result));
     outcome.target = std::move(m_target);
     return outcome;
 }
--- a/src/process/http_exchange.h
+++ b/src/process/http_exchange.h
@@ -37,6 +37,7 @@
     bool addHeaderField(std::string_view name, std::string_view value);
     bool appendBody(std::string_view part);
     bool isBodyDelimited() const;
+    bool hasBodyOfItsLength() const;
     tl::expected<http_response, error_kind> takeResponse(CURLcode result);
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *self);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
--- a/tests/fakes/broken_responses.h
+++ b/tests/fakes/broken_responses.h
@@ -17,6 +17,7 @@
 enum class response_end : std::uint8_t {
     reset, ///< At once.
     late_reset, ///< When the response has arrived.
+    reset_while_reading, ///< After a further part of the upload, beyond what the kernel buffers.
     close_with_unread_bytes, ///< Which the kernel makes a reset, without an orderly close before
                              ///< it.
     orderly_close, ///< And the rest of the upload is read.
@@ -40,13 +41,14 @@
 /// \brief An upload that exceeds what the kernel buffers for one connection.
 inline std::string longUpload()
 {
-    return std::string(std::size_t{16} * 1024 * 1024, 'u');
+    return std::string(std::size_t{24} << 20U, 'u');
 }
 
 inline raw_server::script respondEarly(const early_response &response)
 {
     return [response](raw_connection &connection) {
         constexpr std::chrono::milliseconds pause(30);
+        constexpr std::size_t bufferedBytes = std::size_t{10} << 20U;
         const std::string head = connection.readUntil("\r\n\r\n");
         if (head.find("100-continue") != std::string::npos)
             connection.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -59,6 +61,10 @@
         case response_end::reset:
             connection.reset();
             break;
+        case response_end::reset_while_reading:
+            connection.skip(bufferedBytes);
+            connection.reset();
+            break;
         case response_end::close_with_unread_bytes:
             std::this_thread::sleep_for(pause);
             connection.close();
@@ -121,14 +127,17 @@
     for (const auto &[end, name] :
          {std::pair(response_end::orderly_close, "orderly_close"),
           std::pair(response_end::orderly_close_then_reset, "orderly_close_then_reset"),
-          std::pair(response_end::late_reset, "late_reset")}) {
+          std::pair(response_end::late_reset, "late_reset"),
+          std::pair(response_end::reset_while_reading, "reset_while_reading")}) {
         const std::string suffix = std::string("_then_") + name;
         responses.push_back({"length" + suffix, head + length + "\r\n" + body, end});
         responses.push_back({"http_1_0_length" + suffix,
                              "HTTP/1.0 200 OK\r\n" + more + length + "\r\n" + body, end});
         responses.push_back({"interim_and_length" + suffix,
                              "HTTP/1.1 100 Continue\r\n\r\n" + head + length + "\r\n" + body, end});
-        if (!untilClose || end == response_end::late_reset)
+        const bool closedOrderly =
+                end == response_end::orderly_close || end == response_end::orderly_close_then_reset;
+        if (!untilClose || !closedOrderly)
             continue;
         responses.push_back({"no_length" + suffix, head + "\r\n" + body, end});
         responses.push_back(
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -89,6 +89,8 @@
     const char *name;
     send_function send;
     bool readsUntilClose; ///< Takes a response without a length that ends with an orderly close.
+    /// Takes a complete response although the upload fails after it; the others report an error.
+    bool outlivesReset = false;
 };
 
 std::ostream &operator<<(std::ostream &out, const client_case &client)
@@ -142,7 +144,10 @@
     const std::string upload = fakes::longUpload();
     for (const early_response &sound :
          fakes::soundEarlyResponses("", body, GetParam().readsUntilClose)) {
-        if (sound.end != response_end::orderly_close)
+        const bool arrives =
+                sound.end == response_end::orderly_close
+                || (sound.end == response_end::reset_while_reading && GetParam().outlivesReset);
+        if (!arrives)
             continue;
         EXPECT_EQ(send(respondEarly(sound), upload), body) << sound;
     }
@@ -184,7 +189,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(clients, process_broken_response,
-                         testing::Values(client_case{"node", &sendFromNode, false},
+                         testing::Values(client_case{"node", &sendFromNode, false, true},
                                          client_case{"log_client", &sendFromLogClient, true},
                                          client_case{"tool", &sendFromTool, true},
                                          client_case{"load_generator", &sendFromLoadGenerator,
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -203,8 +203,7 @@
             const tl::expected<http_response, error_kind> result =
                     responseTo(inTwoParts, "GET", "");
             EXPECT_EQ(result.has_value(), response == sound) << response.substr(0, first);
-            if (result)
-                EXPECT_EQ(bodyView(result->body), text) << first;
+            EXPECT_EQ(result ? bodyView(result->body) : text, text) << first;
         }
     }
 }
