--- a/src/sidecar/http_connection.h
+++ b/src/sidecar/http_connection.h
@@ -41,7 +41,8 @@
 ///
 /// Skips a few late responses to earlier requests. A connection on which such a response or any
 /// byte after the response arrived is not reused. An exchange ends as `broken` when the response
-/// exceeds a limit: 64 KiB of headers, 16 MiB of body, 16 skipped responses.
+/// exceeds a limit: 64 KiB of headers, 16 MiB of body, 16 skipped responses; when its head is
+/// malformed; and when a response without a length ends with anything but an orderly close.
 class http_connection : public std::enable_shared_from_this<http_connection>
 {
 public:
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -82,11 +82,10 @@
             return passesCheck(respondMalformed(head, 0));
         });
     }
-    /// Appends records of 5 MB to a store that handles its connection with \a script.
+    /// Appends \a count records to a store that handles its connection with \a script.
     /// \returns whether the append was acknowledged.
-    static bool appendsRecords(const raw_server::script &script)
+    static bool appendsRecords(const raw_server::script &script, std::size_t count)
     {
-        constexpr std::size_t count = 50'000;
         raw_server server({script});
         boost::asio::io_context loop;
         platform::store_gateway gateway(loop, {"127.0.0.1", server.port()});
@@ -148,13 +147,27 @@
 // Guards against a record that counts as stored although the store broke off its response.
 TEST_F(sidecar_broken_response, a_reset_during_an_append_does_not_acknowledge_it)
 {
+    constexpr std::size_t count = 50'000; // 5 MB
     EXPECT_EQ(fakes::namesOf(fakes::resetResponses("", "part"),
                              [](const early_response &response) {
-                                 return appendsRecords(respondEarly(response));
+                                 return appendsRecords(respondEarly(response), count);
                              }),
               std::vector<std::string>());
     for (const early_response &sound : fakes::soundEarlyResponses("", "{}", true))
-        EXPECT_TRUE(appendsRecords(respondEarly(sound))) << sound;
+        EXPECT_TRUE(appendsRecords(respondEarly(sound), count)) << sound;
+}
+
+// Guards against a record that counts as stored because of a response whose head is none.
+TEST_F(sidecar_broken_response, a_malformed_head_does_not_acknowledge_an_append)
+{
+    for (const std::vector<malformed_head> &heads :
+         {fakes::invalidStatuses("", "{}"), fakes::invalidFieldNames("", "{}")}) {
+        EXPECT_EQ(fakes::namesOf(heads,
+                                 [](const malformed_head &head) {
+                                     return appendsRecords(respondMalformed(head, 0), 1);
+                                 }),
+                  std::vector<std::string>());
+    }
 }
 
 // Guards against a server that counts as healthy because of a response that it broke off.
