Broken responses: a length beside a transfer encoding does not complete a cut response; wording

hasBodyOfItsLength() compared the body with a Content-Length that a Transfer-Encoding overrides. By reading: no response was seen that was taken that way, and length_beside_chunks passes without the change too, since libcurl reports the read first. finish() names its parameter for what it is; comments name the token.

--- a/src/load/http_transfer.cpp
+++ b/src/load/http_transfer.cpp
@@ -64,9 +64,9 @@
     }
 }
 
-void http_transfer::finish(bool complete)
+void http_transfer::finish(bool succeeded)
 {
-    m_result.responseReceived = complete && m_head.complete();
+    m_result.responseReceived = succeeded && m_head.complete();
     if (m_result.responseReceived)
         curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &m_result.status);
 }
--- a/src/load/http_transfer.h
+++ b/src/load/http_transfer.h
@@ -33,8 +33,8 @@
     /// \brief Prepares the handle for \a request and clears the previous response.
     void prepare(request request);
     /// \brief Reads the result. Must be called after libcurl has finished with the handle.
-    /// \param complete whether libcurl reported success.
-    void finish(bool complete);
+    /// \param succeeded whether libcurl reported success.
+    void finish(bool succeeded);
 
     /// \returns the CURL easy handle.
     void *handle() const { return m_handle; }
--- a/src/process/http_exchange.cpp
+++ b/src/process/http_exchange.cpp
@@ -176,8 +176,10 @@
 {
     std::size_t length = 0;
     const char *const last = m_contentLength.data() + m_contentLength.size();
-    return std::from_chars(m_contentLength.data(), last, length).ec == std::errc()
-           && length == m_body.size();
+    const bool hasLength =
+            std::from_chars(m_contentLength.data(), last, length).ec == std::errc()
+            && headerValue(m_response.headers, "Transfer-Encoding").empty(); // Takes precedence.
+    return hasLength && length == m_body.size();
 }
 
 tl::expected<http_response, error_kind> http_exchange::takeResponse(CURLcode result)
--- a/tests/fakes/broken_responses.h
+++ b/tests/fakes/broken_responses.h
@@ -81,8 +81,8 @@
     };
 }
 
-/// \brief Responses with the header lines \a more in their head, without a length and cut by a
-/// reset while an upload is being written.
+/// \brief Responses with the header lines \a more in their head, cut by a reset while an upload is
+/// being written.
 inline std::vector<early_response> resetResponses(const std::string &more, const std::string &part)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n" + more;
@@ -110,6 +110,11 @@
                 {"length_missed" + suffix, head + "Content-Length: 100\r\n\r\n" + part, end});
         responses.push_back({"chunks_missed" + suffix,
                              head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", end});
+        responses.push_back({"length_beside_chunks" + suffix,
+                             head
+                                     + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                       "4\r\npart\r\n",
+                             end});
         responses.push_back({"head_cut" + suffix, head, end});
     }
     return responses;
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -158,7 +158,7 @@
     EXPECT_EQ(taken(fakes::invalidStatuses("", body)), std::vector<std::string>());
 }
 
-// Guards against a line of a head that is passed on although its name is none, or that changes
+// Guards against a line of a head that is passed on although its name is no token, or that changes
 // where the body ends.
 TEST_P(process_broken_response, a_response_with_an_invalid_field_name_is_not_taken)
 {
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -157,7 +157,7 @@
         EXPECT_TRUE(appendsRecords(respondEarly(sound), count)) << sound;
 }
 
-// Guards against a record that counts as stored because of a response whose head is none.
+// Guards against a record that counts as stored because of a response with a malformed head.
 TEST_F(sidecar_broken_response, a_malformed_head_does_not_acknowledge_an_append)
 {
     for (const std::vector<malformed_head> &heads :
@@ -221,7 +221,7 @@
     }
 }
 
-// Guards against a line of a head that is passed on although its name is none, or that changes
+// Guards against a line of a head that is passed on although its name is no token, or that changes
 // where the body ends.
 TEST_F(sidecar_broken_response, a_response_with_an_invalid_field_name_is_broken)
 {
