Tests of broken responses: a close with unread bytes waits for them

Under load the client's upload may not have arrived after the pause; the close was an orderly one then, after which a response without a length is complete. Found by reading; not seen in a run.

--- a/tests/fakes/broken_responses.h
+++ b/tests/fakes/broken_responses.h
@@ -67,6 +67,7 @@
             break;
         case response_end::close_with_unread_bytes:
             std::this_thread::sleep_for(pause);
+            connection.awaitUnreadBytes();
             connection.close();
             break;
         case response_end::orderly_close:
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -83,6 +83,12 @@
             count -= static_cast<std::size_t>(size);
         }
     }
+    /// \brief Waits until the kernel holds bytes that were not read, or the connection ends.
+    void awaitUnreadBytes()
+    {
+        char byte = 0;
+        static_cast<void>(recv(m_socket, &byte, sizeof byte, MSG_PEEK));
+    }
     void closeSendingSide() { shutdown(m_socket, SHUT_WR); }
     /// \brief Closes the connection with a reset.
     void reset()
