Sidecar: a response over the body limit ends its exchange, not the process

Cause: Beast's parser reports body_limit when it has read the head. In eager mode it goes on to the body when bytes of it are in the buffer, which clears the error and reserves the announced length. The limit of 16 MiB was thereby without effect for each response whose body began to arrive with its head.

Evidence: a backtrace of the throw in the new path test, from http_connection's parse() through basic_parser::put() and string_body's reader::init() to string::reserve; the parser alone, given a length over the limit: "body limit exceeded" with eager(false), success with eager(true) and one byte of body. Ruled out: requests (the parser keeps the error in its state for them; new test in sidecar_http_test passes before), chunk sizes, numbers over 64 bits, and the clients with libcurl (new cases pass before).

The head is now parsed without eager mode, so that the limit is reported before the body is begun. The exchange ends as broken; the caller gets 502.

Failed before: sidecar_broken_response.a_response_with_an_excessive_length_is_broken (std::bad_alloc), ...a_response_of_the_longest_length_is_taken (16 MiB + 1 byte was taken), sidecar_broken_response_path excessive_http_1_0_beside_the_server (std::bad_alloc; the series stops there).

--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -160,7 +160,6 @@
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
         m_parser->header_limit(maxHeaderBytes);
-        m_parser->eager(true);
         if (m_request->method() == http::verb::head)
             m_parser->skip(true);
         if (m_buffer.size() > 0)
@@ -186,14 +185,28 @@
 
     /// \brief Parses the bytes in the buffer.
     void parse(error_code &error)
+    {
+        if (!m_parser->is_header_done())
+            parseHead(error);
+        const bool expectsBody = m_parser->is_header_done() && !m_parser->is_done();
+        if (error || !expectsBody || m_buffer.size() == 0)
+            return;
+        m_parser->eager(true);
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+    }
+
+    void parseHead(error_code &error)
     {
         // The parser would join such a line with the one before it, although it may as well be a
         // field whose name begins with a blank. RFC 9112, section 5.2, allows to discard it.
-        if (!m_parser->is_header_done()
-            && hasFoldedLine({static_cast<const char *>(m_buffer.data().data()), m_buffer.size()}))
+        if (hasFoldedLine({static_cast<const char *>(m_buffer.data().data()), m_buffer.size()})) {
             error = http::error::bad_field;
-        else
-            m_buffer.consume(m_parser->put(m_buffer.data(), error));
+            return;
+        }
+        // An eager parser goes on to the body of a response that exceeds the body limit, and
+        // reserves memory for its whole length.
+        m_parser->eager(false);
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
     }
 
     void partReceived(error_code error)
--- a/tests/fakes/malformed_heads.h
+++ b/tests/fakes/malformed_heads.h
@@ -85,6 +85,44 @@
     return heads;
 }
 
+/// \brief Responses with the header lines \a more in their head that announce more bytes than any
+/// client takes, and bring only \a body.
+inline std::vector<malformed_head> excessiveLengths(const std::string &more,
+                                                    const std::string &body)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n" + more;
+    const auto length = [](const std::string &digits) {
+        return "Content-Length: " + digits + "\r\n";
+    };
+    const std::string repeatedDigits = "232323232323232323"; // In place of 23.
+    const std::string rest = more + length(repeatedDigits) + "\r\n" + body;
+    std::vector<malformed_head> responses{
+            {"no_body", start + length(repeatedDigits) + "\r\n"},
+            {"http_1_0", "HTTP/1.0 200 OK\r\n" + rest},
+            {"connection_close", "HTTP/1.1 200 OK\r\nConnection: close\r\n" + rest},
+            {"server_error", "HTTP/1.1 500 Internal Server Error\r\n" + rest},
+            {"after_an_interim_response",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + rest},
+            {"repeated_field",
+             start + length(repeatedDigits) + length(repeatedDigits) + "\r\n" + body},
+            {"before_a_sound_response", start + length(repeatedDigits) + "\r\n" + start
+                                                + length(std::to_string(body.size())) + "\r\n"
+                                                + body},
+    };
+    for (const char *digits :
+         {"100000000", "2147483647", "2147483648", "4294967296", "232323232323232323",
+          "9223372036854775807", "9223372036854775808", "18446744073709551615",
+          "18446744073709551616", "2323232323232323232323232323232323232323"})
+        responses.push_back(
+                {std::string("length_") + digits, start + length(digits) + "\r\n" + body});
+    for (const char *digits : {"5f5e100", "7fffffff", "ffffffff", "100000000", "7fffffffffffffff",
+                               "ffffffffffffffff", "10000000000000000"})
+        responses.push_back(
+                {std::string("chunk_") + digits,
+                 start + "Transfer-Encoding: chunked\r\n\r\n" + digits + "\r\n" + body});
+    return responses;
+}
+
 /// \brief Sends \a response to a request whose whole head and body of \a bodySize bytes were read,
 /// then closes in an orderly way.
 inline raw_server::script respondMalformed(const malformed_head &response, std::size_t bodySize)
--- a/tests/process_broken_response_test.cpp
+++ b/tests/process_broken_response_test.cpp
@@ -188,6 +188,13 @@
     EXPECT_EQ(taken(heads), std::vector<std::string>());
 }
 
+// Guards against a wrong length that is reserved in memory, or that a client takes for the end of
+// the connection.
+TEST_P(process_broken_response, a_response_with_an_excessive_length_is_not_taken)
+{
+    EXPECT_EQ(taken(fakes::excessiveLengths("", body)), std::vector<std::string>());
+}
+
 INSTANTIATE_TEST_SUITE_P(clients, process_broken_response,
                          testing::Values(client_case{"node", &sendFromNode, false, true},
                                          client_case{"log_client", &sendFromLogClient, true},
--- a/tests/sidecar_broken_response_path_test.cpp
+++ b/tests/sidecar_broken_response_path_test.cpp
@@ -54,6 +54,9 @@
         cases.push_back({{"status_" + head.name, head.text, response_end::orderly_close}, false});
     for (const fakes::malformed_head &head : fakes::invalidFieldNames(identity, "part"))
         cases.push_back({{"field_" + head.name, head.text, response_end::orderly_close}, false});
+    for (const fakes::malformed_head &head : fakes::excessiveLengths(identity, "part"))
+        cases.push_back(
+                {{"excessive_" + head.name, head.text, response_end::orderly_close}, false});
     return cases;
 }
 
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -194,6 +194,45 @@
     EXPECT_EQ(healthy(heads), std::vector<std::string>());
 }
 
+// Guards against a server whose response ends the process: a wrong length was reserved in memory
+// before it was compared with the limit. Found by an independent review.
+TEST_F(sidecar_broken_response, a_response_with_an_excessive_length_is_broken)
+{
+    const std::vector<malformed_head> heads = fakes::excessiveLengths(identity, body);
+    for (const char *method : {"GET", "POST", "PUT"})
+        EXPECT_EQ(notBroken(heads, method), std::vector<std::string>()) << method;
+    EXPECT_EQ(healthy(heads), std::vector<std::string>());
+    for (const malformed_head &head : fakes::excessiveLengths("", "{}"))
+        EXPECT_FALSE(appendsRecords(respondMalformed(head, 0), 1)) << head;
+}
+
+// Guards against a limit that depends on how the bytes of a response arrive, or that breaks a
+// response of exactly this length.
+TEST_F(sidecar_broken_response, a_response_of_the_longest_length_is_taken)
+{
+    constexpr std::size_t maxResponseBytes = std::size_t{16} * 1024 * 1024;
+    constexpr milliseconds pause(5);
+    for (const std::size_t excess : {0, 1}) {
+        const std::string text(maxResponseBytes + excess, 't');
+        const std::string head = "HTTP/1.1 200 OK\r\n" + identity
+                                 + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n";
+        for (const std::size_t first : {head.size() - 1, head.size(), head.size() + 1}) {
+            const auto inTwoParts = [&](raw_connection &connection) {
+                const std::string response = head + text;
+                connection.readUntil("\r\n\r\n");
+                connection.write(response.substr(0, first));
+                std::this_thread::sleep_for(pause);
+                connection.write(response.substr(first));
+                connection.closeSendingSide();
+                connection.readAll();
+            };
+            const tl::expected<http_response, error_kind> result =
+                    responseTo(inTwoParts, "GET", "");
+            EXPECT_EQ(result && bodyView(result->body) == text, excess == 0) << first;
+        }
+    }
+}
+
 // Guards against a check of a head that depends on how its bytes arrive, or that reads on into the
 // body.
 TEST_F(sidecar_broken_response, the_parts_in_which_a_response_arrives_make_no_difference)
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -247,6 +247,26 @@
     EXPECT_TRUE(requests.empty());
 }
 
+// Guards against a body over the limit that is parsed as further header fields, when its first
+// bytes arrive with the head.
+TEST_F(sidecar_listener, a_body_over_the_limit_is_refused_before_it_is_parsed)
+{
+    for (const char *length : {"2049", "4000", "100000000", "232323232323232323"}) {
+        const std::string head =
+                "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::string(length);
+        for (const char *body :
+             {"b", "text without a line end", "X: 1\r\n", "Content-Length: 2\r\n\r\nok", "\r\nok",
+              "\r\n", "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"}) {
+            raw_caller caller(loop, address);
+            caller.write(head + "\r\n\r\n" + body);
+            EXPECT_TRUE(run([&] { return caller.ended; })) << length << body;
+            EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 413 "))
+                    << length << body << caller.received;
+        }
+    }
+    EXPECT_TRUE(requests.empty());
+}
+
 // Guards against a planned stop that cuts off a request that is half read, or a response that the
 // caller has not taken yet.
 TEST_F(sidecar_listener, is_busy_until_requests_are_read_and_responses_are_taken)
