Sidecar: `run ended` says what broke the exchange with the server

A response over the limit, a cut one, bytes that are no HTTP and a reset were all `backend_failed` in the log; only the server's side could tell them apart. The line has `broken_by` now, from the parser's or the socket's error.

Test: sidecar_server_runner.a_run_that_fails_is_reported_with_what_broke_it (did not compile before).

--- a/src/sidecar/connection_pool.cpp
+++ b/src/sidecar/connection_pool.cpp
@@ -79,7 +79,7 @@
                 m_busy.begin(), m_busy.end(), [](const auto &left, const auto &right) {
                     return left.second->heldBytes() < right.second->heldBytes();
                 });
-        longest->second->close(exchange_outcome::broken);
+        longest->second->breakOff("all responses being received exceed the limit");
     }
 }
 
--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -86,6 +86,7 @@
         m_skippedResponse = false;
         m_skippedCount = 0;
         m_sendStarted = false;
+        m_brokenBy.clear();
         http::request<http::string_body> &message = m_request.emplace();
         message.method_string(request.method);
         message.target(request.target);
@@ -109,6 +110,12 @@
             finish(end);
     }
 
+    void breakOff(std::string cause) override
+    {
+        m_brokenBy = std::move(cause);
+        close(exchange_outcome::broken);
+    }
+
     void watchIdle(std::function<void()> closed) override
     {
         m_idleClosed = std::move(closed);
@@ -172,7 +179,7 @@
     {
         const std::size_t size = boost::beast::read_size(m_buffer, maxReadBytes);
         if (size == 0) {
-            close(exchange_outcome::broken);
+            breakOff("chunk extensions or trailers too long");
             return;
         }
         m_socket.async_read_some(m_buffer.prepare(size),
@@ -216,11 +223,11 @@
         else if (error == boost::asio::error::eof && m_parser->got_some())
             m_parser->put_eof(error);
         if (error && error != http::error::need_more) {
-            close(exchange_outcome::broken);
+            breakOff(error.message());
             return;
         }
         if (m_parser->is_header_done() && m_parser->get().result_int() < minStatus) {
-            close(exchange_outcome::broken);
+            breakOff("invalid status");
             return;
         }
         if (m_parser->is_done()) {
@@ -252,7 +259,7 @@
             if (closedOrderly)
                 received();
             else
-                close(exchange_outcome::broken);
+                breakOff(m_writeError.message());
         });
     }
 
@@ -276,7 +283,7 @@
             m_skippedResponse = m_skippedResponse || mismatched;
             const bool endless = ++m_skippedCount > maxSkippedResponses;
             if (endless || (!m_parser->keep_alive() && !interim))
-                close(exchange_outcome::broken);
+                breakOff("no response to this request");
             else
                 receive();
             return;
@@ -309,6 +316,7 @@
         exchange_result result;
         result.end = end;
         result.bytesSent = m_sendStarted;
+        result.brokenBy = std::move(m_brokenBy);
         // Posted, because callers of exchange() and close() do not expect the handler to run within
         // them.
         boost::asio::post(m_socket.get_executor(),
@@ -346,6 +354,7 @@
     bool m_watching = false;
     bool m_requestWritten = false;
     error_code m_writeError;
+    std::string m_brokenBy;
     bool m_skippedResponse = false; ///< A response to another request arrived first.
     bool m_sendStarted = false;
 };
--- a/src/sidecar/http_connection.h
+++ b/src/sidecar/http_connection.h
@@ -27,6 +27,7 @@
     http_response response; ///< Set when \a end is `answered`.
     bool reusable = false; ///< Whether the connection can carry another request.
     std::optional<duration> idleTimeout; ///< Keep-Alive timeout that the server sent, if any.
+    std::string brokenBy; ///< Why the exchange is `broken`, for the log.
 };
 
 /// \brief Header that must have this value in a response for it to belong to the request; an empty
@@ -64,6 +65,8 @@
                           done_handler done) = 0;
     /// \brief Closes the connection; a pending exchange ends as \a end.
     virtual void close(exchange_outcome end) = 0;
+    /// \brief Closes the connection; a pending exchange ends as `broken` because of \a cause.
+    virtual void breakOff(std::string cause) = 0;
     /// \brief Calls \a closed once when the server closes the idle connection or sends unexpected
     /// bytes on it.
     virtual void watchIdle(std::function<void()> closed) = 0;
--- a/src/sidecar/server_runner.cpp
+++ b/src/sidecar/server_runner.cpp
@@ -113,7 +113,7 @@
     }
     if (result.end == exchange_outcome::broken)
         m_probe.request();
-    m_runEnded({run, work.requestId, monotonicNow() - work.startedAt}, outcome);
+    m_runEnded({run, work.requestId, monotonicNow() - work.startedAt, result.brokenBy}, outcome);
     m_done(run, std::move(outcome), result.end == exchange_outcome::refused);
 }
 
--- a/src/sidecar/server_runner.h
+++ b/src/sidecar/server_runner.h
@@ -29,6 +29,7 @@
     run_id run = 0;
     std::string_view requestId;
     duration elapsed{};
+    std::string_view brokenBy; ///< Why the exchange with the server broke, if it did.
 };
 
 /// \brief Sends requests to the backend server of this VM, each at most once.
--- a/src/sidecar/sidecar_app.cpp
+++ b/src/sidecar/sidecar_app.cpp
@@ -393,6 +393,7 @@
             .add("status", result.response ? result.response->status : 0)
             .add("error",
                  result.response ? std::string_view() : responseFor(result.response.error()).name)
+            .add("broken_by", run.brokenBy)
             .add("bytes_sent", result.bytesSent)
             .add("took_us", microseconds(run.elapsed));
     m_log.write(result.response ? line_class::success : line_class::failure, "run ended",
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -688,6 +688,27 @@
     EXPECT_EQ(runs, (std::vector<run_id>{first.run, second.run}));
 }
 
+// Guards against a failed run whose log line does not tell a wrong length from a cut response.
+TEST_F(sidecar_server_runner, a_run_that_fails_is_reported_with_what_broke_it)
+{
+    std::vector<std::string> causes;
+    runner.onRunEnded([&](const ended_run &run, const backend_result &) {
+        causes.emplace_back(run.brokenBy);
+    });
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    for (const std::string &response :
+         {rawResponse("a", "sound"), head + "Content-Length: 232323232323232323\r\n\r\npart",
+          head + "Content-Length: 9\r\n\r\npart", std::string("garbage\r\n\r\n"),
+          "HTTP/1.1 000 Trouble\r\n" + head.substr(head.find("Id"))
+                  + "Content-Length: 0\r\n\r\n"}) {
+        server->script = [&response](const std::string &) { return response; };
+        server->closesAfterResponse = true;
+        run(item("a"));
+    }
+    EXPECT_EQ(causes, (std::vector<std::string>{"", "body limit exceeded", "partial message",
+                                                "bad version", "invalid status"}));
+}
+
 // Guards against a server that keeps working on a cancelled request.
 TEST_F(sidecar_server_runner, a_cancelled_run_closes_its_connection)
 {
