Sidecar: the announced length of a request reserves 64 MiB at most

Where the operator's maxBodyBytes is far above the memory of the VM, one caller that announces such a length ended the sidecar with std::bad_alloc, before a byte of the body had arrived.

A body now reserves its length up to 64 MiB, the default of maxBodyBytes, and grows beyond that as it arrives. With limits up to the default nothing changes.

Failed before: sidecar_listener.an_announced_length_is_not_reserved_as_a_whole (std::bad_alloc).

--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -29,8 +29,30 @@
 // would reset the connection and could discard the response.
 constexpr duration lingerPeriod = std::chrono::seconds(1);
 constexpr int backlog = 1024;
+// Reserved for the announced length of a body; a longer one grows as it arrives.
+constexpr std::uint64_t maxReservedBytes = std::uint64_t{64} * 1024 * 1024;
 
-http_request convert(http::request<http::string_body> &received)
+/// \brief Body that does not reserve whatever length a caller announces.
+struct bounded_reserve_body : http::string_body
+{
+    class reader : public http::string_body::reader
+    {
+    public:
+        using http::string_body::reader::reader;
+
+        void init(const boost::optional<std::uint64_t> &length, error_code &error)
+        {
+            boost::optional<std::uint64_t> reserved = length;
+            if (reserved)
+                reserved = std::min(*reserved, maxReservedBytes);
+            http::string_body::reader::init(reserved, error);
+        }
+    };
+};
+
+using request_message = http::request<bounded_reserve_body>;
+
+http_request convert(request_message &received)
 {
     http_request request;
     request.method = std::string(received.method_string());
@@ -43,7 +65,7 @@
 }
 
 /// \returns true when two HTTP implementations could disagree on the request's length or host.
-bool isAmbiguous(const http::request<http::string_body> &request, bool chunked)
+bool isAmbiguous(const request_message &request, bool chunked)
 {
     const bool otherCoding = request.count(http::field::transfer_encoding) > 0 && !chunked;
     return otherCoding || request.count(http::field::host) != 1;
@@ -235,7 +257,7 @@
         }
         m_keepAlive = m_parser->keep_alive();
         const bool chunked = m_parser->chunked();
-        http::request<http::string_body> message = m_parser->release();
+        request_message message = m_parser->release();
         m_parser.reset();
         if (isAmbiguous(message, chunked)) {
             refuse(error_kind::bad_request);
@@ -278,7 +300,7 @@
     http_listener &m_listener;
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::optional<http::request_parser<bounded_reserve_body>> m_parser;
     std::optional<http::response<http::string_body>> m_message;
     time_point m_deadline = time_point::max();
     call_id m_call = 0;
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -267,6 +267,25 @@
     EXPECT_TRUE(requests.empty());
 }
 
+// Guards against a caller whose request ends the process: where the operator sets a high limit, the
+// announced length was reserved in memory before any of its bytes had arrived.
+TEST_F(sidecar_listener, an_announced_length_is_not_reserved_as_a_whole)
+{
+    for (const std::uint64_t limit :
+         {std::uint64_t{1} << 40U, std::uint64_t{1} << 53U, std::uint64_t{1} << 62U}) {
+        limits.maxBodyBytes = limit;
+        raw_caller caller(loop, address);
+        caller.write("POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(limit)
+                     + "\r\n\r\npart");
+        EXPECT_TRUE(run([&] { return caller.ended; })) << limit;
+        EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 408 ")) << caller.received;
+    }
+    EXPECT_TRUE(requests.empty());
+    raw_caller caller(loop, address);
+    caller.write("POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_TRUE(run([&] { return requests.size() == 1; }));
+}
+
 // Guards against a planned stop that cuts off a request that is half read, or a response that the
 // caller has not taken yet.
 TEST_F(sidecar_listener, is_busy_until_requests_are_read_and_responses_are_taken)
