Sidecar: a header field over 65,533 bytes is refused with 431

Where maxHeaderBytes allows such a field, one request with it ended the sidecar ("field value too large"): the HTTP library keeps the length of a field in 16 bits and throws std::length_error from the parser, in the handler of a read.

The parser now reports such a field as a head over the limit. Fields up to 65,533 bytes and heads with several of them are served as before.

Failed before: sidecar_listener.a_field_that_cannot_be_stored_is_refused (std::length_error, "field value too large").

--- a/src/sidecar/http_listener.cpp
+++ b/src/sidecar/http_listener.cpp
@@ -52,6 +52,21 @@
 
 using request_message = http::request<bounded_reserve_body>;
 
+/// \brief Parser that refuses the fields that a message cannot store, which throws for them.
+class request_parser final : public http::request_parser<bounded_reserve_body>
+{
+    void on_field_impl(http::field name, boost::beast::string_view nameText,
+                       boost::beast::string_view value, error_code &error) override
+    {
+        // The lengths are kept in 16 bits, with the two characters that follow a name or value.
+        constexpr std::size_t maxLength = std::numeric_limits<std::uint16_t>::max() - 2;
+        if (nameText.size() > maxLength || value.size() > maxLength)
+            error = http::error::header_limit;
+        else
+            get().insert(name, nameText, value);
+    }
+};
+
 http_request convert(request_message &received)
 {
     http_request request;
@@ -300,7 +315,7 @@
     http_listener &m_listener;
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<bounded_reserve_body>> m_parser;
+    std::optional<request_parser> m_parser;
     std::optional<http::response<http::string_body>> m_message;
     time_point m_deadline = time_point::max();
     call_id m_call = 0;
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -286,6 +286,33 @@
     EXPECT_TRUE(run([&] { return requests.size() == 1; }));
 }
 
+// Guards against a caller whose request ends the process: a field that is longer than the HTTP
+// library can store, where the operator's limit allows it. Found by an independent review.
+TEST_F(sidecar_listener, a_field_that_cannot_be_stored_is_refused)
+{
+    constexpr std::size_t longestField = 65'533;
+    constexpr std::size_t excess = 500;
+    limits.maxHeaderBytes = std::uint64_t{200} * 1024;
+    limits.headerTimeout = std::chrono::seconds(5);
+    const std::string start = "GET /1 HTTP/1.1\r\nHost: h\r\n";
+    for (const std::size_t size : {longestField + 1, longestField + excess, 2 * longestField}) {
+        for (const std::string &field :
+             {"X: " + std::string(size, 'x'), std::string(size, 'x') + ": 1"}) {
+            raw_caller caller(loop, address);
+            caller.write(start + field + "\r\n\r\n");
+            EXPECT_TRUE(run([&] { return caller.ended; })) << size;
+            EXPECT_TRUE(caller.received.starts_with("HTTP/1.1 431 ")) << caller.received;
+        }
+    }
+    EXPECT_TRUE(requests.empty());
+    const std::string value(longestField, 'x');
+    raw_caller caller(loop, address);
+    caller.write(start + "X: " + value + "\r\nY: " + value + "\r\n\r\n");
+    ASSERT_TRUE(run([&] { return requests.size() == 1; }));
+    EXPECT_EQ(headerValue(requests[0].second.headers, "X"), value);
+    EXPECT_EQ(headerValue(requests[0].second.headers, "Y"), value);
+}
+
 // Guards against a planned stop that cuts off a request that is half read, or a response that the
 // caller has not taken yet.
 TEST_F(sidecar_listener, is_busy_until_requests_are_read_and_responses_are_taken)
