Sidecar: TRACE with a body is forwarded like any other request

One such request ended the sidecar beside the server that was to run it ("invalid request body"): prepare_payload() of the HTTP library throws for TRACE with a body, in the handler of a caller's or a peer's message.

The Content-Length is now set without prepare_payload(), by the same rule for all methods.

Failed before: sidecar_server_runner.every_method_and_body_is_forwarded_unchanged (std::invalid_argument); the other methods passed before and pass.

--- a/src/sidecar/http_connection.cpp
+++ b/src/sidecar/http_connection.cpp
@@ -50,6 +50,18 @@
            || head.find("\r\n\t") != std::string_view::npos;
 }
 
+/// \brief Sets the Content-Length as prepare_payload() does, which throws for a TRACE with a body.
+void setLength(http::request<http::string_body> &message)
+{
+    const http::verb method = message.method();
+    const bool bodyExpected = method == http::verb::options || method == http::verb::put
+                              || method == http::verb::post;
+    if (bodyExpected || !message.body().empty())
+        message.content_length(message.body().size());
+    else
+        message.content_length(boost::none);
+}
+
 std::optional<duration> idleTimeoutOf(std::string_view keepAlive)
 {
     constexpr std::string_view name = "timeout=";
@@ -94,7 +106,7 @@
         for (const http_header &header : request.headers)
             message.insert(header.name, header.value);
         message.body() = bodyView(request.body);
-        message.prepare_payload();
+        setLength(message);
         if (m_socket.is_open())
             send();
         else
--- a/tests/sidecar_http_test.cpp
+++ b/tests/sidecar_http_test.cpp
@@ -755,6 +755,31 @@
                                                 "bad version", "invalid status"}));
 }
 
+// Guards against a request that ends the process: the HTTP library throws when it prepares a TRACE
+// with a body. Found by an independent review.
+TEST_F(sidecar_server_runner, every_method_and_body_is_forwarded_unchanged)
+{
+    std::string received;
+    server->script = [&](const std::string &request) {
+        received = request;
+        return rawResponse("a", "");
+    };
+    for (const char *method :
+         {"TRACE", "GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "PROPFIND", "FOO"}) {
+        for (const std::string &body : {std::string("body"), std::string()}) {
+            run_backend work = item("a");
+            work.request.method = method;
+            if (!body.empty())
+                work.request.body = std::make_shared<const std::string>(body);
+            EXPECT_TRUE(run(work).response) << method;
+            EXPECT_TRUE(received.starts_with(std::string(method) + " /1 HTTP/1.1\r\n")) << received;
+            EXPECT_TRUE(received.ends_with("\r\n\r\n" + body)) << received;
+            EXPECT_EQ(received.find("Content-Length: 4\r\n") != std::string::npos, !body.empty())
+                    << received;
+        }
+    }
+}
+
 // Guards against a server that keeps working on a cancelled request.
 TEST_F(sidecar_server_runner, a_cancelled_run_closes_its_connection)
 {
