--- a/tests/fakes/malformed_heads.h
+++ b/tests/fakes/malformed_heads.h
@@ -9,7 +9,7 @@
 
 namespace tamarackridge::fakes {
 
-/// \brief A response whose head is no HTTP.
+/// \brief A response whose head is no HTTP, or announces a body that no client takes.
 struct malformed_head
 {
     std::string name;
@@ -86,7 +86,7 @@
 }
 
 /// \brief Responses with the header lines \a more in their head that announce more bytes than any
-/// client takes, and bring only \a body.
+/// client takes, although only \a body follows.
 inline std::vector<malformed_head> excessiveLengths(const std::string &more,
                                                     const std::string &body)
 {
--- a/tests/sidecar_broken_response_test.cpp
+++ b/tests/sidecar_broken_response_test.cpp
@@ -82,6 +82,19 @@
             return passesCheck(respondMalformed(head, 0));
         });
     }
+    /// Writes \a response in two parts, of which \a first bytes are the first.
+    static raw_server::script inTwoParts(const std::string &response, std::size_t first)
+    {
+        return [response, first](raw_connection &connection) {
+            constexpr milliseconds pause(2);
+            connection.readUntil("\r\n\r\n");
+            connection.write(response.substr(0, first));
+            std::this_thread::sleep_for(pause);
+            connection.write(response.substr(first));
+            connection.closeSendingSide();
+            connection.readAll();
+        };
+    }
     /// Appends \a count records to a store that handles its connection with \a script.
     /// \returns whether the append was acknowledged.
     static bool appendsRecords(const raw_server::script &script, std::size_t count)
@@ -211,23 +224,13 @@
 TEST_F(sidecar_broken_response, a_response_of_the_longest_length_is_taken)
 {
     constexpr std::size_t maxResponseBytes = std::size_t{16} * 1024 * 1024;
-    constexpr milliseconds pause(5);
     for (const std::size_t excess : {0, 1}) {
         const std::string text(maxResponseBytes + excess, 't');
         const std::string head = "HTTP/1.1 200 OK\r\n" + identity
                                  + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n";
         for (const std::size_t first : {head.size() - 1, head.size(), head.size() + 1}) {
-            const auto inTwoParts = [&](raw_connection &connection) {
-                const std::string response = head + text;
-                connection.readUntil("\r\n\r\n");
-                connection.write(response.substr(0, first));
-                std::this_thread::sleep_for(pause);
-                connection.write(response.substr(first));
-                connection.closeSendingSide();
-                connection.readAll();
-            };
             const tl::expected<http_response, error_kind> result =
-                    responseTo(inTwoParts, "GET", "");
+                    responseTo(inTwoParts(head + text, first), "GET", "");
             EXPECT_EQ(result && bodyView(result->body) == text, excess == 0) << first;
         }
     }
@@ -243,17 +246,8 @@
     const std::string folded = "HTTP/1.1 200 OK\r\n" + identity + " X: 1\r\n\r\n";
     for (const std::string &response : {sound, folded}) {
         for (std::size_t first = 1; first < response.size(); ++first) {
-            const auto inTwoParts = [&](raw_connection &connection) {
-                constexpr milliseconds pause(2);
-                connection.readUntil("\r\n\r\n");
-                connection.write(response.substr(0, first));
-                std::this_thread::sleep_for(pause);
-                connection.write(response.substr(first));
-                connection.closeSendingSide();
-                connection.readAll();
-            };
             const tl::expected<http_response, error_kind> result =
-                    responseTo(inTwoParts, "GET", "");
+                    responseTo(inTwoParts(response, first), "GET", "");
             EXPECT_EQ(result.has_value(), response == sound) << response.substr(0, first);
             EXPECT_EQ(result ? bodyView(result->body) : text, text) << first;
         }
