--- a/review/standins-3/server.h
+++ b/review/standins-3/server.h
@@ -48,6 +48,10 @@
     steady::time_point leave();
     /// \returns the ids of the requests that arrived, and when their last byte did.
     std::vector<std::pair<std::string, steady::time_point>> arrivals();
+    /// A request with this text in its target crashes each server that begins to run it, which
+    /// is back after crashTime.
+    static constexpr const char *crashing = "/crashing";
+    static constexpr std::chrono::seconds crashTime{2};
     /// \brief Ends all connections and refuses new ones.
     void crash();
     /// \brief Starts again, with another instance id.
@@ -71,6 +75,7 @@
     std::atomic<bool> m_down = false;
     std::atomic<bool> m_accepting = true;
     std::atomic<bool> m_leaving = false;
+    std::atomic<bool> m_crashing = false;
     std::mutex m_mutex;
     std::map<std::string, std::size_t> m_runs;
     std::vector<std::pair<std::string, steady::time_point>> m_arrivals;
