--- a/review/standins-3/late_connections.cpp
+++ b/review/standins-3/late_connections.cpp
@@ -19,6 +19,7 @@
     constexpr milliseconds timeBudget(6000);
     const std::string id = "booking-" + std::to_string(number);
     const steady::time_point deadline = steady::now() + timeBudget + milliseconds(500);
+    record.write("caller " + id + " sends POST /bookings/" + id + " to " + place.name);
     const socket_handle connection = connectTo(place.outbound);
     http_message response;
     read_end end = read_end::closed;
--- a/review/standins-3/late_crash_record.cpp
+++ b/review/standins-3/late_crash_record.cpp
@@ -26,6 +26,8 @@
         callers.emplace_back([&, index] {
             const std::string id = "crashing-" + round + '-' + std::to_string(index);
             const steady::time_point deadline = steady::now() + timeBudget + milliseconds(500);
+            record.write("caller " + id + " sends GET /slots/crashing to "
+                         + system.place(index).name);
             const socket_handle connection = connectTo(system.place(index).outbound);
             http_message response;
             read_end end = read_end::closed;
