--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -c -o "${out}/${source}.o" "${source}.cpp"
     objects+=("${out}/${source}.o")
 done
-for case in late_connections late_crash_record; do
+for case in late_connections late_crash_record leaving_callers; do
     g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "${out}/${case}" "${case}.cpp" "${objects[@]}"
 done
--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -149,6 +149,7 @@
                + R"("},"spec":{"healthPath":"/health","maxConnections":880,"protocol":"h1","tls":false}},)";
     };
     return R"({"version":7,"baseVersion":5,"resources":[)" + route("slots", "agenda", "idempotent")
+           + route("rooms", "reservas", "idempotent")
            + route("bookings", "reservas", "non_idempotent") + service("agenda")
            + service("reservas")
            + R"({"type":"tenants","metadata":{"name":"tenant-a"},"spec":{"apiKeys":[")" + key
--- a/review/standins-3/server.cpp
+++ b/review/standins-3/server.cpp
@@ -75,6 +75,14 @@
     m_record.write("server " + m_place.name + " crashed");
 }
 
+void server_stand_in::endConnections()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    shutdown(m_listener.get(), SHUT_RDWR);
+    for (int handle : m_connections)
+        shutdown(handle, SHUT_RDWR);
+}
+
 void server_stand_in::restart()
 {
     m_listener = listenOn(m_place.application, usualBacklog);
@@ -144,6 +152,17 @@
 }
 
 void server_stand_in::serve(socket_handle connection, const std::string &instance)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_connections.insert(connection.get());
+    }
+    serveRequests(connection, instance);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_connections.erase(connection.get());
+}
+
+void server_stand_in::serveRequests(const socket_handle &connection, const std::string &instance)
 {
     constexpr std::chrono::seconds writeTimeout(10);
     message_reader reader(connection.get());
@@ -189,11 +208,18 @@
     }
     m_record.write("server " + m_place.name + " runs " + request.firstLine + " id " + id + " body "
                    + std::to_string(request.body.size()));
-    if (request.target().find(crashing) != std::string::npos)
+    const milliseconds crashDelay = m_crashDelay;
+    const bool crashes = request.target().find(crashing) != std::string::npos;
+    const bool crashesLater = crashes && crashDelay > milliseconds(0);
+    if (crashes && !crashesLater)
         m_crashing = true;
-    const steady::time_point end = steady::now() + m_work;
+    const steady::time_point end = steady::now() + (crashesLater ? crashDelay : m_work);
     while (steady::now() < end && !m_stopped && !m_down)
         std::this_thread::sleep_for(milliseconds(5));
+    if (crashesLater && !m_stopped && !m_down.exchange(true)) {
+        endConnections();
+        m_crashing = true;
+    }
     return {"HTTP/1.1 200 OK",
             {{"X-Request-Id", id}, {"X-Response-Seal", "seal-" + id}, {"X-Server-Load", load}},
             m_body(request)};
--- a/review/standins-3/server.h
+++ b/review/standins-3/server.h
@@ -52,6 +52,9 @@
     /// is back after crashTime.
     static constexpr const char *crashing = "/crashing";
     static constexpr std::chrono::seconds crashTime{2};
+    /// \brief Sets how long such a request runs until the server crashes, which then ends all
+    /// connections at the same moment. 0: the server crashes soon after the beginning.
+    void setCrashDelay(milliseconds delay) { m_crashDelay = delay; }
     /// \brief Ends all connections and refuses new ones.
     void crash();
     /// \brief Starts again, with another instance id.
@@ -60,14 +63,17 @@
 private:
     void accept();
     void serve(socket_handle connection, const std::string &instance);
+    void serveRequests(const socket_handle &connection, const std::string &instance);
     http_message respondTo(const http_message &request, const std::string &instance);
     void sendHeartbeats();
     bool report(const std::string &state);
     void waitForThreads();
+    void endConnections();
 
     machine m_place;
     event_record &m_record;
     milliseconds m_work;
+    std::atomic<milliseconds> m_crashDelay{milliseconds(0)};
     body_maker m_body;
     socket_handle m_listener;
     std::vector<socket_handle> m_waiting; ///< Fill the queue of new connections.
@@ -77,6 +83,7 @@
     std::atomic<bool> m_leaving = false;
     std::atomic<bool> m_crashing = false;
     std::mutex m_mutex;
+    std::set<int> m_connections; ///< Handles of the connections that are served.
     std::map<std::string, std::size_t> m_runs;
     std::vector<std::pair<std::string, steady::time_point>> m_arrivals;
     std::vector<std::thread> m_threads;
