--- a/review/standins-3/leaving_callers.cpp
+++ b/review/standins-3/leaving_callers.cpp
@@ -64,9 +64,10 @@
                     place, requestOf("POST", "/bookings/" + id, id, timeBudget, "body of " + id),
                     timeBudget + milliseconds(500));
             const auto took = std::chrono::duration_cast<milliseconds>(steady::now() - sentAt);
-            m_record.write("caller " + id + " sent POST /bookings/" + id + " to " + place.name + ' '
-                           + std::to_string(took.count()) + " ms ago, and got "
-                           + std::to_string(status));
+            std::string line = "caller " + id;
+            line.append(" sent POST /bookings/").append(id).append(" to ").append(place.name);
+            line.append(", and got ").append(std::to_string(status)).append(" after ");
+            m_record.write(line.append(std::to_string(took.count())).append(" ms"));
             ++m_sent;
             constexpr int ok = 200;
             constexpr int tooManyRequests = 429;
